--- a/sardinewharf/bench/claims.py
+++ b/sardinewharf/bench/claims.py
@@ -13,9 +13,9 @@
 from sardinewharf import clocks
 from sardinewharf import daemons
 from sardinewharf import ids
-from sardinewharf import platform
 from sardinewharf import testbed
 from sardinewharf.daemons.gen.wire import ttypes
+from sardinewharf.keyvalue import http as kv_http
 
 _DAEMONS = 9
 _WRITES_PER_SECOND = 300
@@ -69,7 +69,7 @@
     """The claims part of one daemon."""
 
     def __init__(self, kv_address: str, addresses: list[str], number: int):
-        self.kv = platform.HttpKeyValueStore((kv_address,))
+        self.kv = kv_http.HttpKeyValueStore((kv_address,))
         self._addresses = addresses
         self._number = number
         self._clients: dict[str, daemons.PeerClient] = {}
--- /dev/null
+++ b/sardinewharf/catalog/__init__.py
@@ -0,0 +1,23 @@
+"""Holds what operators configured: routes, services, organisations, limits."""
+
+from sardinewharf.catalog.configuration import Configuration
+from sardinewharf.catalog.configuration import Limits
+from sardinewharf.catalog.configuration import Organisation
+from sardinewharf.catalog.routes import Route
+from sardinewharf.catalog.routes import RouteKind
+from sardinewharf.catalog.routes import Split
+from sardinewharf.catalog.services import CacheStore
+from sardinewharf.catalog.services import EngineSheet
+from sardinewharf.catalog.services import Service
+
+__all__ = [
+    "CacheStore",
+    "Configuration",
+    "EngineSheet",
+    "Limits",
+    "Organisation",
+    "Route",
+    "RouteKind",
+    "Service",
+    "Split",
+]
--- /dev/null
+++ b/sardinewharf/catalog/configuration.py
@@ -0,0 +1,105 @@
+"""Looks up routes and organisations in one version of the configuration."""
+
+from collections.abc import Mapping
+import dataclasses
+import functools
+
+from sardinewharf.catalog import routes as routes_lib
+from sardinewharf.catalog import services as services_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """Whose requests a key stands for.
+
+    Attributes:
+        name: Name of the organisation.
+        keys: Its keys.
+        priority: Rank of its requests, before the route's; None for none.
+        is_isolated: Whether its prompts may be shared with nobody.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    is_isolated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        header_bytes: Size of all headers.
+        body_bytes: Size of a body.
+        header_ms: Time for sending the headers.
+        idle_ms: Time that a connection may stay idle.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_ms: int = 3_000
+    idle_ms: int = 15_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """One version of what operators configured.
+
+    Attributes:
+        version: Rises with each change.
+        routes: All routes.
+        services: Services by name.
+        cache_stores: Stores of kept KV cache.
+        limits: What callers may send.
+        organisations: All organisations; empty if requests need no key.
+
+    Examples:
+        >>> route = routes_lib.Route(
+        ...     "r", "h", "/a/", routes_lib.RouteKind.SAFE, 1000, 100, 0, ()
+        ... )
+        >>> configuration = Configuration(1, (route,))
+        >>> configuration.find_route("h", "/a/b").name
+        'r'
+        >>> configuration.find_route("h", "/b") is None
+        True
+    """
+
+    version: int = 0
+    routes: tuple[routes_lib.Route, ...] = ()
+    services: Mapping[str, services_lib.Service] = dataclasses.field(
+        default_factory=dict
+    )
+    cache_stores: tuple[services_lib.CacheStore, ...] = ()
+    limits: Limits = Limits()
+    organisations: tuple[Organisation, ...] = ()
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, dict[str, routes_lib.Route]]:
+        found: dict[str, dict[str, routes_lib.Route]] = {}
+        for route in self.routes:
+            found.setdefault(route.host, {})[route.prefix] = route
+        return found
+
+    @functools.cached_property
+    def _organisations_by_key(self) -> dict[str, Organisation]:
+        return {
+            key: organisation
+            for organisation in self.organisations
+            for key in organisation.keys
+        }
+
+    def find_route(self, host: str, path: str) -> routes_lib.Route | None:
+        """Returns the route with the longest prefix that begins the path."""
+        prefixes = self._routes_by_host.get(host)
+        end = len(path)
+        while prefixes and end > 0:
+            end = path.rfind("/", 0, end)
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def find_organisation(self, key: str) -> Organisation | None:
+        """Returns whose key it is."""
+        return self._organisations_by_key.get(key)
--- a/sardinewharf/claims/committer.py
+++ b/sardinewharf/claims/committer.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf import keyvalue
 from sardinewharf import logs
-from sardinewharf import platform
 from sardinewharf.claims import entries as entries_lib
 from sardinewharf.claims import records
 
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        kv: platform.KeyValueStore,
+        kv: keyvalue.KeyValueStore,
         shard: int,
         settings: CommitterSettings,
     ):
@@ -173,10 +173,10 @@
         written = await self._kv.write(
             _SEGMENT_PREFIX + name,
             encoded,
-            platform.Absent().revision,
+            keyvalue.Absent().revision,
             clocks.Deadline.after(_CALL_S),
         )
-        if not isinstance(written, platform.Written | platform.Conflict):
+        if not isinstance(written, keyvalue.Written | keyvalue.Conflict):
             return False
         until = clocks.read_wall() + self._settings.retention_seconds
         record.add_segment(name, record.head.entries)
@@ -191,16 +191,16 @@
             self._record.revision,
             clocks.Deadline.after(_CALL_S),
         )
-        if isinstance(written, platform.Written):
+        if isinstance(written, keyvalue.Written):
             self._record.adopt(head, written.revision)
             self._has_lost_write = False
             self.writes += 1
             return True
-        if isinstance(written, platform.Conflict):
+        if isinstance(written, keyvalue.Conflict):
             self.conflicts += 1
             self._has_lost_write = False
             return await self._read()
-        self._is_last_lost = isinstance(written, platform.WriteUnknown)
+        self._is_last_lost = isinstance(written, keyvalue.WriteUnknown)
         if self._is_last_lost:
             # The same swap is tried again with the same attempts: whichever
             # of the two takes effect, the attempts in the record tell whose
@@ -214,11 +214,11 @@
     async def _read(self) -> bool:
         begun = clocks.read_monotonic()
         read = await self._kv.read(self._key, clocks.Deadline.after(_CALL_S))
-        if isinstance(read, platform.Unavailable):
+        if isinstance(read, keyvalue.Unavailable):
             return False
         try:
             head = records.Head()
-            if isinstance(read, platform.Record):
+            if isinstance(read, keyvalue.Record):
                 head = self._decoder.decode(read.value)
             for name in self._record.list_missing(head):
                 if not await self._read_segment(name):
@@ -235,7 +235,7 @@
         read = await self._kv.read(
             _SEGMENT_PREFIX + name, clocks.Deadline.after(_CALL_S)
         )
-        if not isinstance(read, platform.Record):
+        if not isinstance(read, keyvalue.Record):
             return False
         entries = self._segment_decoder.decode(read.value)
         self._record.add_segment(name, entries)
--- a/sardinewharf/claims/ledger.py
+++ b/sardinewharf/claims/ledger.py
@@ -12,7 +12,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import ids
-from sardinewharf import platform
+from sardinewharf import keyvalue
 from sardinewharf import tasks
 from sardinewharf.claims import committer
 from sardinewharf.claims import entries
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        kv: platform.KeyValueStore,
+        kv: keyvalue.KeyValueStore,
         settings: committer.CommitterSettings,
         forwarder: ClaimForwarder | None = None,
     ):
@@ -150,7 +150,7 @@
         if not answer.is_apart:
             return answer
         read = await self._kv.read(_ANSWER_PREFIX + key.hex(), deadline)
-        if not isinstance(read, platform.Record):
+        if not isinstance(read, keyvalue.Record):
             return None
         return entries.KeptAnswer(
             answer.status, answer.content_type, read.value
@@ -216,10 +216,10 @@
         written = await self._kv.write(
             _ANSWER_PREFIX + key.hex(),
             body,
-            platform.Absent().revision,
+            keyvalue.Absent().revision,
             deadline,
         )
-        return isinstance(written, platform.Written | platform.Conflict)
+        return isinstance(written, keyvalue.Written | keyvalue.Conflict)
 
     def _record(self, operation: entries.Operation, body: bytes = b"") -> None:
         if self._pending >= _MAX_PENDING_RECORDS:
--- a/sardinewharf/claims/tests/test_claims_fuzz.py
+++ b/sardinewharf/claims/tests/test_claims_fuzz.py
@@ -7,10 +7,10 @@
 
 from sardinewharf import claims
 from sardinewharf import clocks
-from sardinewharf import platform
+from sardinewharf import keyvalue
 
 
-class FaultyStore(platform.KeyValueStore):
+class FaultyStore(keyvalue.KeyValueStore):
     """A store whose writes may be refused, lost, late, or unanswered."""
 
     def __init__(self, seed):
@@ -21,31 +21,31 @@
     async def read(self, key, deadline):
         await asyncio.sleep(0)
         if self._random.random() < 0.1:
-            return platform.Unavailable("out")
-        return self.records.get(key, platform.Absent())
+            return keyvalue.Unavailable("out")
+        return self.records.get(key, keyvalue.Absent())
 
     async def write(self, key, value, revision, deadline, lease=None):
         await asyncio.sleep(0)
         fate = self._random.random()
         if fate < 0.1:
-            return platform.Rejected("rate")
+            return keyvalue.Rejected("rate")
         if fate < 0.2:
-            return platform.WriteUnknown("lost before")
+            return keyvalue.WriteUnknown("lost before")
         if fate < 0.3:
             self._swap(key, value, revision)
-            return platform.WriteUnknown("lost after")
+            return keyvalue.WriteUnknown("lost after")
         if fate < 0.4:
             task = asyncio.create_task(self._swap_late(key, value, revision))
             self._late.add(task)
-            return platform.WriteUnknown("late")
+            return keyvalue.WriteUnknown("late")
         return self._swap(key, value, revision)
 
     def _swap(self, key, value, revision):
-        found = self.records.get(key, platform.Absent())
+        found = self.records.get(key, keyvalue.Absent())
         if found.revision != revision:
-            return platform.Conflict(found.revision)
-        self.records[key] = platform.Record(value, revision + 1)
-        return platform.Written(revision + 1)
+            return keyvalue.Conflict(found.revision)
+        self.records[key] = keyvalue.Record(value, revision + 1)
+        return keyvalue.Written(revision + 1)
 
     async def _swap_late(self, key, value, revision):
         await asyncio.sleep(self._random.uniform(0.0, 0.05))
@@ -119,13 +119,13 @@
 
         async def read(self, key, deadline):
             await asyncio.sleep(0)
-            return self.records.get(key, platform.Absent())
+            return self.records.get(key, keyvalue.Absent())
 
         async def write(self, key, value, revision, deadline, lease=None):
             await asyncio.sleep(0)
             if not self.held:
                 self.held.append((key, value, revision))
-                return platform.WriteUnknown("held back")
+                return keyvalue.WriteUnknown("held back")
             return self._swap(key, value, revision)
 
     store = LateStore()
@@ -150,7 +150,7 @@
     """An unreadable record ended the committer, and claims waited for ever."""
     store = FaultyStore(0)
     key = "sardinewharf/claims/0000"
-    store.records[key] = platform.Record(b"\xc1", 1)
+    store.records[key] = keyvalue.Record(b"\xc1", 1)
     settings = claims.CommitterSettings(shards=1, linger_seconds=0.0)
     ledger = claims.ClaimLedger(store, settings)
     ledger.start()
--- a/sardinewharf/clocks.py
+++ b/sardinewharf/clocks.py
@@ -13,8 +13,11 @@
 
 
 def read_monotonic() -> float:
-    """Returns the monotonic time of this process, in seconds."""
-    return time.monotonic()
+    """Returns the monotonic time of this machine, in seconds.
+
+    Unlike ``time.monotonic``, it goes on while the machine is suspended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def read_wall() -> float:
--- a/sardinewharf/configuration/store.py
+++ b/sardinewharf/configuration/store.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from sardinewharf import clocks
-from sardinewharf import platform
+from sardinewharf import keyvalue
 from sardinewharf.configuration import manifests
 from sardinewharf.configuration import plans
 from sardinewharf.configuration import shards as shards_lib
@@ -61,7 +61,7 @@
         kv: The platform's key-value service.
     """
 
-    def __init__(self, kv: platform.KeyValueStore):
+    def __init__(self, kv: keyvalue.KeyValueStore):
         self._kv = kv
 
     async def load(
@@ -84,7 +84,7 @@
     ) -> tuple[int, snapshots.Snapshot | None]:
         """Returns the manifest's revision and its snapshot, once it changes."""
         read = await self._kv.watch(MANIFEST_KEY, revision, deadline)
-        if not isinstance(read, platform.Record):
+        if not isinstance(read, keyvalue.Record):
             return revision, None
         if read.revision == revision:
             return revision, None
@@ -93,14 +93,14 @@
 
     async def complete(
         self,
-        read: platform.ReadResult,
+        read: keyvalue.ReadResult,
         known: snapshots.Snapshot,
         deadline: clocks.Deadline,
     ) -> snapshots.Snapshot | None:
         """Returns the snapshot of a manifest record, reading its shards."""
-        if isinstance(read, platform.Unavailable):
+        if isinstance(read, keyvalue.Unavailable):
             return None
-        if isinstance(read, platform.Absent):
+        if isinstance(read, keyvalue.Absent):
             return snapshots.Snapshot(manifests.Manifest.EMPTY, ())
         try:
             manifest = manifests.Manifest.decode(read.value)
@@ -114,7 +114,7 @@
     ) -> CommitResult:
         """Makes a plan the next version, unless another came first."""
         read = await self._kv.read(MANIFEST_KEY, deadline)
-        if isinstance(read, platform.Unavailable):
+        if isinstance(read, keyvalue.Unavailable):
             return StoreDown(read.detail)
         manifest = _decode(read)
         settled = _settle(plan, manifest)
@@ -128,9 +128,9 @@
         written = await self._kv.write(
             MANIFEST_KEY, following.encode(), read.revision, deadline
         )
-        if isinstance(written, platform.Written):
+        if isinstance(written, keyvalue.Written):
             return Committed(following.history[-1])
-        if isinstance(written, platform.Rejected):
+        if isinstance(written, keyvalue.Rejected):
             return StoreDown(written.detail)
         return await self._read_back(plan, deadline)
 
@@ -141,7 +141,7 @@
         # write can still be under way, so its absence proves nothing.
         while not deadline.is_past():
             read = await self._kv.read(MANIFEST_KEY, deadline)
-            if not isinstance(read, platform.Unavailable):
+            if not isinstance(read, keyvalue.Unavailable):
                 settled = _settle(plan, _decode(read))
                 if settled is not None:
                     return settled
@@ -162,7 +162,7 @@
                 return held
             async with gate:
                 read = await self._kv.read(_SHARD_PREFIX + digest, deadline)
-            if not isinstance(read, platform.Record):
+            if not isinstance(read, keyvalue.Record):
                 return None
             shard = shards_lib.make_shard(name, read.value)
             return shard if shard.digest == digest else None
@@ -195,10 +195,10 @@
             result = await self._kv.write(
                 _SHARD_PREFIX + shard.digest,
                 shard.content,
-                platform.Absent().revision,
+                keyvalue.Absent().revision,
                 deadline,
             )
-            if isinstance(result, platform.Written | platform.Conflict):
+            if isinstance(result, keyvalue.Written | keyvalue.Conflict):
                 return None
             detail = result.detail
             await asyncio.sleep(_RETRY_S)
@@ -212,8 +212,8 @@
     return tuple(lines)
 
 
-def _decode(read: platform.Record | platform.Absent) -> manifests.Manifest:
-    if isinstance(read, platform.Absent):
+def _decode(read: keyvalue.Record | keyvalue.Absent) -> manifests.Manifest:
+    if isinstance(read, keyvalue.Absent):
         return manifests.Manifest.EMPTY
     return manifests.Manifest.decode(read.value)
 
--- a/sardinewharf/configuration/tests/test_configuration_fuzz.py
+++ b/sardinewharf/configuration/tests/test_configuration_fuzz.py
@@ -7,7 +7,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import configuration
-from sardinewharf import platform
+from sardinewharf import keyvalue
 from sardinewharf.claims.tests import test_claims_fuzz
 
 
@@ -46,7 +46,7 @@
     await asyncio.sleep(0.1)
     key = "sardinewharf/configuration/manifest"
     record = kv.records.get(key)
-    assert isinstance(record, platform.Record)
+    assert isinstance(record, keyvalue.Record)
     manifest = configuration.Manifest.decode(record.value)
     versions = [commit.version for commit in manifest.history]
     assert versions == list(range(1, manifest.version + 1))
--- a/sardinewharf/daemon/polling.py
+++ b/sardinewharf/daemon/polling.py
@@ -14,9 +14,9 @@
 from sardinewharf import daemons
 from sardinewharf import endpoints
 from sardinewharf import ids
+from sardinewharf import inventory
 from sardinewharf import limits
 from sardinewharf import logs
-from sardinewharf import platform
 from sardinewharf import routing
 from sardinewharf import tasks
 from sardinewharf.daemon import settings as settings_lib
@@ -48,7 +48,7 @@
     def __init__(
         self,
         directory: endpoints.Directory,
-        vms: platform.VmList,
+        vms: inventory.VmList,
         engines: endpoints.ModelEngine,
         members: daemons.MemberTable,
         router: routing.Router,
@@ -67,7 +67,7 @@
         self._tasks = tasks.TaskGroup()
         self._polled: dict[ids.EndpointId, asyncio.Task] = {}
         self._sequences: dict[tuple[str, str], int] = {}
-        self.listed: tuple[platform.Vm, ...] = ()
+        self.listed: tuple[inventory.Vm, ...] = ()
 
     def start(self) -> None:
         """Starts polling."""
@@ -82,7 +82,7 @@
         await self._read_list()
         await asyncio.gather(*(self._poll(e) for e in self._directory))
 
-    def take_list(self, vms: tuple[platform.Vm, ...]) -> None:
+    def take_list(self, vms: tuple[inventory.Vm, ...]) -> None:
         """Takes in a VM list."""
         self.listed = vms
         self._directory.merge(vms)
@@ -113,7 +113,7 @@
             self.take_list(
                 await self._vms.list_vms(clocks.Deadline.after(_CALL_S))
             )
-        except platform.VmListUnavailableError:
+        except inventory.VmListUnavailableError:
             _log.debug("The VM list is out; the last one stays in use.")
 
     def _match_tasks(self) -> None:
@@ -153,7 +153,7 @@
         return own.daemon in [m.daemon for m in ranked[:count]]
 
     def _reads_events(self, endpoint: endpoints.Endpoint) -> bool:
-        is_engine = endpoint.vm.kind is platform.EndpointKind.MODEL_ENGINE
+        is_engine = endpoint.vm.kind is inventory.EndpointKind.MODEL_ENGINE
         return is_engine and len(self._directory) <= _SHARE
 
     async def _poll(self, endpoint: endpoints.Endpoint) -> None:
--- a/sardinewharf/daemon/service.py
+++ b/sardinewharf/daemon/service.py
@@ -15,17 +15,18 @@
 from sardinewharf import daemons
 from sardinewharf import endpoints
 from sardinewharf import ids
+from sardinewharf import inventory
 from sardinewharf import limits
 from sardinewharf import logs
 from sardinewharf import operators
 from sardinewharf import placement
-from sardinewharf import platform
 from sardinewharf import relay
 from sardinewharf import routing
 from sardinewharf import tasks
 from sardinewharf.daemon import handler
 from sardinewharf.daemon import polling
 from sardinewharf.daemon import settings as settings_lib
+from sardinewharf.keyvalue import http as kv_http
 
 _log = logs.get_logger("daemon")
 _SILENT_TICKS = 10
@@ -78,8 +79,8 @@
         )
         source = settings.source_address
         addresses = tuple(filter(None, settings.kv.split(",")))
-        self._kv = platform.HttpKeyValueStore(addresses, source)
-        self._vms = platform.HttpVmList(settings.vm_list, source)
+        self._kv = kv_http.HttpKeyValueStore(addresses, source)
+        self._vms = inventory.HttpVmList(settings.vm_list, source)
         self._engines = endpoints.HttpModelEngine(source)
         self._servers = endpoints.HttpApplicationServer(source)
 
--- a/sardinewharf/daemons/gossip.py
+++ b/sardinewharf/daemons/gossip.py
@@ -20,9 +20,9 @@
 from sardinewharf import configuration
 from sardinewharf import endpoints
 from sardinewharf import ids
+from sardinewharf import inventory
 from sardinewharf import limits
 from sardinewharf import logs
-from sardinewharf import platform
 from sardinewharf import tasks
 from sardinewharf.daemons import client
 from sardinewharf.daemons import digests
@@ -233,7 +233,7 @@
             raise client.PeerError(str(error)) from error
         return holder.adopt(snapshot)
 
-    async def fetch_vms(self, address: str) -> tuple[platform.Vm, ...]:
+    async def fetch_vms(self, address: str) -> tuple[inventory.Vm, ...]:
         """Returns the VM list as another daemon last read it.
 
         Raises:
@@ -244,7 +244,7 @@
             request, clocks.Deadline.after(_FETCH_S)
         )
         return msgspec.msgpack.decode(
-            reply.configuration.vms, type=tuple[platform.Vm, ...]
+            reply.configuration.vms, type=tuple[inventory.Vm, ...]
         )
 
     async def join(self) -> None:
--- a/sardinewharf/endpoints/directory.py
+++ b/sardinewharf/endpoints/directory.py
@@ -9,7 +9,7 @@
 import enum
 
 from sardinewharf import ids
-from sardinewharf import platform
+from sardinewharf import inventory
 from sardinewharf.endpoints import reports
 
 _NO_REPORT = reports.LoadReport(running=0)
@@ -39,7 +39,7 @@
     """
 
     endpoint: ids.EndpointId
-    vm: platform.Vm
+    vm: inventory.Vm
     report: reports.LoadReport = _NO_REPORT
     reported_at: float = 0.0
     is_leaving: bool = False
@@ -85,7 +85,7 @@
         """Returns an endpoint by its id."""
         return self._endpoints.get(endpoint)
 
-    def merge(self, vms: Iterable[platform.Vm]) -> None:
+    def merge(self, vms: Iterable[inventory.Vm]) -> None:
         """Takes in a new VM list; VMs that it lacks are gone."""
         listed = {vm.vm: vm for vm in vms}
         for name in list(self._endpoints):
@@ -95,14 +95,14 @@
         for vm in listed.values():
             self._merge_vm(vm)
 
-    def _merge_vm(self, vm: platform.Vm) -> None:
+    def _merge_vm(self, vm: inventory.Vm) -> None:
         endpoint = ids.EndpointId(vm.vm)
         known = self._endpoints.get(endpoint)
         if known is None or known.vm.address != vm.address:
             known = Endpoint(endpoint, vm)
             self._endpoints[endpoint] = known
             self.version += 1
-        if vm.state is platform.VmState.LEAVING:
+        if vm.state is inventory.VmState.LEAVING:
             self.note_leaving(endpoint)
 
     def note_leaving(
@@ -140,7 +140,7 @@
         known.failures = 0
         if report.leaving:
             known.is_leaving = True
-        elif has_restarted and known.vm.state is platform.VmState.LIVE:
+        elif has_restarted and known.vm.state is inventory.VmState.LIVE:
             known.is_leaving = False
         after = (known.state, report.weights, report.incarnation)
         if before != after:
@@ -161,7 +161,7 @@
         found = [
             e
             for e in self._endpoints.values()
-            if e.vm.kind is platform.EndpointKind.APPLICATION
+            if e.vm.kind is inventory.EndpointKind.APPLICATION
             and e.vm.service == service
             and e.is_usable
         ]
@@ -176,7 +176,7 @@
         engines = [
             e
             for e in self._endpoints.values()
-            if e.vm.kind is platform.EndpointKind.MODEL_ENGINE
+            if e.vm.kind is inventory.EndpointKind.MODEL_ENGINE
             and not e.is_leaving
         ]
         found = [e for e in engines if e.is_usable] or engines
--- /dev/null
+++ b/sardinewharf/fleet/__init__.py
@@ -0,0 +1,19 @@
+"""Knows the endpoints of services, how busy they are and how they answer."""
+
+from sardinewharf.fleet.endpoints import Endpoint
+from sardinewharf.fleet.endpoints import EndpointState
+from sardinewharf.fleet.health import HealthTable
+from sardinewharf.fleet.loads import EndpointLoad
+from sardinewharf.fleet.loads import LoadTable
+from sardinewharf.fleet.loads import Work
+from sardinewharf.fleet.registry import Registry
+
+__all__ = [
+    "Endpoint",
+    "EndpointLoad",
+    "EndpointState",
+    "HealthTable",
+    "LoadTable",
+    "Registry",
+    "Work",
+]
--- /dev/null
+++ b/sardinewharf/fleet/registry.py
@@ -0,0 +1,93 @@
+"""Keeps the endpoints that are known, with the weights that they last showed.
+
+Examples:
+    >>> registry = Registry()
+    >>> endpoint = endpoints.Endpoint(
+    ...     ids.EndpointId("e"), "s", "10.0.0.1:80", "fd", 4,
+    ...     endpoints.EndpointState.READY, weights={"m": 1},
+    ... )
+    >>> registry.put(endpoint)
+    >>> registry.note_weights(endpoint.id, "m", 2)
+    >>> registry.find_weights(endpoint.id, "m")
+    2
+    >>> [e.id for e in registry.list_ready("s")]
+    ['e']
+"""
+
+from collections.abc import Collection
+
+from sardinewharf import ids
+from sardinewharf.fleet import endpoints
+
+
+class Registry:
+    """The endpoints, by id and by service."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[ids.EndpointId, endpoints.Endpoint] = {}
+        self._ready: dict[str, tuple[endpoints.Endpoint, ...]] = {}
+        self._shown: dict[tuple[ids.EndpointId, str], int] = {}
+        self.changes = 0
+
+    def __len__(self) -> int:
+        return len(self._endpoints)
+
+    def put(self, endpoint: endpoints.Endpoint) -> None:
+        """Takes in a registration."""
+        known = self._endpoints.get(endpoint.id)
+        if known is not None and known.started_ms != endpoint.started_ms:
+            self._forget_weights(endpoint.id)
+        self._endpoints[endpoint.id] = endpoint
+        for model, version in endpoint.weights.items():
+            self.note_weights(endpoint.id, model, version)
+        self._ready.clear()
+        self.changes += 1
+
+    def remove(self, endpoint_id: ids.EndpointId) -> None:
+        """Forgets an endpoint that is gone."""
+        if self._endpoints.pop(endpoint_id, None) is not None:
+            self._forget_weights(endpoint_id)
+            self._ready.clear()
+            self.changes += 1
+
+    def keep_only(self, kept: Collection[ids.EndpointId]) -> None:
+        """Forgets all endpoints but those given."""
+        for endpoint_id in set(self._endpoints) - set(kept):
+            self.remove(endpoint_id)
+
+    def find(self, endpoint_id: ids.EndpointId) -> endpoints.Endpoint | None:
+        """Returns an endpoint's registration."""
+        return self._endpoints.get(endpoint_id)
+
+    def list_all(self) -> list[endpoints.Endpoint]:
+        """Returns all endpoints, those that leave too."""
+        return list(self._endpoints.values())
+
+    def list_ready(self, service: str) -> tuple[endpoints.Endpoint, ...]:
+        """Returns the endpoints of a service that take new requests."""
+        found = self._ready.get(service)
+        if found is None:
+            found = tuple(
+                e
+                for e in self._endpoints.values()
+                if e.service == service
+                and e.state is endpoints.EndpointState.READY
+            )
+            self._ready[service] = found
+        return found
+
+    def note_weights(
+        self, endpoint_id: ids.EndpointId, model: str, version: int
+    ) -> None:
+        """Notes a version that an endpoint showed; versions only rise."""
+        key = (endpoint_id, model)
+        if version > self._shown.get(key, 0):
+            self._shown[key] = version
+
+    def find_weights(self, endpoint_id: ids.EndpointId, model: str) -> int:
+        """Returns the newest version that an endpoint showed, 0 if none."""
+        return self._shown.get((endpoint_id, model), 0)
+
+    def _forget_weights(self, endpoint_id: ids.EndpointId) -> None:
+        for key in [k for k in self._shown if k[0] == endpoint_id]:
+            del self._shown[key]
--- /dev/null
+++ b/sardinewharf/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routes the requests of callers to the endpoints of services."""
--- /dev/null
+++ b/sardinewharf/gateway/admission.py
@@ -0,0 +1,109 @@
+"""Decides whether a request may pass under the configuration in force."""
+
+import dataclasses
+
+from sardinewharf import catalog
+from sardinewharf.gateway import messages
+from sardinewharf.gateway import refusals
+from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
+
+# Requests pass until this long before a revoked key must be refused, which
+# covers their way to an endpoint, in seconds.
+_PROOF_MARGIN_S = 0.8
+# A route that is not found may have been added since the copy was current.
+_ROUTE_AGE_S = 1.5
+_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may pass.
+
+    Attributes:
+        route: Its route.
+        organisation: Whose it is; None on a public route.
+    """
+
+    route: catalog.Route
+    organisation: catalog.Organisation | None
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty on a public route."""
+        return self.organisation.name if self.organisation else ""
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 first."""
+        if self.organisation is None or self.organisation.priority is None:
+            return self.route.priority
+        return self.organisation.priority
+
+
+class Gatekeeper:
+    """Checks requests against the configuration.
+
+    Args:
+        replica: What the gateway believes.
+        promises: Bounds to keep.
+    """
+
+    def __init__(
+        self, replica: replica_lib.Replica, promises: settings_lib.Promises
+    ):
+        self._replica = replica
+        self._promises = promises
+
+    def admit(self, headers: messages.CallerHeaders, path: str) -> Admitted:
+        """Returns the request's route and organisation.
+
+        Raises:
+            RefusedError: If the request may not pass.
+        """
+        if not self._replica.is_filled:
+            raise _refuse_stale("no configuration was read yet")
+        configuration = self._replica.configuration
+        if not configuration.version:
+            raise _refuse_stale("the store holds no configuration yet")
+        route = configuration.find_route(headers.host, path)
+        age = self._replica.count_age()
+        if route is None:
+            if age > _ROUTE_AGE_S + _PROOF_MARGIN_S:
+                raise _refuse_stale("the route may be newer")
+            raise refusals.RefusedError(
+                refusals.Refusal(
+                    refusals.Reason.NO_ROUTE, "no route begins this path"
+                )
+            )
+        if route.is_public or not configuration.organisations:
+            return Admitted(route, None)
+        if not self.is_current():
+            raise _refuse_stale(
+                f"the configuration was current {age:.1f} s ago"
+            )
+        organisation = configuration.find_organisation(headers.key)
+        if organisation is None:
+            if age > _ROUTE_AGE_S + _PROOF_MARGIN_S:
+                raise _refuse_stale("the key may be newer")
+            raise refusals.RefusedError(
+                refusals.Refusal(
+                    refusals.Reason.UNKNOWN_KEY, "send a key in force"
+                )
+            )
+        return Admitted(route, organisation)
+
+    def is_current(self) -> bool:
+        """Returns whether requests with a key may pass."""
+        if not self._replica.is_filled:
+            return False
+        revoke_ms = self._promises.revoke_ms
+        if revoke_ms is None:
+            return True
+        return self._replica.count_age() < revoke_ms / 1000 - _PROOF_MARGIN_S
+
+
+def _refuse_stale(detail: str) -> refusals.RefusedError:
+    return refusals.RefusedError(
+        refusals.Refusal(refusals.Reason.NOT_CURRENT, detail, _RETRY_S)
+    )
--- /dev/null
+++ b/sardinewharf/gateway/dispatcher.py
@@ -0,0 +1,331 @@
+"""Sends requests to endpoints and decides what may be tried again."""
+
+import asyncio
+import dataclasses
+
+from sardinewharf import catalog
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import http1
+from sardinewharf import ids
+from sardinewharf import limits
+from sardinewharf.gateway import admission
+from sardinewharf.gateway import messages
+from sardinewharf.gateway import refusals
+from sardinewharf.gateway import requests
+from sardinewharf.gateway import selection
+
+# Longest time for making a connection, in seconds.
+_CONNECT_S = 0.3
+# Connections that may fail for one request before it is given up.
+_MAX_UNREACHED = 4
+# A request that may be repeated goes to a second endpoint after this share of
+# its time.
+_FIRST_ATTEMPT_SHARE = 0.45
+_RETRY_S = 0.3
+# A busy endpoint is left alone for this long, in seconds.
+_REFUSED_PAUSE_S = 0.15
+_MOVED_PAUSE_S = 1.0
+# Statuses by which an endpoint would promise that a request has not run.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a dispatcher works with.
+
+    Attributes:
+        dialect: Translates headers.
+        gatekeeper: Admits requests.
+        selector: Chooses endpoints.
+        registry: The endpoints.
+        loads: Work at endpoints.
+        health: How endpoints answer.
+        connections: Pools of connections.
+        budgets: Budgets of repeats by service.
+    """
+
+    dialect: messages.Dialect
+    gatekeeper: admission.Gatekeeper
+    selector: selection.Selector
+    registry: fleet.Registry
+    loads: fleet.LoadTable
+    health: fleet.HealthTable
+    connections: "ConnectionTable"
+    budgets: "BudgetTable"
+
+
+class ConnectionTable:
+    """Connection pools by endpoint."""
+
+    def __init__(self) -> None:
+        self._pools: dict[tuple[ids.EndpointId, int], http1.Pool] = {}
+
+    def find(self, endpoint: fleet.Endpoint, limit: int) -> http1.Pool:
+        """Returns the pool of an endpoint's present incarnation."""
+        key = (endpoint.id, endpoint.started_ms)
+        pool = self._pools.get(key)
+        if pool is None or pool.address != endpoint.address:
+            pool = http1.Pool(endpoint.address, limit)
+            self._pools[key] = pool
+        pool.limit = limit
+        return pool
+
+    def close_gone(self, registry: fleet.Registry) -> None:
+        """Closes the connections of endpoints that are gone."""
+        for key in list(self._pools):
+            endpoint = registry.find(key[0])
+            if endpoint is None or endpoint.started_ms != key[1]:
+                self._pools.pop(key).close()
+
+
+class BudgetTable:
+    """Budgets of repeats by service.
+
+    Args:
+        share: This gateway's part of each.
+    """
+
+    def __init__(self, share: limits.BudgetShare):
+        self._share = share
+        self._budgets: dict[str, limits.WindowBudget] = {}
+
+    def find(self, service: str) -> limits.WindowBudget:
+        """Returns a service's budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = limits.WindowBudget(self._share)
+            self._budgets[service] = budget
+        return budget
+
+    def set_share(self, share: limits.BudgetShare) -> None:
+        """Changes this gateway's part of each budget."""
+        self._share = share
+        for budget in self._budgets.values():
+            budget.share = share
+
+
+class Dispatcher:
+    """Opens answers to requests.
+
+    Args:
+        parts: What it works with.
+    """
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+
+    async def open(self, call: requests.Call) -> requests.Attempt:
+        """Returns an attempt whose answer has begun; it must be closed.
+
+        Raises:
+            RefusedError: If there is none, with the truth about whether the
+                request may have run.
+        """
+        unreached = 0
+        while unreached < _MAX_UNREACHED:
+            self._check(call)
+            target = self._parts.selector.choose(call)
+            if target is None:
+                raise self._give_up(call, refusals.Reason.NO_ENDPOINT)
+            try:
+                pool, connection = await self._connect(call, target)
+            except http1.ConnectError as error:
+                call.last_detail = str(error)
+                call.excluded.add(target.endpoint.id)
+                unreached += 1
+                continue
+            if not self._may_send(call):
+                pool.release(connection)
+                raise self._give_up(call, refusals.Reason.BUSY)
+            attempt = self._send(call, target, pool, connection)
+            if await self._wait_for_head(call, attempt):
+                return attempt
+        raise self._give_up(call, refusals.Reason.NO_ENDPOINT)
+
+    def note_loss(
+        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    ) -> None:
+        """Notes that an answer was lost or is not the endpoint's."""
+        endpoint = attempt.target.endpoint
+        call.last_detail = f"{endpoint.id}: {detail}"
+        call.excluded.add(endpoint.id)
+        self._parts.health.note_failure(endpoint.id, clocks.read_monotonic())
+
+    def note_success(self, attempt: requests.Attempt) -> None:
+        """Notes that an answer came whole."""
+        self._parts.health.note_success(attempt.target.endpoint.id)
+
+    def _check(self, call: requests.Call) -> None:
+        """Raises RefusedError unless the request may be sent now."""
+        if call.deadline.is_past():
+            raise self._give_up(call, refusals.Reason.NO_TIME)
+        if not call.may_run_again:
+            raise self._give_up(call, refusals.Reason.LOST)
+        if call.may_have_run:
+            return
+        request = call.request
+        self._parts.gatekeeper.admit(request.headers, request.path)
+
+    async def _connect(
+        self, call: requests.Call, target: requests.Target
+    ) -> tuple[http1.Pool, http1.Connection]:
+        now = clocks.read_monotonic()
+        endpoint = target.endpoint
+        limit = self._parts.selector.find_connection_limit(endpoint.service)
+        pool = self._parts.connections.find(endpoint, limit)
+        self._parts.health.note_trial(endpoint.id, now)
+        deadline = clocks.Deadline(now + _CONNECT_S).earlier(call.deadline)
+        try:
+            return pool, await pool.acquire(deadline)
+        except http1.FullError:
+            raise
+        except http1.ConnectError:
+            self._parts.health.note_unreached(
+                endpoint.id, clocks.read_monotonic()
+            )
+            raise
+
+    def _may_send(self, call: requests.Call) -> bool:
+        now = clocks.read_monotonic()
+        budget = self._parts.budgets.find(call.service)
+        if call.sends:
+            return budget.take(now)
+        budget.count_request(now)
+        return True
+
+    def _send(
+        self,
+        call: requests.Call,
+        target: requests.Target,
+        pool: http1.Pool,
+        connection: http1.Connection,
+    ) -> requests.Attempt:
+        work = self._parts.loads.begin(
+            target.endpoint.id, target.read_tokens, target.held_tokens
+        )
+        exchange = connection.start(
+            call.request.method, self._encode(call, target)
+        )
+        call.sends += 1
+        call.runs += 1
+        return requests.Attempt(target, pool, connection, work, exchange)
+
+    def _encode(self, call: requests.Call, target: requests.Target) -> bytes:
+        request = call.request
+        headers = self._parts.dialect.write_request(
+            messages.Dispatch(
+                headers=request.headers,
+                endpoint=target.endpoint.id,
+                deadline=call.deadline,
+                organisation=call.admitted.organisation_name,
+                weights=target.weights,
+                cache_scope=target.cache_scope,
+                priority=target.priority,
+                fetch_from=target.fetch_from,
+                save_to=target.save_to,
+                resume_after=call.resume_after,
+            )
+        )
+        return http1.encode_request(
+            request.method, request.target, headers, request.body
+        )
+
+    async def _wait_for_head(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> bool:
+        """Returns whether the answer may be passed on; else closes it."""
+        is_kept = False
+        try:
+            async with asyncio.timeout_at(self._find_limit(call)):
+                head = await attempt.exchange.read_head()
+            attempt.head = self._parts.dialect.read_answer(head)
+            is_kept = self._judge(call, attempt)
+        except http1.LostError as error:
+            self.note_loss(call, attempt, str(error))
+        except TimeoutError:
+            self.note_loss(call, attempt, "no answer in time")
+        finally:
+            if not is_kept:
+                attempt.close()
+        return is_kept
+
+    def _find_limit(self, call: requests.Call) -> float:
+        """Returns when the attempt is given up, on the loop's clock."""
+        route = call.admitted.route
+        is_first_of_more = (
+            route.kind is catalog.RouteKind.SAFE
+            and call.runs < route.max_attempts
+        )
+        if not is_first_of_more:
+            return call.deadline.at
+        left = call.deadline.remaining()
+        return clocks.read_monotonic() + left * _FIRST_ATTEMPT_SHARE
+
+    def _judge(self, call: requests.Call, attempt: requests.Attempt) -> bool:
+        """Returns whether an answer is to be passed on."""
+        head = attempt.head
+        self._learn(call, attempt)
+        if head.is_not_run:
+            self._note_not_run(call, attempt)
+            return False
+        if (
+            head.request_id
+            and head.request_id != call.request.headers.request_id
+        ):
+            self.note_loss(call, attempt, "the answer is to another request")
+            return False
+        if head.is_success:
+            if head.is_stamped and not head.is_encoded:
+                return True
+            self.note_loss(call, attempt, "the answer is not the endpoint's")
+            return False
+        return self._judge_failure(call, attempt)
+
+    def _judge_failure(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> bool:
+        """Returns whether an endpoint's failure is passed on."""
+        head = attempt.head
+        if not head.is_stamped and head.status in _PROMISES:
+            self.note_loss(call, attempt, f"status {head.status} unsigned")
+            return False
+        if head.status < 500 or not call.may_run_again:
+            return True
+        budget = self._parts.budgets.find(call.service)
+        if budget.read_left(clocks.read_monotonic()) < 1.0:
+            return True
+        self.note_loss(call, attempt, f"status {head.status}")
+        return False
+
+    def _note_not_run(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> None:
+        call.runs -= 1
+        endpoint = attempt.target.endpoint
+        status = attempt.head.status
+        call.last_detail = f"{endpoint.id}: not run, status {status}"
+        call.excluded.add(endpoint.id)
+        pause = _MOVED_PAUSE_S if status == 421 else _REFUSED_PAUSE_S
+        self._parts.health.pause(endpoint.id, clocks.read_monotonic() + pause)
+
+    def _learn(self, call: requests.Call, attempt: requests.Attempt) -> None:
+        head = attempt.head
+        prompt = call.request.headers.prompt
+        if head.weights and prompt is not None:
+            self._parts.registry.note_weights(
+                attempt.target.endpoint.id, prompt.model, head.weights
+            )
+
+    def _give_up(
+        self, call: requests.Call, reason: refusals.Reason
+    ) -> refusals.RefusedError:
+        """Returns the refusal that tells the truth about the request."""
+        detail = call.last_detail or reason.value
+        if not call.may_have_run:
+            return refusals.RefusedError(
+                refusals.Refusal(reason, detail, _RETRY_S)
+            )
+        is_late = call.deadline.is_past()
+        lost = refusals.Reason.TIMED_OUT if is_late else refusals.Reason.LOST
+        return refusals.RefusedError(refusals.Refusal(lost, detail))
--- /dev/null
+++ b/sardinewharf/gateway/members.py
@@ -0,0 +1,42 @@
+"""Registers gateways in the store, so that they find one another."""
+
+import msgspec
+
+from sardinewharf import keyvalue
+from sardinewharf.gateway import changes
+
+KEY_PREFIX = "sardinewharf/members/"
+
+
+class Registration(msgspec.Struct):
+    """What a gateway says of itself.
+
+    Attributes:
+        address: ``IP:PORT`` for other gateways.
+    """
+
+    address: str
+
+
+def make_entry(name: str, address: str) -> keyvalue.Entry:
+    """Returns a gateway's entry.
+
+    Examples:
+        >>> read_member(make_entry("vm-1", "10.0.0.1:7000")).address
+        '10.0.0.1:7000'
+    """
+    value = msgspec.json.encode(Registration(address))
+    return keyvalue.Entry(KEY_PREFIX + name, value, 0)
+
+
+def read_member(entry: keyvalue.Entry) -> changes.MemberChange:
+    """Returns the gateway that an entry names."""
+    name = entry.key.removeprefix(KEY_PREFIX)
+    if entry.value is None:
+        return changes.MemberChange(name, "")
+    try:
+        found = msgspec.json.decode(entry.value, type=Registration)
+    except msgspec.MsgspecError:
+        # A gateway that cannot be read is one that cannot be reached.
+        return changes.MemberChange(name, "")
+    return changes.MemberChange(name, found.address)
--- /dev/null
+++ b/sardinewharf/gateway/refusals.py
@@ -0,0 +1,73 @@
+"""Types of the answers that a gateway gives of its own."""
+
+import dataclasses
+import enum
+
+
+class Reason(enum.Enum):
+    """Why a request got no answer of an endpoint."""
+
+    MALFORMED = "malformed"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    TOO_LARGE = "too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    NOT_CURRENT = "not_current"
+    NO_ENDPOINT = "no_endpoint"
+    BUSY = "busy"
+    NOT_RUN = "not_run"
+    QUARANTINED = "quarantined"
+    NO_TIME = "no_time"
+    LOST = "lost"
+    BAD_ANSWER = "bad_answer"
+    TIMED_OUT = "timed_out"
+
+
+_STATUSES = {
+    Reason.MALFORMED: 400,
+    Reason.NO_ROUTE: 404,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
+    Reason.NOT_CURRENT: 503,
+    Reason.NO_ENDPOINT: 503,
+    Reason.BUSY: 503,
+    Reason.NOT_RUN: 503,
+    Reason.QUARANTINED: 502,
+    Reason.NO_TIME: 503,
+    Reason.LOST: 502,
+    Reason.BAD_ANSWER: 502,
+    Reason.TIMED_OUT: 504,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of the gateway's own.
+
+    Attributes:
+        reason: Why.
+        detail: What was seen, and what to do.
+        retry_after_s: When to come back, in seconds; None to say nothing.
+
+    Examples:
+        >>> Refusal(Reason.BUSY, "all engines are busy", 0.5).status
+        503
+    """
+
+    reason: Reason
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status; 503 says that the request has not run."""
+        return _STATUSES[self.reason]
+
+
+class RefusedError(Exception):
+    """Ends the handling of a request with a refusal."""
+
+    def __init__(self, refusal: Refusal):
+        super().__init__(refusal.reason.value)
+        self.refusal = refusal
--- /dev/null
+++ b/sardinewharf/gateway/relay.py
@@ -0,0 +1,141 @@
+"""Passes answers on to callers, whole and in order."""
+
+import asyncio
+
+from sardinewharf import catalog
+from sardinewharf import http1
+from sardinewharf.gateway import dispatcher as dispatcher_lib
+from sardinewharf.gateway import messages
+from sardinewharf.gateway import refusals
+from sardinewharf.gateway import requests
+from sardinewharf.gateway import responder as responder_lib
+from sardinewharf.gateway import streams
+
+_MAX_BODY = 16 * 1024 * 1024
+
+
+class Relay:
+    """Answers requests by what endpoints answer.
+
+    Args:
+        dispatcher: Opens the answers.
+    """
+
+    def __init__(self, dispatcher: dispatcher_lib.Dispatcher):
+        self._dispatcher = dispatcher
+
+    async def answer(
+        self, call: requests.Call, responder: responder_lib.Responder
+    ) -> None:
+        """Answers a request.
+
+        Raises:
+            RefusedError: If there is no answer and none has begun.
+        """
+        while True:
+            attempt = await self._dispatcher.open(call)
+            head = attempt.head
+            is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
+            try:
+                if is_stream and head.is_success:
+                    await self._relay_stream(call, attempt, responder)
+                    return
+                body = await self._read_body(call, attempt)
+                if body is not None:
+                    await responder.answer(head, body)
+                    return
+            finally:
+                attempt.close()
+
+    async def _read_body(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> bytes | None:
+        """Returns a whole body, or None if it was lost."""
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout_at(call.deadline.at):
+                while chunk := await attempt.exchange.read():
+                    chunks.append(chunk)
+                    size += len(chunk)
+                    if size > _MAX_BODY:
+                        raise http1.LostError("the answer is too large")
+        except http1.LostError as error:
+            self._dispatcher.note_loss(call, attempt, str(error))
+            return None
+        except TimeoutError:
+            self._dispatcher.note_loss(
+                call, attempt, "answer not whole in time"
+            )
+            return None
+        if attempt.head.is_success:
+            self._dispatcher.note_success(attempt)
+        return b"".join(chunks)
+
+    async def _relay_stream(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        responder: responder_lib.Responder,
+    ) -> None:
+        """Passes on a stream; one that may be resumed goes on elsewhere."""
+        framer = streams.EventFramer()
+        await responder.start(attempt.head)
+        current = attempt
+        while not await self._copy_events(call, current, framer, responder):
+            if current is not attempt:
+                current.close()
+            framer.drop_rest()
+            if not call.may_run_again or call.deadline.is_past():
+                return
+            call.resume_after = (
+                framer.last_id
+                if framer.last_id is not None
+                else call.request.headers.resume_after
+            )
+            try:
+                current = await self._dispatcher.open(call)
+            except refusals.RefusedError:
+                return
+            if not _continues(current.head):
+                current.close()
+                return
+        await responder.finish()
+        if current is not attempt:
+            current.close()
+
+    async def _copy_events(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        framer: streams.EventFramer,
+        responder: responder_lib.Responder,
+    ) -> bool:
+        """Passes on events; returns whether the stream came to its end."""
+        try:
+            while True:
+                async with asyncio.timeout_at(call.deadline.at):
+                    chunk = await attempt.exchange.read()
+                if not chunk:
+                    break
+                attempt.work.end_prompt()
+                whole = framer.feed(chunk)
+                if whole:
+                    await responder.write(whole)
+        except http1.LostError as error:
+            self._dispatcher.note_loss(call, attempt, str(error))
+            return False
+        except TimeoutError:
+            self._dispatcher.note_loss(
+                call, attempt, "stream not whole in time"
+            )
+            return False
+        if not framer.is_clean:
+            self._dispatcher.note_loss(call, attempt, "ends within an event")
+            return False
+        self._dispatcher.note_success(attempt)
+        return True
+
+
+def _continues(head: messages.AnswerHead | None) -> bool:
+    return head is not None and head.is_success and head.is_event_stream
--- /dev/null
+++ b/sardinewharf/gateway/replica.py
@@ -0,0 +1,105 @@
+"""Holds what a gateway believes, and since when it is known to be current."""
+
+from collections.abc import Iterable
+
+from sardinewharf import catalog
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import ids
+from sardinewharf.gateway import changes
+
+# After an outage of the store, registrations that lapsed meanwhile come back
+# within this time, in seconds, if their endpoint lives.
+_RETURN_S = 2.2
+
+
+class Replica:
+    """A gateway's copy of configuration, endpoints and wanted weights.
+
+    Attributes:
+        configuration: The newest configuration seen.
+        registry: The endpoints.
+        wanted_weights: Version wanted of each model.
+        weights_named_at: When each version was heard of, by model.
+        members: Addresses of the gateways by name.
+        revision: The store's revision that all this is at.
+        is_filled: Whether the store was read since the start.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = catalog.Configuration()
+        self.registry = fleet.Registry()
+        self.wanted_weights: dict[str, int] = {}
+        self.weights_named_at: dict[str, float] = {}
+        self.members: dict[str, str] = {}
+        self.revision = 0
+        self.is_filled = False
+        self._proved_at = float("-inf")
+        self._doubtful: dict[ids.EndpointId, clocks.Deadline] = {}
+        self._doubt_until = clocks.Deadline(float("-inf"))
+
+    @property
+    def proved_at(self) -> float:
+        """When the copy was last known to be current."""
+        return self._proved_at
+
+    def prove(self, at: float) -> None:
+        """Notes that the copy was current at a time."""
+        self._proved_at = max(self._proved_at, at)
+
+    def count_age(self) -> float:
+        """Returns the seconds since the copy was known to be current."""
+        return clocks.read_monotonic() - self._proved_at
+
+    def expect_returns(self) -> None:
+        """Notes that the store is back after an outage."""
+        self._doubt_until = clocks.Deadline.after(_RETURN_S)
+
+    def apply(self, change: changes.Change, now: float) -> None:
+        """Takes in a change."""
+        if isinstance(change, changes.ConfigurationChange):
+            if change.configuration.version > self.configuration.version:
+                self.configuration = change.configuration
+        elif isinstance(change, changes.WeightsNamed):
+            if change.version > self.wanted_weights.get(change.model, 0):
+                self.wanted_weights[change.model] = change.version
+                self.weights_named_at[change.model] = now
+        elif isinstance(change, changes.EndpointChange):
+            self._doubtful.pop(change.endpoint.id, None)
+            self.registry.put(change.endpoint)
+        elif isinstance(change, changes.EndpointGone):
+            self._lose_endpoint(change.id)
+        elif change.address:
+            self.members[change.name] = change.address
+        else:
+            self.members.pop(change.name, None)
+
+    def replace(self, found: Iterable[changes.Change], now: float) -> None:
+        """Takes in a whole listing; what is missing in it is gone."""
+        endpoints: set[ids.EndpointId] = set()
+        members: set[str] = set()
+        for change in found:
+            self.apply(change, now)
+            if isinstance(change, changes.EndpointChange):
+                endpoints.add(change.endpoint.id)
+            elif isinstance(change, changes.MemberChange):
+                members.add(change.name)
+        for endpoint in self.registry.list_all():
+            if endpoint.id not in endpoints:
+                self._lose_endpoint(endpoint.id)
+        for name in set(self.members) - members:
+            del self.members[name]
+        self.is_filled = True
+
+    def drop_doubtful(self) -> None:
+        """Forgets endpoints whose registration did not come back in time."""
+        for endpoint_id, deadline in list(self._doubtful.items()):
+            if deadline.is_past():
+                del self._doubtful[endpoint_id]
+                self.registry.remove(endpoint_id)
+
+    def _lose_endpoint(self, endpoint_id: ids.EndpointId) -> None:
+        if self._doubt_until.is_past():
+            self.registry.remove(endpoint_id)
+        else:
+            self._doubtful.setdefault(endpoint_id, self._doubt_until)
--- /dev/null
+++ b/sardinewharf/gateway/requests.py
@@ -0,0 +1,134 @@
+"""Types of a request on its way through a gateway."""
+
+import dataclasses
+
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import http1
+from sardinewharf import ids
+from sardinewharf.gateway import admission
+from sardinewharf.gateway import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request as its caller sent it.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query, as sent.
+        path: The path.
+        headers: What its headers say.
+        body: The whole body.
+        arrived: When its headers were complete.
+    """
+
+    method: bytes
+    target: bytes
+    path: str
+    headers: messages.CallerHeaders
+    body: bytes
+    arrived: float
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request and what became of it so far.
+
+    Attributes:
+        request: The request.
+        admitted: Its route and organisation.
+        service: Name of the service that runs it.
+        deadline: When it must be answered.
+        sends: Endpoints that it was sent to.
+        runs: Endpoints that may have run it.
+        excluded: Endpoints that are not tried again.
+        resume_after: Last event that its caller has.
+        last_detail: What was seen of the last attempt.
+    """
+
+    request: Request
+    admitted: admission.Admitted
+    service: str
+    deadline: clocks.Deadline
+    sends: int = 0
+    runs: int = 0
+    excluded: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+    resume_after: int | None = None
+    last_detail: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run it."""
+        return self.runs > 0
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another endpoint may run it."""
+        if not self.runs:
+            return True
+        route = self.admitted.route
+        return route.is_idempotent and self.runs < route.max_attempts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The endpoint chosen for an attempt.
+
+    Attributes:
+        endpoint: The endpoint.
+        weights: Version of its weights; 0 if it has none.
+        cache_scope: Who may share the cached prompt; empty for all.
+        priority: Urgency from 0 to 9, 0 first; None for the default.
+        fetch_from: ``IP:PORT`` that holds cached parts; empty for none.
+        save_to: ``IP:PORT`` that is to keep them; empty for none.
+        read_tokens: Prompt tokens that it is expected to read.
+        held_tokens: Tokens of memory that the request takes.
+        cost_ms: What it was chosen by.
+    """
+
+    endpoint: fleet.Endpoint
+    weights: int = 0
+    cache_scope: str = ""
+    priority: int | None = None
+    fetch_from: str = ""
+    save_to: str = ""
+    read_tokens: int = 0
+    held_tokens: int = 0
+    cost_ms: float = 0.0
+
+
+class Attempt:
+    """A request that was sent to an endpoint, until it is closed.
+
+    Args:
+        target: The endpoint.
+        pool: Where the connection came from.
+        connection: The connection.
+        work: The request's place in the load table.
+        exchange: The answer as it arrives.
+
+    Attributes:
+        head: What the answer's headers say; None before they came.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        pool: http1.Pool,
+        connection: http1.Connection,
+        work: fleet.Work,
+        exchange: http1.Exchange,
+    ):
+        self.target = target
+        self.exchange = exchange
+        self.work = work
+        self.head: messages.AnswerHead | None = None
+        self._pool = pool
+        self._connection = connection
+
+    def close(self) -> None:
+        """Gives the connection back; an unfinished answer ends it."""
+        self.exchange.close()
+        self._pool.release(self._connection)
+        self.work.end()
--- /dev/null
+++ b/sardinewharf/gateway/service.py
@@ -0,0 +1,207 @@
+"""Runs a gateway: its servers, its copy of the store, and its shutdown."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import keyvalue
+from sardinewharf import limits
+from sardinewharf import logs
+from sardinewharf import tasks
+from sardinewharf.gateway import admission
+from sardinewharf.gateway import app as app_lib
+from sardinewharf.gateway import changes
+from sardinewharf.gateway import dispatcher as dispatcher_lib
+from sardinewharf.gateway import members
+from sardinewharf.gateway import messages
+from sardinewharf.gateway import relay as relay_lib
+from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import responder as responder_lib
+from sardinewharf.gateway import selection
+from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import sync
+from sardinewharf.http1 import server as http_server
+
+# The entry point has turned away from a VM that is not ready by then, in
+# seconds.
+_TURN_AWAY_S = 3.2
+# Requests are to be finished this long before the process is killed.
+_GRACE_MARGIN_S = 0.7
+_TICK_S = 0.25
+# Share of the retry budget that is split; the rest covers restarts.
+_BUDGET_SHARE = 0.7
+_CALL_S = 1.0
+_log = logs.get_logger("gateway")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """What a gateway needs of the platform it runs on.
+
+    Attributes:
+        store: The platform's store.
+        reader: Translates the store's entries.
+        dialect: Translates headers.
+    """
+
+    store: keyvalue.PrefixStore
+    reader: changes.ChangeReader
+    dialect: messages.Dialect
+
+
+class GatewayService:
+    """One gateway.
+
+    Args:
+        settings: Its settings.
+        platform: The platform that it runs on.
+    """
+
+    def __init__(
+        self, settings: settings_lib.GatewaySettings, platform: Platform
+    ):
+        self._settings = settings
+        self._platform = platform
+        self._replica = replica_lib.Replica()
+        self._loads = fleet.LoadTable()
+        self._health = fleet.HealthTable()
+        self._tasks = tasks.TaskGroup()
+        self._stopping = asyncio.Event()
+        self._connections = dispatcher_lib.ConnectionTable()
+        self._budgets = dispatcher_lib.BudgetTable(self._make_share())
+        self._gatekeeper = admission.Gatekeeper(
+            self._replica, settings.promises
+        )
+        selector = selection.Selector(
+            settings, self._replica, self._loads, self._health
+        )
+        dispatcher = dispatcher_lib.Dispatcher(
+            dispatcher_lib.Parts(
+                dialect=platform.dialect,
+                gatekeeper=self._gatekeeper,
+                selector=selector,
+                registry=self._replica.registry,
+                loads=self._loads,
+                health=self._health,
+                connections=self._connections,
+                budgets=self._budgets,
+            )
+        )
+        self._app = app_lib.GatewayApp(
+            platform.dialect,
+            self._replica,
+            self._gatekeeper,
+            selector,
+            relay_lib.Relay(dispatcher),
+        )
+        self._synchronizer = sync.Synchronizer(
+            platform.store, platform.reader, self._replica
+        )
+        self._server = http_server.HttpServer(self._app, self._read_limits)
+        self._ready_server = http_server.HttpServer(
+            _make_probe(self._is_ready), self._read_limits
+        )
+
+    def stop(self) -> None:
+        """Begins the shutdown."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serves until stopped, and then finishes what has begun."""
+        await self._ready_server.start(self._settings.ready_listen)
+        await self._server.start(self._settings.listen)
+        self._tasks.start(self._synchronizer.run(), "sync")
+        self._tasks.start(self._register(), "register")
+        self._tasks.start(self._tick_forever(), "tick")
+        _log.info(
+            "Started as {} in {}; callers are served at {}.",
+            self._settings.name,
+            self._settings.failure_domain,
+            self._settings.listen,
+        )
+        await self._stopping.wait()
+        await self._drain()
+        await self._tasks.close()
+        await self._platform.store.close()
+        _log.info("Stopped.")
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._app.is_leaving
+            and self._gatekeeper.is_current()
+            and bool(self._replica.configuration.version)
+        )
+
+    def _read_limits(self) -> http_server.ServerLimits:
+        found = self._replica.configuration.limits
+        return http_server.ServerLimits(
+            found.header_bytes, found.header_ms / 1000, found.idle_ms / 1000
+        )
+
+    def _make_share(self) -> limits.BudgetShare:
+        promises = self._settings.promises
+        gateways = max(1, len(self._replica.members))
+        return limits.BudgetShare(
+            ratio=promises.retry_ratio * _BUDGET_SHARE,
+            extra=promises.retry_extra * _BUDGET_SHARE / gateways,
+            window_s=promises.retry_window_ms / 1000,
+        )
+
+    async def _register(self) -> None:
+        """Writes this gateway's entry, so that others find it."""
+        entry = members.make_entry(
+            self._settings.name, self._settings.peer_listen
+        )
+        while True:
+            deadline = clocks.Deadline.after(_CALL_S)
+            found = await self._platform.store.read(entry.key, deadline)
+            if isinstance(found, keyvalue.Record | keyvalue.Absent):
+                if getattr(found, "value", None) == entry.value:
+                    return
+                written = await self._platform.store.write(
+                    entry.key, entry.value, found.revision, deadline
+                )
+                if isinstance(written, keyvalue.Written):
+                    return
+            await asyncio.sleep(_CALL_S)
+
+    async def _tick_forever(self) -> None:
+        changes_seen = -1
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._replica.drop_doubtful()
+            self._budgets.set_share(self._make_share())
+            if self._replica.registry.changes != changes_seen:
+                changes_seen = self._replica.registry.changes
+                self._connections.close_gone(self._replica.registry)
+
+    async def _drain(self) -> None:
+        _log.info("Stopping; {} requests run.", self._app.running)
+        self._app.is_leaving = True
+        grace_s = self._settings.promises.grace_ms / 1000
+        end = clocks.Deadline.after(grace_s - _GRACE_MARGIN_S)
+        await asyncio.sleep(_TURN_AWAY_S)
+        self._server.stop_listening()
+        self._server.close_idle()
+        await self._app.wait_until_idle(end)
+
+
+def _make_probe(is_ready: Callable[[], bool]) -> Callable[..., object]:
+    async def probe(
+        scope: Mapping[str, object],
+        receive: app_lib.Receive,
+        send: responder_lib.Send,
+    ) -> None:
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200 if is_ready() else 503,
+                "headers": [(b"content-length", b"0")],
+            }
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+    return probe
--- /dev/null
+++ b/sardinewharf/gateway/sync.py
@@ -0,0 +1,138 @@
+"""Keeps a replica current with one watch of the platform's store."""
+
+import asyncio
+import random
+
+from sardinewharf import clocks
+from sardinewharf import keyvalue
+from sardinewharf import logs
+from sardinewharf.gateway import changes
+from sardinewharf.gateway import replica as replica_lib
+
+# A watch without changes proves that the copy is current at its end, and a
+# silent connection is noticed by then, in seconds.
+_WATCH_S = 2.0
+# After a failure, a short watch tells soonest whether the store is back.
+_SHORT_WATCH_S = 0.05
+_LIST_S = 1.5
+_MIN_PAUSE_S = 0.1
+_MAX_PAUSE_S = 0.8
+# Without contact for this long, registrations may have lapsed, in seconds.
+_OUTAGE_S = 1.5
+_ALL_KEYS = ""
+_log = logs.get_logger("sync")
+
+
+class Synchronizer:
+    """Reads the store and watches it.
+
+    Args:
+        store: The platform's store.
+        reader: Translates its entries.
+        replica: The copy that is kept current.
+    """
+
+    def __init__(
+        self,
+        store: keyvalue.PrefixStore,
+        reader: changes.ChangeReader,
+        replica: replica_lib.Replica,
+    ):
+        self._store = store
+        self._reader = reader
+        self._replica = replica
+        self._pause = _MIN_PAUSE_S
+        self._has_failed = False
+        self._hurry = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Asks the store again at once, since others know of changes."""
+        self._hurry.set()
+
+    async def run(self) -> None:
+        """Reads and watches the store until cancelled."""
+        while True:
+            if not self._replica.is_filled:
+                is_done = await self._list()
+            else:
+                is_done = await self._watch()
+            self._replica.drop_doubtful()
+            if is_done:
+                self._pause = _MIN_PAUSE_S
+                continue
+            await asyncio.sleep(self._pause * random.uniform(0.5, 1.0))
+            self._pause = min(_MAX_PAUSE_S, 2 * self._pause)
+
+    async def _list(self) -> bool:
+        sent = clocks.read_monotonic()
+        listing = await self._store.list_prefix(
+            _ALL_KEYS, clocks.Deadline(sent + _LIST_S)
+        )
+        if isinstance(listing, keyvalue.Unavailable):
+            self._note_failure(listing.detail)
+            return False
+        self._note_contact()
+        found = [self._reader.read_change(e) for e in listing.entries]
+        self._replica.replace([c for c in found if c is not None], sent)
+        self._replica.revision = listing.revision
+        self._replica.prove(sent)
+        return True
+
+    async def _watch(self) -> bool:
+        sent = clocks.read_monotonic()
+        seconds = _SHORT_WATCH_S if self._has_failed else _WATCH_S
+        until = clocks.Deadline(sent + seconds)
+        result = await self._watch_or_hurry(until)
+        if result is None:
+            return True
+        if isinstance(result, keyvalue.Unavailable):
+            self._note_failure(result.detail)
+            return False
+        self._note_contact()
+        if isinstance(result, keyvalue.HistoryLost):
+            _log.info("The store has dropped its history; reading all keys.")
+            self._replica.expect_returns()
+            return await self._list()
+        for entry in result.entries:
+            change = self._reader.read_change(entry)
+            if change is not None:
+                self._replica.apply(change, sent)
+        self._replica.revision = max(self._replica.revision, result.revision)
+        is_whole_wait = not result.entries and until.is_past()
+        self._replica.prove(until.at if is_whole_wait else sent)
+        return True
+
+    async def _watch_or_hurry(
+        self, until: clocks.Deadline
+    ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable | None:
+        """Watches; returns None if the watch was given up for a new one."""
+        self._hurry.clear()
+        watch = asyncio.ensure_future(
+            self._store.watch_prefix(_ALL_KEYS, self._replica.revision, until)
+        )
+        hurry = asyncio.ensure_future(self._hurry.wait())
+        try:
+            await asyncio.wait(
+                {watch, hurry}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return watch.result() if watch.done() else None
+        finally:
+            watch.cancel()
+            hurry.cancel()
+
+    def _note_failure(self, detail: str) -> None:
+        if not self._has_failed:
+            self._has_failed = True
+            _log.warning(
+                "The store does not answer ({}); going on with revision {}.",
+                detail,
+                self._replica.revision,
+            )
+
+    def _note_contact(self) -> None:
+        if self._has_failed:
+            age = self._replica.count_age()
+            _log.info("The store answers again after {:.2f} s.", age)
+            self._has_failed = False
+            if age > _OUTAGE_S:
+                self._replica.expect_returns()
--- /dev/null
+++ b/sardinewharf/http1/__init__.py
@@ -0,0 +1,25 @@
+"""Speaks HTTP/1.1 to endpoints and callers, byte by byte accounted for."""
+
+from sardinewharf.http1.client import ConnectError
+from sardinewharf.http1.client import Connection
+from sardinewharf.http1.client import Exchange
+from sardinewharf.http1.client import Head
+from sardinewharf.http1.client import Headers
+from sardinewharf.http1.client import LostError
+from sardinewharf.http1.client import connect
+from sardinewharf.http1.client import encode_request
+from sardinewharf.http1.pools import FullError
+from sardinewharf.http1.pools import Pool
+
+__all__ = [
+    "ConnectError",
+    "Connection",
+    "Exchange",
+    "FullError",
+    "Head",
+    "Headers",
+    "LostError",
+    "Pool",
+    "connect",
+    "encode_request",
+]
--- a/sardinewharf/platform/kv_http.py
+++ b/sardinewharf/keyvalue/http.py
@@ -10,7 +10,7 @@
 
 from sardinewharf import clients
 from sardinewharf import clocks
-from sardinewharf.platform import kv
+from sardinewharf.keyvalue import store
 
 _REVISION_HEADER = "Revision"
 _IF_REVISION_HEADER = "If-Revision"
@@ -21,7 +21,7 @@
 _LOST = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
-class HttpKeyValueStore(kv.KeyValueStore):
+class HttpKeyValueStore(store.KeyValueStore):
     """A key-value service behind HTTP addresses.
 
     Args:
@@ -30,7 +30,7 @@
     """
 
     def __init__(
-        self, addresses: tuple[kv.KvAddress, ...], source_address: str = ""
+        self, addresses: tuple[store.KvAddress, ...], source_address: str = ""
     ):
         self._source = source_address
         self._addresses = addresses
@@ -38,13 +38,15 @@
         self._turn = 0
         self.calls = 0
 
-    async def read(self, key: str, deadline: clocks.Deadline) -> kv.ReadResult:
+    async def read(
+        self, key: str, deadline: clocks.Deadline
+    ) -> store.ReadResult:
         """Returns the record of ``key``."""
         return await self._read(f"/v1/keys/{key}", deadline)
 
     async def watch(
         self, key: str, revision: int, deadline: clocks.Deadline
-    ) -> kv.ReadResult:
+    ) -> store.ReadResult:
         """Returns the record once its revision is above ``revision``."""
         wait_ms = int(deadline.remaining() * 1000)
         path = f"/v1/watch/{key}?after={revision}&wait_ms={wait_ms}"
@@ -58,7 +60,7 @@
         revision: int,
         deadline: clocks.Deadline,
         lease: str | None = None,
-    ) -> kv.WriteResult:
+    ) -> store.WriteResult:
         """Stores ``value`` if the key is still at ``revision``."""
         headers = {_IF_REVISION_HEADER: str(revision)}
         if lease is not None:
@@ -69,28 +71,28 @@
             ) as response:
                 found = int(response.headers.get(_REVISION_HEADER, 0))
                 if response.status == 200:
-                    return kv.Written(found)
+                    return store.Written(found)
                 if response.status == 409:
-                    return kv.Conflict(found)
+                    return store.Conflict(found)
                 if response.status in (413, 429, 503):
-                    return kv.Rejected(f"status {response.status}")
-                return kv.WriteUnknown(f"status {response.status}")
+                    return store.Rejected(f"status {response.status}")
+                return store.WriteUnknown(f"status {response.status}")
         except _NOT_SENT as error:
             self._turn += 1
-            return kv.Rejected(f"not connected: {error.os_error}")
+            return store.Rejected(f"not connected: {error.os_error}")
         except _LOST as error:
             self._turn += 1
-            return kv.WriteUnknown(type(error).__name__)
+            return store.WriteUnknown(type(error).__name__)
 
     async def grant_lease(
         self, seconds: float, deadline: clocks.Deadline
-    ) -> kv.Lease | kv.Unavailable:
+    ) -> store.Lease | store.Unavailable:
         """Returns a new lease that ends after ``seconds``."""
         return await self._lease("/v1/leases", seconds, deadline)
 
     async def renew_lease(
         self, lease: str, seconds: float, deadline: clocks.Deadline
-    ) -> kv.Lease | kv.Unavailable:
+    ) -> store.Lease | store.Unavailable:
         """Returns the renewed lease."""
         return await self._lease(f"/v1/leases/{lease}", seconds, deadline)
 
@@ -101,7 +103,7 @@
 
     async def _lease(
         self, path: str, seconds: float, deadline: clocks.Deadline
-    ) -> kv.Lease | kv.Unavailable:
+    ) -> store.Lease | store.Unavailable:
         expires = clocks.Deadline.after(seconds)
         body = msgspec.json.encode({"ttl_ms": int(seconds * 1000)})
         try:
@@ -109,27 +111,27 @@
                 "POST", path, deadline, data=body
             ) as response:
                 if response.status != 200:
-                    return kv.Unavailable(f"status {response.status}")
+                    return store.Unavailable(f"status {response.status}")
                 answer = msgspec.json.decode(await response.read())
-                return kv.Lease(answer["lease"], expires)
+                return store.Lease(answer["lease"], expires)
         except _LOST as error:
             self._turn += 1
-            return kv.Unavailable(type(error).__name__)
+            return store.Unavailable(type(error).__name__)
 
     async def _read(
         self, path: str, deadline: clocks.Deadline
-    ) -> kv.ReadResult:
+    ) -> store.ReadResult:
         try:
             async with self._request("GET", path, deadline) as response:
                 if response.status == 404:
-                    return kv.Absent()
+                    return store.Absent()
                 if response.status != 200:
-                    return kv.Unavailable(f"status {response.status}")
+                    return store.Unavailable(f"status {response.status}")
                 revision = int(response.headers[_REVISION_HEADER])
-                return kv.Record(await response.read(), revision)
+                return store.Record(await response.read(), revision)
         except _LOST as error:
             self._turn += 1
-            return kv.Unavailable(type(error).__name__)
+            return store.Unavailable(type(error).__name__)
 
     def _request(
         self, method: str, path: str, deadline: clocks.Deadline, **options
--- a/sardinewharf/limits/__init__.py
+++ b/sardinewharf/limits/__init__.py
@@ -10,10 +10,13 @@
 from sardinewharf.limits.suspects import Death
 from sardinewharf.limits.suspects import SuspectTable
 from sardinewharf.limits.suspects import make_fingerprint
+from sardinewharf.limits.windows import BudgetShare
+from sardinewharf.limits.windows import WindowBudget
 
 __all__ = [
     "Admission",
     "AdmissionSettings",
+    "BudgetShare",
     "Death",
     "FairGate",
     "RetryBudget",
@@ -21,5 +24,6 @@
     "SuspectTable",
     "Ticket",
     "TokenBucket",
+    "WindowBudget",
     "make_fingerprint",
 ]
--- a/sardinewharf/limits/slots.py
+++ b/sardinewharf/limits/slots.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from sardinewharf import clocks
-from sardinewharf import platform
+from sardinewharf import keyvalue
 
 _KEY_PREFIX = "sardinewharf/suspects/"
 _LEASE_S = 30.0
@@ -29,7 +29,7 @@
         holder: This daemon's name.
     """
 
-    def __init__(self, kv: platform.KeyValueStore, holder: str):
+    def __init__(self, kv: keyvalue.KeyValueStore, holder: str):
         self._kv = kv
         self._holder = holder
         self._held: dict[str, int | None] = {}
@@ -87,16 +87,16 @@
         key = _KEY_PREFIX + engine
         deadline = clocks.Deadline.after(_CALL_S)
         read = await self._kv.read(key, deadline)
-        if isinstance(read, platform.Unavailable):
+        if isinstance(read, keyvalue.Unavailable):
             return True
-        if isinstance(read, platform.Record) and read.value != _FREE:
+        if isinstance(read, keyvalue.Record) and read.value != _FREE:
             return False
         lease = await self._kv.grant_lease(_LEASE_S, deadline)
-        if isinstance(lease, platform.Unavailable):
+        if isinstance(lease, keyvalue.Unavailable):
             return True
         written = await self._kv.write(
             key, self._holder.encode(), read.revision, deadline, lease.lease
         )
-        if isinstance(written, platform.Written):
+        if isinstance(written, keyvalue.Written):
             self._held[engine] = written.revision
-        return not isinstance(written, platform.Conflict)
+        return not isinstance(written, keyvalue.Conflict)
--- a/sardinewharf/logs.py
+++ b/sardinewharf/logs.py
@@ -18,7 +18,13 @@
     loguru.logger.remove()
     loguru.logger.configure(extra={"part": daemon})
     loguru.logger.add(
-        sys.stderr, level=level, format=_FORMAT, colorize=False, catch=True
+        sys.stderr,
+        level=level,
+        format=_FORMAT,
+        colorize=False,
+        catch=True,
+        backtrace=False,
+        diagnose=False,
     )
 
 
--- a/sardinewharf/placement/tenure.py
+++ b/sardinewharf/placement/tenure.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from sardinewharf import clocks
-from sardinewharf import platform
+from sardinewharf import keyvalue
 
 _KEY_PREFIX = "sardinewharf/placement/"
 _LEASE_S = 6.0
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
-    lease: platform.Lease
+    lease: keyvalue.Lease
     epoch: int
 
 
@@ -30,7 +30,7 @@
     """
 
     def __init__(
-        self, kv: platform.KeyValueStore, failure_domain: str, holder: str
+        self, kv: keyvalue.KeyValueStore, failure_domain: str, holder: str
     ):
         self._kv = kv
         self._key = _KEY_PREFIX + failure_domain
@@ -63,7 +63,7 @@
         renewed = await self._kv.renew_lease(
             self._held.lease.lease, _LEASE_S, clocks.Deadline.after(_CALL_S)
         )
-        if isinstance(renewed, platform.Lease):
+        if isinstance(renewed, keyvalue.Lease):
             self._held = dataclasses.replace(self._held, lease=renewed)
         elif self._held.lease.expires.is_past():
             self._held = None
@@ -71,14 +71,14 @@
     async def _take(self) -> None:
         deadline = clocks.Deadline.after(_CALL_S)
         read = await self._kv.read(self._key, deadline)
-        if not isinstance(read, platform.Absent):
+        if not isinstance(read, keyvalue.Absent):
             return
         lease = await self._kv.grant_lease(_LEASE_S, deadline)
-        if isinstance(lease, platform.Unavailable):
+        if isinstance(lease, keyvalue.Unavailable):
             return
         written = await self._kv.write(
             self._key, self._holder, read.revision, deadline, lease.lease
         )
         # A lost answer leaves the office empty until the lease ends.
-        if isinstance(written, platform.Written):
+        if isinstance(written, keyvalue.Written):
             self._held = _Held(lease, written.revision)
--- /dev/null
+++ b/sardinewharf/platform/changes.py
@@ -0,0 +1,155 @@
+"""Translates entries of the platform's store."""
+
+import msgspec
+
+from sardinewharf import catalog
+from sardinewharf import fleet
+from sardinewharf import ids
+from sardinewharf import keyvalue
+from sardinewharf import logs
+from sardinewharf.gateway import changes
+from sardinewharf.gateway import members
+from sardinewharf.platform import wire
+
+_CONFIGURATION = "op/config"
+_WEIGHTS = "op/version/"
+_SERVERS = "servers/"
+_KINDS = {
+    "safe": catalog.RouteKind.SAFE,
+    "unsafe": catalog.RouteKind.UNSAFE,
+    "streaming": catalog.RouteKind.STREAM,
+}
+_STATES = {
+    "ready": fleet.EndpointState.READY,
+    "draining": fleet.EndpointState.LEAVING,
+}
+_log = logs.get_logger("platform")
+
+
+class EntryReader(changes.ChangeReader):
+    """The platform's entries."""
+
+    def read_change(self, entry: keyvalue.Entry) -> changes.Change | None:
+        """Returns what an entry says; None if it is of no concern."""
+        if entry.key.startswith(_SERVERS):
+            return _read_server(entry)
+        if entry.key.startswith(members.KEY_PREFIX):
+            return members.read_member(entry)
+        if entry.value is None:
+            return None
+        try:
+            if entry.key == _CONFIGURATION:
+                manifest = msgspec.json.decode(entry.value, type=wire.Manifest)
+                return changes.ConfigurationChange(_read_manifest(manifest))
+            if entry.key.startswith(_WEIGHTS):
+                naming = msgspec.json.decode(entry.value, type=wire.Naming)
+                return changes.WeightsNamed(naming.model, naming.version)
+        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+            _log.error("Entry {} is left out: {}.", entry.key, error)
+        return None
+
+
+def _read_server(
+    entry: keyvalue.Entry,
+) -> changes.EndpointChange | changes.EndpointGone:
+    endpoint_id = ids.EndpointId(entry.key.removeprefix(_SERVERS))
+    if entry.value is None:
+        return changes.EndpointGone(endpoint_id)
+    try:
+        found = msgspec.json.decode(entry.value, type=wire.ServerEntry)
+        return changes.EndpointChange(
+            fleet.Endpoint(
+                id=endpoint_id,
+                service=found.service,
+                address=found.address,
+                failure_domain=found.zone,
+                slots=max(1, found.slots),
+                state=_STATES[found.state],
+                started_ms=found.born,
+                weights={row.name: row.version for row in found.models},
+                orders=found.sequence,
+            )
+        )
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+        _log.warning("Endpoint {} is not used: {}.", endpoint_id, error)
+        return changes.EndpointGone(endpoint_id)
+
+
+def _read_manifest(found: wire.Manifest) -> catalog.Configuration:
+    return catalog.Configuration(
+        version=found.version,
+        routes=tuple(_read_route(row) for row in found.routes),
+        services={
+            row.name: _read_service(row)
+            for row in found.services
+            if row.kv_store is None
+        },
+        cache_stores=tuple(
+            _read_cache_store(row)
+            for row in found.services
+            if row.kv_store is not None
+        ),
+        limits=catalog.Limits(
+            header_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            header_ms=found.limits.header_timeout_ms,
+            idle_ms=found.limits.idle_timeout_ms,
+        ),
+        organisations=tuple(
+            catalog.Organisation(
+                name=row.name,
+                keys=tuple(row.api_keys),
+                priority=row.priority,
+                is_isolated=row.isolated,
+            )
+            for row in found.tenants
+        ),
+    )
+
+
+def _read_route(row: wire.RouteRow) -> catalog.Route:
+    splits = tuple(
+        catalog.Split(split.service, split.weight)
+        for split in row.traffic_split
+    )
+    if not splits and row.service is not None:
+        splits = (catalog.Split(row.service, 1.0),)
+    return catalog.Route(
+        name=row.name,
+        host=row.host.lower(),
+        prefix=row.prefix,
+        kind=_KINDS[row.kind],
+        timeout_ms=row.timeout_ms,
+        target_ms=row.target_latency_ms,
+        priority=row.priority,
+        splits=splits,
+        max_attempts=row.max_attempts,
+        is_public=row.public,
+        has_prompt=row.sticky,
+        is_resumable=row.resumable,
+    )
+
+
+def _read_service(row: wire.ServiceRow) -> catalog.Service:
+    engine = None
+    if row.engine is not None:
+        engine = catalog.EngineSheet(
+            slots=row.engine.slots,
+            capacity_tokens=row.engine.kv_capacity_tokens,
+            token_bytes=row.engine.kv_token_bytes,
+            link_mbps=row.engine.link_mbps,
+            models=tuple(model.name for model in row.engine.models),
+            event_readers=row.engine.max_in_flight,
+        )
+    return catalog.Service(row.name, row.max_conns, engine)
+
+
+def _read_cache_store(row: wire.ServiceRow) -> catalog.CacheStore:
+    return catalog.CacheStore(
+        name=row.name,
+        address=row.kv_store or "",
+        failure_domain=row.zone,
+        capacity_tokens=row.kv_capacity_tokens,
+        link_mbps=row.link_mbps,
+        event_readers=row.max_in_flight,
+    )
--- /dev/null
+++ b/sardinewharf/platform/headers.py
@@ -0,0 +1,236 @@
+"""Translates the platform's HTTP headers; every header name stands here."""
+
+from sardinewharf import clocks
+from sardinewharf import http1
+from sardinewharf import ids
+from sardinewharf.gateway import messages
+
+REQUEST_ID = b"x-sardinewharf-request-id"
+# Milliseconds that are left, not a point in time.
+TIME_LEFT = b"x-sardinewharf-deadline-ms"
+PREFIX = b"x-sardinewharf-prompt-prefix"
+LAST_EVENT_ID = b"last-event-id"
+STAMP = b"x-sardinewharf-server-stamp"
+ORGANISATION = b"x-sardinewharf-tenant"
+EXPECT_ENDPOINT = b"x-sardinewharf-expect-instance"
+LOAD = b"x-sardinewharf-server-load"
+NOT_RUN = b"x-sardinewharf-not-run"
+RETRY_AFTER = b"retry-after"
+MODEL = b"x-sardinewharf-model"
+# Tokens of the prompt and the most of the answer, with a comma.
+TOKENS = b"x-sardinewharf-token-usage"
+SALT = b"x-sardinewharf-cache-salt"
+PRIORITY = b"x-sardinewharf-request-priority"
+FETCH_FROM = b"x-sardinewharf-kv-fetch"
+SAVE_TO = b"x-sardinewharf-kv-save"
+WEIGHTS = b"x-sardinewharf-weight-versions"
+EXPECT_WEIGHTS = b"x-sardinewharf-expect-version"
+AUTHORIZATION = b"authorization"
+_KEY_SCHEME = b"token "
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+# Headers that only the system may set.
+_OWN = frozenset(
+    {
+        TIME_LEFT,
+        AUTHORIZATION,
+        ORGANISATION,
+        EXPECT_ENDPOINT,
+        EXPECT_WEIGHTS,
+        SALT,
+        PRIORITY,
+        FETCH_FROM,
+        SAVE_TO,
+        NOT_RUN,
+        STAMP,
+        WEIGHTS,
+        LOAD,
+        b"x-sardinewharf-instance-id",
+        b"x-sardinewharf-pin-ms",
+        b"x-sardinewharf-kv-hold",
+        b"x-sardinewharf-kv-backup",
+        b"kv-from",
+    }
+)
+_DROPPED = _HOP_BY_HOP | _OWN
+_MAX_TIME_LEFT_MS = 600_000
+_DEFAULT_TIME_LEFT_MS = 60_000
+
+
+class HeaderDialect(messages.Dialect):
+    """The platform's headers."""
+
+    def read_request(
+        self, headers: http1.Headers, arrived: float
+    ) -> messages.CallerHeaders:
+        """Returns what a caller's headers say.
+
+        Raises:
+            MalformedError: If a header cannot be understood.
+        """
+        found: dict[bytes, bytes] = {}
+        for name, value in headers:
+            found.setdefault(name, value)
+        nominated = _list_nominated(found.get(b"connection", b""))
+        return messages.CallerHeaders(
+            request_id=ids.RequestId(found.get(REQUEST_ID, b"").decode()),
+            host=_read_host(found.get(b"host", b"")),
+            key=_read_key(found.get(AUTHORIZATION, b"")),
+            deadline=_read_deadline(found.get(TIME_LEFT), arrived),
+            prompt=_read_prompt(found),
+            resume_after=_read_event_id(found.get(LAST_EVENT_ID)),
+            passed_on=tuple(
+                (name, value)
+                for name, value in headers
+                if name not in _DROPPED and name not in nominated
+            ),
+        )
+
+    def write_request(self, send: messages.Dispatch) -> http1.Headers:
+        """Returns the headers of a request to an endpoint."""
+        left = max(1, int(send.deadline.remaining() * 1000))
+        headers = list(send.headers.passed_on)
+        if send.resume_after is not None:
+            headers = [h for h in headers if h[0] != LAST_EVENT_ID]
+            headers.append((LAST_EVENT_ID, b"%d" % send.resume_after))
+        headers.append((TIME_LEFT, b"%d" % left))
+        headers.append((EXPECT_ENDPOINT, send.endpoint.encode()))
+        if send.organisation:
+            headers.append((ORGANISATION, send.organisation.encode()))
+        if send.weights:
+            headers.append((EXPECT_WEIGHTS, b"%d" % send.weights))
+        if send.cache_scope:
+            headers.append((SALT, send.cache_scope.encode()))
+        if send.priority is not None:
+            headers.append((PRIORITY, b"%d" % send.priority))
+        if send.fetch_from:
+            headers.append((FETCH_FROM, send.fetch_from.encode()))
+        if send.save_to:
+            headers.append((SAVE_TO, send.save_to.encode()))
+        return headers
+
+    def read_answer(self, head: http1.Head) -> messages.AnswerHead:
+        """Returns what an endpoint's headers say."""
+        found: dict[bytes, bytes] = {}
+        for name, value in head.headers:
+            found.setdefault(name, value)
+        is_refusal = head.status == 421 or NOT_RUN in found
+        return messages.AnswerHead(
+            status=head.status,
+            request_id=found.get(REQUEST_ID, b"").decode(errors="replace"),
+            is_stamped=STAMP in found,
+            is_not_run=is_refusal,
+            is_event_stream=found.get(b"content-type", b"").startswith(
+                b"text/event-stream"
+            ),
+            is_encoded=b"content-encoding" in found,
+            weights=_read_number(found.get(WEIGHTS, b"")),
+            load=_read_load(found.get(LOAD, b"")),
+            passed_on=tuple(
+                (name, value)
+                for name, value in head.headers
+                if name not in _HOP_BY_HOP
+            ),
+        )
+
+    def write_refusal(
+        self, request_id: str, retry_after_s: float | None
+    ) -> http1.Headers:
+        """Returns the headers of an answer of the gateway's own."""
+        headers: list[tuple[bytes, bytes]] = []
+        if request_id:
+            headers.append((REQUEST_ID, request_id.encode()))
+        if retry_after_s is not None:
+            headers.append((RETRY_AFTER, b"%.2f" % retry_after_s))
+        return headers
+
+
+def _list_nominated(connection: bytes) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower() for token in connection.split(b",") if token
+    )
+
+
+def _read_host(value: bytes) -> str:
+    host = value.decode("latin-1").strip().lower()
+    return host.partition(":")[0]
+
+
+def _read_key(value: bytes) -> str:
+    if value[: len(_KEY_SCHEME)].lower() != _KEY_SCHEME:
+        return ""
+    return value[len(_KEY_SCHEME) :].strip().decode("latin-1")
+
+
+def _read_deadline(value: bytes | None, arrived: float) -> clocks.Deadline:
+    if value is None:
+        return clocks.Deadline(arrived + _DEFAULT_TIME_LEFT_MS / 1000)
+    try:
+        left = float(value)
+    except ValueError as error:
+        raise messages.MalformedError("the time left is no number") from error
+    left = min(max(left, 0.0), _MAX_TIME_LEFT_MS)
+    return clocks.Deadline(arrived + left / 1000)
+
+
+def _read_prompt(found: dict[bytes, bytes]) -> messages.Prompt | None:
+    parts = found.get(PREFIX)
+    tokens = found.get(TOKENS)
+    if parts is None and tokens is None:
+        return None
+    try:
+        listed = []
+        for entry in (parts or b"").split(b","):
+            if not entry.strip():
+                continue
+            part, _, count = entry.strip().partition(b":")
+            listed.append(messages.PromptPart(part.decode(), int(count)))
+        prompt_tokens, _, answer_tokens = (tokens or b"0,0").partition(b",")
+        return messages.Prompt(
+            model=found.get(MODEL, b"").decode(),
+            tokens=int(prompt_tokens),
+            answer_tokens=int(answer_tokens or b"0"),
+            parts=tuple(listed),
+        )
+    except ValueError as error:
+        raise messages.MalformedError(
+            "the prompt's parts or tokens cannot be read"
+        ) from error
+
+
+def _read_event_id(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    try:
+        return int(value)
+    except ValueError as error:
+        raise messages.MalformedError(
+            "the last event's id is no number"
+        ) from error
+
+
+def _read_number(value: bytes) -> int:
+    return int(value) if value.isdigit() else 0
+
+
+def _read_load(value: bytes) -> messages.Load | None:
+    fields = value.split(b",")
+    if len(fields) != 3 or not all(f.strip().isdigit() for f in fields):
+        return None
+    running, waiting, slots = (int(field) for field in fields)
+    return messages.Load(running, waiting, slots)
--- /dev/null
+++ b/sardinewharf/platform/settings.py
@@ -0,0 +1,55 @@
+"""Reads the settings file that the platform lays for a process."""
+
+import pathlib
+
+import msgspec
+
+from sardinewharf.gateway import settings
+from sardinewharf.platform import wire
+
+
+class SettingsFileError(Exception):
+    """The settings file cannot be used; the message names the remedy."""
+
+
+def read_settings(path: pathlib.Path) -> settings.GatewaySettings:
+    """Returns the gateway's settings from the file.
+
+    Raises:
+        SettingsFileError: If the file is missing or wrong.
+    """
+    try:
+        found = msgspec.json.decode(path.read_bytes(), type=wire.Settings)
+    except OSError as error:
+        raise SettingsFileError(
+            f"{path} cannot be read ({error.strerror}): set"
+            " SARDINEWHARF_CONFIG to the settings file"
+        ) from error
+    except msgspec.MsgspecError as error:
+        raise SettingsFileError(f"{path}: {error}; correct the file") from error
+    bounds = found.bounds
+    peer_port = found.port_range[0] if found.port_range else 0
+    return settings.GatewaySettings(
+        name=found.node,
+        failure_domain=found.zone,
+        listen=found.listen.front,
+        ready_listen=found.listen.ready,
+        metrics_listen=(
+            f"{found.ip}:{peer_port + 1}" if found.port_range else ""
+        ),
+        peer_listen=f"{found.ip}:{peer_port}",
+        store=found.platform.address,
+        promises=settings.Promises(
+            contact_ms=bounds.contact_ms,
+            leaving_ms=bounds.drain_ms,
+            grace_ms=int(bounds.grace_s * 1000),
+            apply_ms=bounds.config_apply_ms,
+            # Without fail-closed, a stale configuration still admits keys.
+            revoke_ms=bounds.revoke_ms if bounds.revoke_fail_closed else None,
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_window_ms=int(bounds.budget_window_s * 1000),
+            retry_extra=bounds.budget_extra,
+            lease_ms=bounds.lease_ms,
+            weights_ms=bounds.version_ms,
+        ),
+    )
--- /dev/null
+++ b/sardinewharf/platform/wire.py
@@ -0,0 +1,272 @@
+"""Gives the JSON bodies of the platform as they stand on the wire.
+
+Fields bear the platform's names here and nowhere else.
+"""
+
+from typing import Any
+
+import msgspec
+
+
+class Item(msgspec.Struct):
+    """A key of the store, or its removal."""
+
+    key: str
+    value: str = ""
+    rev: int = 0
+    create_revision: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+
+class Range(msgspec.Struct):
+    """A page of keys; ``more_pages`` says that keys follow the last one."""
+
+    items: list[Item]
+    store_revision: int
+    more_pages: bool = False
+
+
+class Watch(msgspec.Struct):
+    """What has changed; the next watch begins at ``store_revision``."""
+
+    events: list[Item]
+    store_revision: int
+
+
+class Condition(msgspec.Struct):
+    """A key and the revision that it must have; 0 if it must not exist."""
+
+    key: str
+    rev: int
+
+
+class Put(msgspec.Struct):
+    """A key to write, with its value in base64."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class Txn(msgspec.Struct):
+    """Writes that happen together; ``expected`` is their condition."""
+
+    expected: list[Condition]
+    put: list[Put]
+    remove: list[str]
+
+
+class TxnAnswer(msgspec.Struct):
+    """The revision of a transaction."""
+
+    rev: int = 0
+
+
+class LeaseCall(msgspec.Struct):
+    """Asks for a lease."""
+
+    ttl_ms: int
+
+
+class LeaseAnswer(msgspec.Struct):
+    """A lease and the time that it lasts."""
+
+    ttl_ms: int
+    lease: int = 0
+
+
+class SplitRow(msgspec.Struct):
+    """A service's share of a route."""
+
+    service: str
+    weight: float
+
+
+class RouteRow(msgspec.Struct):
+    """A route; ``sticky`` means that its requests describe a prompt."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: int
+    target_latency_ms: int = 0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[SplitRow] = []
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+
+
+class EngineModel(msgspec.Struct):
+    """A model that engines serve."""
+
+    name: str
+
+
+class EngineRow(msgspec.Struct):
+    """What an engine offers; ``max_in_flight`` bounds its event readers."""
+
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0
+    max_in_flight: int = 1
+    models: list[EngineModel] = []
+
+
+class ServiceRow(msgspec.Struct):
+    """A service; ``kv_store`` is the address if it is a cache store."""
+
+    name: str
+    max_conns: int = 0
+    engine: EngineRow | None = None
+    kv_store: str | None = None
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+    link_mbps: float = 0.0
+    max_in_flight: int = 1
+
+
+class LimitsRow(msgspec.Struct):
+    """What callers may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class TenantRow(msgspec.Struct):
+    """An organisation; ``isolated`` ones share no cached prompt."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class Manifest(msgspec.Struct):
+    """The configuration, as the operator writes it."""
+
+    version: int
+    routes: list[RouteRow] = []
+    services: list[ServiceRow] = []
+    limits: LimitsRow = msgspec.field(default_factory=LimitsRow)
+    tenants: list[TenantRow] = []
+
+
+class ModelRow(msgspec.Struct):
+    """A model on a server, with the version of its weights."""
+
+    name: str
+    version: int = 0
+
+
+class ServerEntry(msgspec.Struct):
+    """What a server says of itself; ``version`` is that of its software.
+
+    ``sequence`` counts the orders that it accepted since it started at
+    ``born``, in Unix milliseconds.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    models: list[ModelRow] = []
+    sequence: int = 0
+    born: int = 0
+
+
+class Naming(msgspec.Struct):
+    """The version of a model's weights that is wanted."""
+
+    model: str
+    version: int
+
+
+class Report(msgspec.Struct):
+    """A model server's state, some hundred milliseconds old."""
+
+    models: list[ModelRow] = []
+    busy: bool = False
+    sequence: int = 0
+    waiting: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    born: int = 0
+
+
+class Order(msgspec.Struct, omit_defaults=True):
+    """Tells a server to load weights.
+
+    ``expected`` is the count of orders that the server must have accepted.
+    """
+
+    op: str
+    model: str
+    version: int
+    switch_mode: str
+    holder: str
+    fence: int
+    expected: int | None = None
+
+
+class Events(msgspec.Struct):
+    """Changes of a cache: [number, + or -, salt, part, tokens, model]."""
+
+    epoch: int
+    next: int
+    lost: bool = False
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
+class Listen(msgspec.Struct):
+    """Addresses of a process."""
+
+    front: str
+    ready: str
+    control: str = ""
+
+
+class PlatformRow(msgspec.Struct):
+    """Where the store is."""
+
+    address: str
+
+
+class Bounds(msgspec.Struct):
+    """Times and ratios that the installation promises."""
+
+    contact_ms: int = 3_000
+    drain_ms: int = 2_000
+    grace_s: float = 8.0
+    config_apply_ms: int = 2_000
+    revoke_fail_closed: bool = False
+    revoke_ms: int = 5_000
+    retry_budget_ratio: float = 0.1
+    budget_window_s: float = 10.0
+    budget_extra: float = 0.0
+    lease_ms: int = 3_000
+    thaw_slack_ms: int = 300
+    version_ms: int = 10_000
+
+
+class Settings(msgspec.Struct):
+    """The settings file of a process; other fields are left alone."""
+
+    node: str
+    zone: str
+    ip: str
+    listen: Listen
+    platform: PlatformRow
+    port_range: list[int] = []
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    heartbeat_ms: int = 1_000
+    zones: dict[str, Any] = {}
--- a/sardinewharf/standins/vms.py
+++ b/sardinewharf/standins/vms.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 import msgspec
 
-from sardinewharf import platform
+from sardinewharf import inventory
 from sardinewharf.standins import program
 
 
@@ -18,7 +18,7 @@
 
     def __init__(self, lag_seconds: float):
         self._lag_seconds = lag_seconds
-        self._vms: dict[str, platform.Vm] = {}
+        self._vms: dict[str, inventory.Vm] = {}
         self._outage = False
         self._version = 0
 
@@ -41,7 +41,7 @@
         return program.answer_json(listing, ETag=tag)
 
     async def _put(self, request: web.Request) -> web.Response:
-        vm = msgspec.json.decode(await request.read(), type=platform.Vm)
+        vm = msgspec.json.decode(await request.read(), type=inventory.Vm)
         await self._lag(request)
         self._vms[vm.vm] = vm
         self._version += 1
