Bring engines to named weights under a lease

One gateway holds an office in the store (leases.Tenure, taken from placement and given its times), leads requests away from two engines at once, orders, and leads them back when they show the version. Gateways tell one another their load and what rolls in datagrams.

--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -26,6 +26,8 @@
 _MS_PER_1000_OVER = 60.0
 # Share of an engine's memory that requests may fill before others wait.
 _MEMORY_SHARE = 0.9
+# Cost of an engine whose weights are to be replaced, in ms.
+_OLD_WEIGHTS_MS = 150.0
 # Cost of an engine in another failure domain, in ms.
 _FAR_MS = 2.0
 
@@ -41,6 +43,7 @@
         failure_share: Share of its answers that failed of late.
         holds_shared: Whether it is believed to hold the shared prompt; None
             if nothing is known.
+        has_old_weights: Whether newer weights were named.
     """
 
     id: str
@@ -48,6 +51,7 @@
     load: fleet.EndpointLoad
     failure_share: float = 0.0
     holds_shared: bool | None = None
+    has_old_weights: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +143,8 @@
     over = max(0.0, needed - _MEMORY_SHARE * capacity_tokens)
     cost = wait + fetch + load.running * _MS_PER_RUNNING
     cost += over / 1000 * _MS_PER_1000_OVER
+    if engine.has_old_weights:
+        cost += _OLD_WEIGHTS_MS
     cost /= max(0.1, 1.0 - engine.failure_share)
     return Choice(engine.id, cost, wait, fetch)
 
--- a/sardinewharf/daemon/service.py
+++ b/sardinewharf/daemon/service.py
@@ -16,6 +16,7 @@
 from sardinewharf import endpoints
 from sardinewharf import ids
 from sardinewharf import inventory
+from sardinewharf import leases
 from sardinewharf import limits
 from sardinewharf import logs
 from sardinewharf import operators
@@ -164,7 +165,7 @@
             self.state.holder,
             self.state.directory,
             self._engines,
-            placement.Tenure(self._kv, settings.failure_domain, settings.name),
+            leases.Tenure(self._kv, settings.failure_domain, settings.name),
             lambda: not self.state.is_draining and self._is_watcher(),
             placement.PlacerSettings(
                 settings.failure_domain,
--- a/sardinewharf/fleet/endpoints.py
+++ b/sardinewharf/fleet/endpoints.py
@@ -28,7 +28,6 @@
         started_ms: When it started, in milliseconds since the epoch; 0 if it
             does not say.
         weights: Version of the weights by model.
-        orders: Orders that it has accepted since its start.
     """
 
     id: ids.EndpointId
@@ -39,4 +38,3 @@
     state: EndpointState
     started_ms: int = 0
     weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    orders: int = 0
--- a/sardinewharf/gateway/changes.py
+++ b/sardinewharf/gateway/changes.py
@@ -8,6 +8,9 @@
 from sardinewharf import ids
 from sardinewharf import keyvalue
 
+# Name of the office whose holder orders engines to load weights.
+ROLLS_OFFICE = "weights"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationChange:
@@ -56,12 +59,24 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OfficeChange:
+    """Who orders engines.
+
+    Attributes:
+        holder: Name of the gateway; empty if there is none.
+    """
+
+    holder: str
+
+
 Change = (
     ConfigurationChange
     | WeightsNamed
     | EndpointChange
     | EndpointGone
     | MemberChange
+    | OfficeChange
 )
 
 
--- /dev/null
+++ b/sardinewharf/gateway/peers.py
@@ -0,0 +1,269 @@
+"""Tells other gateways in small datagrams what they cannot see themselves.
+
+A datagram holds a gateway's whole news, so that one that is lost is made up
+for by the next. Each receiver keeps the newest of each sender.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import msgspec
+
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import ids
+from sardinewharf import logs
+from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
+
+# Time between datagrams to each peer, in seconds.
+_TICK_S = 0.2
+# Work of a peer that has not been heard for this long is forgotten.
+_SILENT_S = 3.0
+_MAX_BYTES = 1_400
+_MAX_PEERS = 12
+_log = logs.get_logger("peers")
+
+
+class LoadNews(msgspec.Struct, array_like=True):
+    """A gateway's work at an endpoint, in requests and prompt tokens."""
+
+    endpoint: str
+    running: int
+    prompt_tokens: int
+    held_tokens: int
+
+
+class WeightsNews(msgspec.Struct, array_like=True):
+    """The version of an engine's weights."""
+
+    endpoint: str
+    model: str
+    version: int
+
+
+class DeathNews(msgspec.Struct, array_like=True):
+    """An endpoint that died while a request ran there."""
+
+    fingerprint: bytes
+    incarnation: str
+    age_ms: int
+
+
+class Digest(msgspec.Struct, array_like=True):
+    """A gateway's news.
+
+    Attributes:
+        sender: Name of its VM.
+        started: When its process started, in Unix milliseconds.
+        number: Rises with each digest.
+        revision: The store's revision that it has seen.
+        loads: Its work at endpoints.
+        rolling: Engines that it is about to order or has ordered.
+        weights: Versions that engines showed it of late.
+        deaths: Endpoints that died of requests.
+    """
+
+    sender: str
+    started: int
+    number: int
+    revision: int
+    loads: list[LoadNews] = []
+    rolling: list[str] = []
+    weights: list[WeightsNews] = []
+    deaths: list[DeathNews] = []
+
+
+class RollTable:
+    """Engines that are led away from, since they are about to load weights.
+
+    Examples:
+        >>> table = RollTable()
+        >>> table.lead_away(ids.EndpointId("e"), clocks.Deadline.after(1.0))
+        >>> table.is_rolling(ids.EndpointId("e"))
+        True
+        >>> table.lead_back(ids.EndpointId("e"))
+        >>> table.is_rolling(ids.EndpointId("e"))
+        False
+    """
+
+    def __init__(self) -> None:
+        self._own: dict[ids.EndpointId, clocks.Deadline] = {}
+        self._heard: dict[ids.EndpointId, clocks.Deadline] = {}
+
+    def lead_away(
+        self, endpoint_id: ids.EndpointId, until: clocks.Deadline
+    ) -> None:
+        """Keeps requests from an engine."""
+        self._own[endpoint_id] = until
+
+    def lead_back(self, endpoint_id: ids.EndpointId) -> None:
+        """Lets requests go to an engine again."""
+        self._own.pop(endpoint_id, None)
+
+    def hear(self, endpoint_ids: list[str], until: clocks.Deadline) -> None:
+        """Takes in which engines another gateway leads away from."""
+        self._heard = {ids.EndpointId(e): until for e in endpoint_ids}
+
+    def list_own(self) -> list[str]:
+        """Returns the engines that this gateway leads away from."""
+        self._own = {e: d for e, d in self._own.items() if not d.is_past()}
+        return list(self._own)
+
+    def is_rolling(self, endpoint_id: ids.EndpointId) -> bool:
+        """Returns whether requests are to keep away from an engine."""
+        for table in (self._own, self._heard):
+            until = table.get(endpoint_id)
+            if until is not None and not until.is_past():
+                return True
+        return False
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Exchanges digests with other gateways.
+
+    Args:
+        settings: Settings of the gateway.
+        replica: What the gateway believes.
+        loads: Work at endpoints.
+        rolls: Engines that are led away from.
+        hurry: Called when a peer has seen a newer revision of the store.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.GatewaySettings,
+        replica: replica_lib.Replica,
+        loads: fleet.LoadTable,
+        rolls: RollTable,
+        hurry: Callable[[int], None],
+    ):
+        self._settings = settings
+        self._replica = replica
+        self._loads = loads
+        self._rolls = rolls
+        self._hurry = hurry
+        self._transport: asyncio.DatagramTransport | None = None
+        self._started = int(clocks.read_wall() * 1000)
+        self._number = 0
+        self._newest: dict[str, tuple[int, int]] = {}
+        self._shown: dict[tuple[str, str], tuple[int, float]] = {}
+        self._roller = ""
+        self._random = random.Random(settings.name)
+
+    async def start(self) -> None:
+        """Listens for digests.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        host, _, port = self._settings.peer_listen.rpartition(":")
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+
+    async def run(self) -> None:
+        """Sends digests until cancelled."""
+        while True:
+            self.tell()
+            await asyncio.sleep(_TICK_S * self._random.uniform(0.9, 1.1))
+
+    def tell(self) -> None:
+        """Sends a digest to all peers, or to some if there are many."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        datagram = msgspec.msgpack.encode(self._make_digest())
+        if len(datagram) > _MAX_BYTES:
+            _log.warning("A digest of {} bytes is not sent.", len(datagram))
+            return
+        own = self._settings.name
+        others = [a for n, a in self._replica.members.items() if n != own]
+        if len(others) > _MAX_PEERS:
+            others = self._random.sample(others, _MAX_PEERS)
+        for address in others:
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(datagram, (host, int(port)))
+
+    def note_weights(
+        self, endpoint_id: ids.EndpointId, model: str, version: int
+    ) -> None:
+        """Notes a version that an engine showed, to be told to peers."""
+        self._replica.registry.note_weights(endpoint_id, model, version)
+        now = clocks.read_monotonic()
+        self._shown[endpoint_id, model] = (version, now)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport of the socket."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes in a datagram."""
+        try:
+            digest = msgspec.msgpack.decode(data, type=Digest)
+        except msgspec.MsgspecError as error:
+            _log.warning("A digest of {} cannot be read: {}.", addr[0], error)
+            return
+        age = (digest.started, digest.number)
+        if age > self._newest.get(digest.sender, (0, 0)):
+            self._newest[digest.sender] = age
+            self._merge(digest)
+
+    def error_received(self, exc: Exception) -> None:
+        """Notes that a datagram could not be delivered."""
+        _log.debug("A datagram was not delivered: {}.", exc)
+
+    def _make_digest(self) -> Digest:
+        self._number += 1
+        now = clocks.read_monotonic()
+        self._shown = {
+            key: shown
+            for key, shown in self._shown.items()
+            if now - shown[1] < _SILENT_S
+        }
+        return Digest(
+            sender=self._settings.name,
+            started=self._started,
+            number=self._number,
+            revision=self._replica.revision,
+            loads=[
+                LoadNews(
+                    endpoint_id,
+                    load.running,
+                    load.prompt_tokens,
+                    load.held_tokens,
+                )
+                for endpoint_id, load in self._loads.list_own().items()
+            ],
+            rolling=self._rolls.list_own(),
+            weights=[
+                WeightsNews(endpoint_id, model, version)
+                for (endpoint_id, model), (version, _) in self._shown.items()
+            ],
+        )
+
+    def _merge(self, digest: Digest) -> None:
+        now = clocks.read_monotonic()
+        self._loads.merge_peer(
+            digest.sender,
+            {
+                ids.EndpointId(news.endpoint): fleet.EndpointLoad(
+                    news.running, news.prompt_tokens, news.held_tokens
+                )
+                for news in digest.loads
+            },
+            now,
+        )
+        for news in digest.weights:
+            endpoint_id = ids.EndpointId(news.endpoint)
+            if self._replica.registry.find(endpoint_id) is not None:
+                self._replica.registry.note_weights(
+                    endpoint_id, news.model, news.version
+                )
+        if digest.rolling or digest.sender == self._roller:
+            self._roller = digest.sender
+            self._rolls.hear(
+                digest.rolling, clocks.Deadline(now + _SILENT_S / 2)
+            )
+        if digest.revision > self._replica.revision:
+            self._hurry(digest.revision)
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -22,6 +22,7 @@
         wanted_weights: Version wanted of each model.
         weights_named_at: When each version was heard of, by model.
         members: Addresses of the gateways by name.
+        roll_holder: The gateway that orders engines; empty if none does.
         revision: The store's revision that all this is at.
         is_filled: Whether the store was read since the start.
     """
@@ -32,6 +33,7 @@
         self.wanted_weights: dict[str, int] = {}
         self.weights_named_at: dict[str, float] = {}
         self.members: dict[str, str] = {}
+        self.roll_holder = ""
         self.revision = 0
         self.is_filled = False
         self._proved_at = float("-inf")
@@ -69,6 +71,8 @@
             self.registry.put(change.endpoint)
         elif isinstance(change, changes.EndpointGone):
             self._lose_endpoint(change.id)
+        elif isinstance(change, changes.OfficeChange):
+            self.roll_holder = change.holder
         elif change.address:
             self.members[change.name] = change.address
         else:
@@ -78,6 +82,7 @@
         """Takes in a whole listing; what is missing in it is gone."""
         endpoints: set[ids.EndpointId] = set()
         members: set[str] = set()
+        self.roll_holder = ""
         for change in found:
             self.apply(change, now)
             if isinstance(change, changes.EndpointChange):
--- /dev/null
+++ b/sardinewharf/gateway/rollout.py
@@ -0,0 +1,227 @@
+"""Brings engines to the weights that are named, under a lease.
+
+One gateway at a time orders engines. It leads requests away from an engine
+first, so that few are held up, and back when the engine shows the version.
+"""
+
+import asyncio
+import random
+
+from sardinewharf import balancing
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import ids
+from sardinewharf import leases
+from sardinewharf import logs
+from sardinewharf import tasks
+from sardinewharf.gateway import control as control_lib
+from sardinewharf.gateway import peers as peers_lib
+from sardinewharf.gateway import replica as replica_lib
+
+_log = logs.get_logger("weights")
+_TICK_S = 0.05
+_HOLD_TICK_S = 0.25
+# Spreads the gateways that want an office that became free, in seconds.
+_TAKE_JITTER_S = 0.4
+# Time for the news that an engine is led away from, in seconds.
+_LEAD_S = 0.06
+_CALL_S = 0.5
+# A load takes this long at least; the engine is asked from then on.
+_LOAD_S = 0.75
+_POLL_S = 0.12
+# An engine that does not show the version by then is ordered again.
+_LOAD_LIMIT_S = 4.0
+# An order without an answer is given up for now when it shows no effect by
+# then.
+_UNANSWERED_S = 1.0
+_FAILURE_PAUSE_S = 0.5
+
+
+class Roller:
+    """Orders engines to load weights while it holds the office.
+
+    Args:
+        name: Name of this gateway.
+        tenure: The office.
+        control: Calls engines.
+        replica: What the gateway believes.
+        loads: Work at endpoints.
+        rolls: Engines that are led away from.
+        peers: Tells other gateways.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        tenure: leases.Tenure,
+        control: control_lib.EngineControl,
+        replica: replica_lib.Replica,
+        loads: fleet.LoadTable,
+        rolls: peers_lib.RollTable,
+        peers: peers_lib.Peers,
+    ):
+        self._name = name
+        self._tenure = tenure
+        self._control = control
+        self._replica = replica
+        self._loads = loads
+        self._rolls = rolls
+        self._peers = peers
+        self._tasks = tasks.TaskGroup()
+        self._busy: set[ids.EndpointId] = set()
+        self._is_stopping = False
+
+    async def hold(self) -> None:
+        """Takes the office when it is free, and keeps it."""
+        was_held = False
+        while not self._is_stopping:
+            is_held = bool(self._tenure.epoch)
+            if is_held or self._may_take():
+                if not is_held:
+                    await asyncio.sleep(random.uniform(0, _TAKE_JITTER_S))
+                if is_held or self._may_take():
+                    await self._tenure.keep()
+            is_held = bool(self._tenure.epoch)
+            if is_held != was_held:
+                was_held = is_held
+                _log.info(
+                    "Office of weights {}: epoch {}.",
+                    "taken" if is_held else "lost",
+                    self._tenure.epoch,
+                )
+            await asyncio.sleep(_HOLD_TICK_S)
+
+    async def run(self) -> None:
+        """Orders engines until cancelled."""
+        while True:
+            if self._tenure.find_deadline() and not self._is_stopping:
+                self._start_rolls()
+            await asyncio.sleep(_TICK_S)
+
+    async def stop(self) -> None:
+        """Gives no further order and leaves the office."""
+        self._is_stopping = True
+        self._tenure.abandon()
+        await self._tasks.close()
+
+    def _may_take(self) -> bool:
+        return self._replica.is_filled and not self._replica.roll_holder
+
+    def _start_rolls(self) -> None:
+        for service in self._replica.configuration.services.values():
+            if service.engine is None:
+                continue
+            for model in service.engine.models:
+                wanted = self._replica.wanted_weights.get(model, 0)
+                self._start_model_rolls(service.name, model, wanted)
+
+    def _start_model_rolls(self, service: str, model: str, wanted: int) -> None:
+        now = clocks.read_monotonic()
+        registry = self._replica.registry
+        states = [
+            balancing.RollState(
+                endpoint.id,
+                registry.find_weights(endpoint.id, model),
+                endpoint.id in self._busy,
+                self._loads.read(endpoint.id, now).running,
+            )
+            for endpoint in registry.list_ready(service)
+        ]
+        for engine in balancing.choose_rolls(states, wanted):
+            endpoint = registry.find(ids.EndpointId(engine))
+            self._busy.add(endpoint.id)
+            self._tasks.start(self._roll(endpoint, model), "roll")
+
+    async def _roll(self, endpoint: fleet.Endpoint, model: str) -> None:
+        """Brings one engine to the wanted version."""
+        until = clocks.Deadline.after(_LOAD_LIMIT_S)
+        self._rolls.lead_away(endpoint.id, until)
+        self._peers.tell()
+        is_done = False
+        try:
+            await asyncio.sleep(_LEAD_S)
+            is_done = await self._order_and_wait(endpoint, model, until)
+        finally:
+            self._rolls.lead_back(endpoint.id)
+            self._peers.tell()
+            if not is_done:
+                await asyncio.sleep(_FAILURE_PAUSE_S)
+            self._busy.discard(endpoint.id)
+
+    async def _order_and_wait(
+        self, endpoint: fleet.Endpoint, model: str, until: clocks.Deadline
+    ) -> bool:
+        report = await self._read(endpoint)
+        if report is None:
+            return False
+        wanted = self._replica.wanted_weights.get(model, 0)
+        if self._note(endpoint, model, report, wanted):
+            return True
+        if not report.is_busy:
+            result = await self._order(endpoint, model, wanted, report.orders)
+            if result is control_lib.OrderResult.HOLDS_ALREADY:
+                self._peers.note_weights(endpoint.id, model, wanted)
+                return True
+            if result is control_lib.OrderResult.UNKNOWN:
+                until = clocks.Deadline.after(_UNANSWERED_S + _LOAD_S)
+            elif result is not control_lib.OrderResult.ACCEPTED:
+                return False
+            await asyncio.sleep(_LOAD_S)
+        while not until.is_past():
+            report = await self._read(endpoint)
+            if report is None:
+                return False
+            if self._note(endpoint, model, report, wanted):
+                return True
+            await asyncio.sleep(_POLL_S)
+        return False
+
+    async def _order(
+        self, endpoint: fleet.Endpoint, model: str, version: int, orders: int
+    ) -> control_lib.OrderResult | None:
+        """Gives an order; returns None if this gateway may not."""
+        tenure = self._tenure.find_deadline()
+        if tenure is None or self._is_stopping:
+            return None
+        result = await self._control.order_weights(
+            endpoint,
+            control_lib.WeightsOrder(
+                model=model,
+                version=version,
+                mode=control_lib.SwitchMode.FINISH,
+                holder=self._name,
+                epoch=self._tenure.epoch,
+                after_orders=orders,
+            ),
+            clocks.Deadline.after(_CALL_S).earlier(tenure),
+        )
+        _log.info(
+            "Ordered {} to load {} version {} after order {}: {}.",
+            endpoint.id,
+            model,
+            version,
+            orders,
+            result.value,
+        )
+        if result is control_lib.OrderResult.OLD_EPOCH:
+            self._tenure.abandon()
+        return result
+
+    async def _read(
+        self, endpoint: fleet.Endpoint
+    ) -> control_lib.EngineReport | None:
+        return await self._control.read_report(
+            endpoint, clocks.Deadline.after(_CALL_S)
+        )
+
+    def _note(
+        self,
+        endpoint: fleet.Endpoint,
+        model: str,
+        report: control_lib.EngineReport,
+        wanted: int,
+    ) -> bool:
+        """Notes what a report shows; returns whether it is the wanted one."""
+        version = report.weights.get(model, 0)
+        self._peers.note_weights(endpoint.id, model, version)
+        return version >= wanted and not report.is_busy
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -7,6 +7,7 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import peers
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
@@ -28,6 +29,7 @@
         replica: What the gateway believes.
         loads: Work at endpoints.
         health: How endpoints answer.
+        rolls: Engines that are led away from.
     """
 
     def __init__(
@@ -36,11 +38,13 @@
         replica: replica_lib.Replica,
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
+        rolls: peers.RollTable,
     ):
         self._settings = settings
         self._replica = replica
         self._loads = loads
         self._health = health
+        self._rolls = rolls
 
     def choose_service(self, route: catalog.Route) -> str:
         """Returns the service that one request of a route goes to."""
@@ -104,12 +108,16 @@
         now: float,
     ) -> requests.Target | None:
         usable = self._list_current(endpoints, prompt.model, now)
+        wanted = self._replica.wanted_weights.get(prompt.model, 0)
+        registry = self._replica.registry
         states = [
             balancing.EngineState(
                 endpoint.id,
                 endpoint.failure_domain,
                 self._loads.read(endpoint.id, now),
                 self._health.read_failure_share(endpoint.id),
+                has_old_weights=registry.find_weights(endpoint.id, prompt.model)
+                < wanted,
             )
             for endpoint in usable
         ]
@@ -149,7 +157,7 @@
         named_at = self._replica.weights_named_at.get(model, now)
         limit = self._settings.promises.weights_ms / 1000 - _WEIGHTS_MARGIN_S
         may_be_old = now - named_at < limit
-        return [
+        current = [
             endpoint
             for endpoint in endpoints
             if registry.find_weights(endpoint.id, model) > 0
@@ -158,6 +166,8 @@
                 or registry.find_weights(endpoint.id, model) >= wanted
             )
         ]
+        staying = [e for e in current if not self._rolls.is_rolling(e.id)]
+        return staying or current
 
     def _find_store(self) -> str:
         stores = self._replica.configuration.cache_stores
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -8,18 +8,22 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import keyvalue
+from sardinewharf import leases
 from sardinewharf import limits
 from sardinewharf import logs
 from sardinewharf import tasks
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import app as app_lib
 from sardinewharf.gateway import changes
+from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import dispatcher as dispatcher_lib
 from sardinewharf.gateway import members
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import responder as responder_lib
+from sardinewharf.gateway import rollout
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
@@ -34,6 +38,11 @@
 # Share of the retry budget that is split; the rest covers restarts.
 _BUDGET_SHARE = 0.7
 _CALL_S = 1.0
+# The lease of the gateway that orders engines, in seconds.
+_LEASE_S = 2.0
+_LEASE_MARGIN_S = 0.7
+_LEASE_RENEW_S = 1.4
+_LEASE_CALL_S = 0.5
 _log = logs.get_logger("gateway")
 
 
@@ -45,11 +54,13 @@
         store: The platform's store.
         reader: Translates the store's entries.
         dialect: Translates headers.
+        control: Calls engines and cache stores.
     """
 
     store: keyvalue.PrefixStore
     reader: changes.ChangeReader
     dialect: messages.Dialect
+    control: control_lib.EngineControl
 
 
 class GatewayService:
@@ -75,8 +86,9 @@
         self._gatekeeper = admission.Gatekeeper(
             self._replica, settings.promises
         )
+        self._rolls = peers_lib.RollTable()
         selector = selection.Selector(
-            settings, self._replica, self._loads, self._health
+            settings, self._replica, self._loads, self._health, self._rolls
         )
         dispatcher = dispatcher_lib.Dispatcher(
             dispatcher_lib.Parts(
@@ -100,6 +112,14 @@
         self._synchronizer = sync.Synchronizer(
             platform.store, platform.reader, self._replica
         )
+        self._peers = peers_lib.Peers(
+            settings,
+            self._replica,
+            self._loads,
+            self._rolls,
+            self._synchronizer.note_newer,
+        )
+        self._roller = self._make_roller()
         self._server = http_server.HttpServer(self._app, self._read_limits)
         self._ready_server = http_server.HttpServer(
             _make_probe(self._is_ready), self._read_limits
@@ -111,11 +131,15 @@
 
     async def run(self) -> None:
         """Serves until stopped, and then finishes what has begun."""
+        await self._peers.start()
         await self._ready_server.start(self._settings.ready_listen)
         await self._server.start(self._settings.listen)
         self._tasks.start(self._synchronizer.run(), "sync")
         self._tasks.start(self._register(), "register")
         self._tasks.start(self._tick_forever(), "tick")
+        self._tasks.start(self._peers.run(), "peers")
+        self._tasks.start(self._roller.hold(), "office")
+        self._tasks.start(self._roller.run(), "weights")
         _log.info(
             "Started as {} in {}; callers are served at {}.",
             self._settings.name,
@@ -128,6 +152,29 @@
         await self._platform.store.close()
         _log.info("Stopped.")
 
+    def _make_roller(self) -> rollout.Roller:
+        tenure = leases.Tenure(
+            self._platform.store,
+            changes.ROLLS_OFFICE,
+            self._settings.name,
+            leases.TenureSettings(
+                lease_s=_LEASE_S,
+                margin_s=_LEASE_MARGIN_S,
+                renew_s=_LEASE_RENEW_S,
+                call_s=_LEASE_CALL_S,
+                pause_s=self._settings.promises.lease_ms / 1000,
+            ),
+        )
+        return rollout.Roller(
+            self._settings.name,
+            tenure,
+            self._platform.control,
+            self._replica,
+            self._loads,
+            self._rolls,
+            self._peers,
+        )
+
     def _is_ready(self) -> bool:
         return (
             not self._app.is_leaving
@@ -181,6 +228,7 @@
     async def _drain(self) -> None:
         _log.info("Stopping; {} requests run.", self._app.running)
         self._app.is_leaving = True
+        await self._roller.stop()
         grace_s = self._settings.promises.grace_ms / 1000
         end = clocks.Deadline.after(grace_s - _GRACE_MARGIN_S)
         await asyncio.sleep(_TURN_AWAY_S)
--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -2,12 +2,12 @@
 
 Examples:
     >>> framer = EventFramer()
-    >>> framer.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    b'id: 1\\ndata: a\\n\\n'
+    >>> framer.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
     >>> framer.last_id
     1
-    >>> framer.feed(b"ta: b\\n\\n")
-    b'id: 2\\ndata: b\\n\\n'
+    >>> framer.feed(b"ta: b\n\n")
+    b'id: 2\ndata: b\n\n'
     >>> framer.is_clean
     True
 
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -19,6 +19,8 @@
 _MAX_PAUSE_S = 0.8
 # Without contact for this long, registrations may have lapsed, in seconds.
 _OUTAGE_S = 1.5
+# A watch that has not brought by then what others know is silent, in seconds.
+_NEWER_S = 0.6
 _ALL_KEYS = ""
 _log = logs.get_logger("sync")
 
@@ -44,10 +46,22 @@
         self._pause = _MIN_PAUSE_S
         self._has_failed = False
         self._hurry = asyncio.Event()
+        self._has_timer = False
 
-    def hurry(self) -> None:
-        """Asks the store again at once, since others know of changes."""
-        self._hurry.set()
+    def note_newer(self, revision: int) -> None:
+        """Notes a revision that another gateway has seen.
+
+        The watch brings it within milliseconds, unless it has fallen silent.
+        """
+        if self._has_timer:
+            return
+        self._has_timer = True
+        asyncio.get_running_loop().call_later(_NEWER_S, self._compare, revision)
+
+    def _compare(self, revision: int) -> None:
+        self._has_timer = False
+        if revision > self._replica.revision:
+            self._hurry.set()
 
     async def run(self) -> None:
         """Reads and watches the store until cancelled."""
--- a/sardinewharf/placement/tenure.py
+++ b/sardinewharf/leases/tenure.py
@@ -5,19 +5,35 @@
 from sardinewharf import clocks
 from sardinewharf import keyvalue
 
-_KEY_PREFIX = "sardinewharf/placement/"
-_LEASE_S = 6.0
-# A holder acts only this long before its lease ends, which covers a call in
-# flight.
-_MARGIN_S = 2.5
-_RENEW_S = 4.0
-_CALL_S = 1.0
+KEY_PREFIX = "sardinewharf/placement/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TenureSettings:
+    """Times of a tenure, in seconds.
+
+    Attributes:
+        lease_s: Time that the lease lasts.
+        margin_s: A holder acts only until this long before its lease ends,
+            which covers a call in flight.
+        renew_s: The lease is renewed when this much of it is left.
+        call_s: Longest wait for the store.
+        pause_s: A new holder waits this long, so that what the former holder
+            did last lies well before.
+    """
+
+    lease_s: float = 6.0
+    margin_s: float = 2.5
+    renew_s: float = 4.0
+    call_s: float = 1.0
+    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
     lease: keyvalue.Lease
     epoch: int
+    acts_from: clocks.Deadline
 
 
 class Tenure:
@@ -27,13 +43,19 @@
         kv: The platform's key-value service.
         failure_domain: Which office.
         holder: This daemon's name.
+        settings: Times of the lease.
     """
 
     def __init__(
-        self, kv: keyvalue.KeyValueStore, failure_domain: str, holder: str
+        self,
+        kv: keyvalue.KeyValueStore,
+        failure_domain: str,
+        holder: str,
+        settings: TenureSettings | None = None,
     ):
         self._kv = kv
-        self._key = _KEY_PREFIX + failure_domain
+        self._settings = settings or TenureSettings()
+        self._key = KEY_PREFIX + failure_domain
         self._holder = holder.encode()
         self._held: _Held | None = None
 
@@ -50,7 +72,10 @@
         """
         if self._held is None:
             return None
-        deadline = clocks.Deadline(self._held.lease.expires.at - _MARGIN_S)
+        if not self._held.acts_from.is_past():
+            return None
+        margin = self._settings.margin_s
+        deadline = clocks.Deadline(self._held.lease.expires.at - margin)
         return None if deadline.is_past() else deadline
 
     async def keep(self) -> None:
@@ -58,10 +83,12 @@
         if self._held is None:
             await self._take()
             return
-        if self._held.lease.expires.remaining() > _RENEW_S:
+        if self._held.lease.expires.remaining() > self._settings.renew_s:
             return
         renewed = await self._kv.renew_lease(
-            self._held.lease.lease, _LEASE_S, clocks.Deadline.after(_CALL_S)
+            self._held.lease.lease,
+            self._settings.lease_s,
+            clocks.Deadline.after(self._settings.call_s),
         )
         if isinstance(renewed, keyvalue.Lease):
             self._held = dataclasses.replace(self._held, lease=renewed)
@@ -69,11 +96,11 @@
             self._held = None
 
     async def _take(self) -> None:
-        deadline = clocks.Deadline.after(_CALL_S)
+        deadline = clocks.Deadline.after(self._settings.call_s)
         read = await self._kv.read(self._key, deadline)
         if not isinstance(read, keyvalue.Absent):
             return
-        lease = await self._kv.grant_lease(_LEASE_S, deadline)
+        lease = await self._kv.grant_lease(self._settings.lease_s, deadline)
         if isinstance(lease, keyvalue.Unavailable):
             return
         written = await self._kv.write(
@@ -81,4 +108,9 @@
         )
         # A lost answer leaves the office empty until the lease ends.
         if isinstance(written, keyvalue.Written):
-            self._held = _Held(lease, written.revision)
+            acts_from = clocks.Deadline.after(self._settings.pause_s)
+            self._held = _Held(lease, written.revision, acts_from)
+
+    def abandon(self) -> None:
+        """Stops acting at once; the lease runs out by itself."""
+        self._held = None
--- a/sardinewharf/placement/__init__.py
+++ b/sardinewharf/placement/__init__.py
@@ -6,14 +6,12 @@
 from sardinewharf.placement.placer import PlacerSettings
 from sardinewharf.placement.rollout import EngineLoad
 from sardinewharf.placement.rollout import choose_orders
-from sardinewharf.placement.tenure import Tenure
 
 __all__ = [
     "Assignment",
     "EngineLoad",
     "Placer",
     "PlacerSettings",
-    "Tenure",
     "assign_models",
     "choose_orders",
 ]
--- a/sardinewharf/placement/placer.py
+++ b/sardinewharf/placement/placer.py
@@ -7,10 +7,10 @@
 from sardinewharf import clocks
 from sardinewharf import configuration
 from sardinewharf import endpoints
+from sardinewharf import leases
 from sardinewharf import logs
 from sardinewharf.placement import assignment
 from sardinewharf.placement import rollout
-from sardinewharf.placement import tenure as tenure_lib
 
 _log = logs.get_logger("placement")
 _VERSION_BITS = 24
@@ -55,7 +55,7 @@
         holder: configuration.ConfigurationHolder,
         directory: endpoints.Directory,
         engines: endpoints.ModelEngine,
-        tenure: tenure_lib.Tenure,
+        tenure: leases.Tenure,
         is_able: Callable[[], bool],
         settings: PlacerSettings,
     ):
--- a/sardinewharf/platform/__init__.py
+++ b/sardinewharf/platform/__init__.py
@@ -1,6 +1,7 @@
 """Translates between the users' platform and the product."""
 
 from sardinewharf.platform.changes import EntryReader
+from sardinewharf.platform.engines import ServerControl
 from sardinewharf.platform.headers import HeaderDialect
 from sardinewharf.platform.settings import SettingsFileError
 from sardinewharf.platform.settings import read_settings
@@ -9,6 +10,7 @@
 __all__ = [
     "EntryReader",
     "HeaderDialect",
+    "ServerControl",
     "SettingsFileError",
     "StoreClient",
     "read_settings",
--- a/sardinewharf/platform/changes.py
+++ b/sardinewharf/platform/changes.py
@@ -6,6 +6,7 @@
 from sardinewharf import fleet
 from sardinewharf import ids
 from sardinewharf import keyvalue
+from sardinewharf import leases
 from sardinewharf import logs
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import members
@@ -35,6 +36,8 @@
             return _read_server(entry)
         if entry.key.startswith(members.KEY_PREFIX):
             return members.read_member(entry)
+        if entry.key == leases.KEY_PREFIX + changes.ROLLS_OFFICE:
+            return changes.OfficeChange((entry.value or b"").decode())
         if entry.value is None:
             return None
         try:
@@ -67,7 +70,6 @@
                 state=_STATES[found.state],
                 started_ms=found.born,
                 weights={row.name: row.version for row in found.models},
-                orders=found.sequence,
             )
         )
     except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
--- /dev/null
+++ b/sardinewharf/platform/engines.py
@@ -0,0 +1,142 @@
+"""Calls model servers and cache stores of the platform."""
+
+import asyncio
+
+import msgspec
+
+from sardinewharf import clocks
+from sardinewharf import fleet
+from sardinewharf import http1
+from sardinewharf import logs
+from sardinewharf.gateway import control
+from sardinewharf.platform import calls
+from sardinewharf.platform import headers
+from sardinewharf.platform import wire
+
+_MAX_CONNECTIONS = 4
+_MAX_WAIT_MS = 1_000
+_MIN_FREE_WAIT_MS = 250
+_EVENTS_GRACE_S = 0.5
+_WAIT = b"wait-ms"
+_MODES = {
+    control.SwitchMode.FINISH: "queue",
+    control.SwitchMode.CUT: "truncate",
+    control.SwitchMode.KEEP: "retain",
+}
+_RESULTS = {
+    200: control.OrderResult.HOLDS_ALREADY,
+    202: control.OrderResult.ACCEPTED,
+    409: control.OrderResult.CONFLICT,
+    412: control.OrderResult.OLD_EPOCH,
+}
+_REFUSALS = frozenset({400, 421, 429, 503})
+_log = logs.get_logger("engines")
+
+
+class ServerControl(control.EngineControl):
+    """The platform's model servers and cache stores."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, http1.Pool] = {}
+
+    async def order_weights(
+        self,
+        endpoint: fleet.Endpoint,
+        order: control.WeightsOrder,
+        deadline: clocks.Deadline,
+    ) -> control.OrderResult:
+        """Orders an engine to load weights."""
+        body = msgspec.json.encode(
+            wire.Order(
+                op="version",
+                model=order.model,
+                version=order.version,
+                switch_mode=_MODES[order.mode],
+                holder=order.holder,
+                fence=order.epoch,
+                expected=order.after_orders,
+            )
+        )
+        try:
+            reply = await calls.call(
+                self._find_pool(endpoint.address),
+                b"POST",
+                "/-/order",
+                body,
+                deadline,
+                [(headers.EXPECT_ENDPOINT, endpoint.id.encode())],
+            )
+        except calls.CallError as error:
+            if error.was_sent:
+                return control.OrderResult.UNKNOWN
+            return control.OrderResult.REFUSED
+        if reply.status in _REFUSALS:
+            return control.OrderResult.REFUSED
+        return _RESULTS.get(reply.status, control.OrderResult.UNKNOWN)
+
+    async def read_report(
+        self, endpoint: fleet.Endpoint, deadline: clocks.Deadline
+    ) -> control.EngineReport | None:
+        """Returns an engine's report; None if there is none."""
+        try:
+            reply = await calls.call(
+                self._find_pool(endpoint.address),
+                b"GET",
+                "/-/report",
+                b"",
+                deadline,
+                [(headers.EXPECT_ENDPOINT, endpoint.id.encode())],
+            )
+            if reply.status != 200:
+                return None
+            found = calls.decode(reply.body, wire.Report)
+        except calls.CallError as error:
+            _log.warning("Engine {} gives no report: {}.", endpoint.id, error)
+            return None
+        if found.born and found.born != endpoint.started_ms:
+            # Another incarnation has the address.
+            return None
+        return control.EngineReport(
+            {row.name: row.version for row in found.models},
+            found.busy,
+            found.sequence,
+        )
+
+    async def read_cache(
+        self, address: str, since: int, until: clocks.Deadline
+    ) -> control.CacheNews | None:
+        """Returns what changed in a cache, once something has."""
+        left_ms = int(until.remaining() * 1000)
+        wait_ms = min(_MAX_WAIT_MS, max(_MIN_FREE_WAIT_MS, left_ms))
+        late = clocks.Deadline.after(wait_ms / 1000 + _EVENTS_GRACE_S)
+        try:
+            reply = await calls.call(
+                self._find_pool(address),
+                b"GET",
+                f"/-/kv-events?since={since}",
+                b"",
+                late,
+                [(_WAIT, b"%d" % wait_ms)],
+            )
+            if reply.status != 200:
+                await asyncio.sleep(wait_ms / 1000)
+                return None
+            found = calls.decode(reply.body, wire.Events)
+        except calls.CallError as error:
+            _log.debug("Cache {} tells no changes: {}.", address, error)
+            await asyncio.sleep(_MIN_FREE_WAIT_MS / 1000)
+            return None
+        return control.CacheNews(
+            epoch=found.epoch,
+            next=found.next,
+            has_gap=found.lost,
+            events=tuple(
+                control.CacheEvent(sign == "+", salt, part, tokens)
+                for _, sign, salt, part, tokens, _ in found.events
+            ),
+        )
+
+    def _find_pool(self, address: str) -> http1.Pool:
+        if address not in self._pools:
+            self._pools[address] = http1.Pool(address, _MAX_CONNECTIONS)
+        return self._pools[address]
--- a/sardinewharf/platform/program.py
+++ b/sardinewharf/platform/program.py
@@ -31,6 +31,7 @@
         store=platform.StoreClient(settings.store),
         reader=platform.EntryReader(),
         dialect=platform.HeaderDialect(),
+        control=platform.ServerControl(),
     )
     gc.freeze()
     loops.run(_serve(settings, found))
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -167,10 +167,11 @@
 
 
 class ServerEntry(msgspec.Struct):
-    """What a server says of itself; ``version`` is that of its software.
+    """What a server says of itself.
 
-    ``sequence`` counts the orders that it accepted since it started at
-    ``born``, in Unix milliseconds.
+    ``born`` is the time of its start in Unix milliseconds. Its ``version`` is
+    that of its software and its ``sequence`` counts heartbeats, unlike the
+    report's; neither is read.
     """
 
     service: str
@@ -179,7 +180,6 @@
     slots: int
     state: str
     models: list[ModelRow] = []
-    sequence: int = 0
     born: int = 0
 
 
@@ -191,7 +191,10 @@
 
 
 class Report(msgspec.Struct):
-    """A model server's state, some hundred milliseconds old."""
+    """A model server's state, some hundred milliseconds old.
+
+    ``sequence`` counts the orders that it accepted since its start.
+    """
 
     models: list[ModelRow] = []
     busy: bool = False
