Hand the office of weights over cleanly, and tell how old a naming is

A holder now leaves a record of its last act, the youngest gateway goes first, and gateways tell one another since when a version is wanted.

Ruled out: the margin before version_ms alone; requests began up to 0.6 s after they were sent, well inside it.

--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -43,6 +43,14 @@
     version: int
 
 
+class NamingNews(msgspec.Struct, array_like=True):
+    """Since when a version of a model's weights is wanted."""
+
+    model: str
+    version: int
+    age_ms: int
+
+
 class DeathNews(msgspec.Struct, array_like=True):
     """An endpoint that died while a request ran there."""
 
@@ -63,6 +71,8 @@
         rolling: Engines that it is about to order or has ordered.
         weights: Versions that engines showed it of late.
         deaths: Endpoints that died of requests.
+        namings: Since when weights are wanted.
+        is_leaving: Whether it is shutting down.
     """
 
     sender: str
@@ -73,6 +83,8 @@
     rolling: list[str] = []
     weights: list[WeightsNews] = []
     deaths: list[DeathNews] = []
+    namings: list[NamingNews] = []
+    is_leaving: bool = False
 
 
 class RollTable:
@@ -129,6 +141,9 @@
         loads: Work at endpoints.
         rolls: Engines that are led away from.
         hurry: Called when a peer has seen a newer revision of the store.
+
+    Attributes:
+        is_leaving: Whether this gateway is shutting down.
     """
 
     def __init__(
@@ -150,6 +165,8 @@
         self._newest: dict[str, tuple[int, int]] = {}
         self._shown: dict[tuple[str, str], tuple[int, float]] = {}
         self._roller = ""
+        self._heard: dict[str, tuple[float, int, bool]] = {}
+        self.is_leaving = False
         self._random = random.Random(settings.name)
 
     async def start(self) -> None:
@@ -185,6 +202,17 @@
             host, _, port = address.rpartition(":")
             self._transport.sendto(datagram, (host, int(port)))
 
+    def count_younger(self) -> int:
+        """Returns how many live gateways started after this one.
+
+        In a rolling restart the youngest is the last to be stopped again.
+        """
+        now = clocks.read_monotonic()
+        return sum(
+            now - at < _SILENT_S and started > self._started and not is_leaving
+            for at, started, is_leaving in self._heard.values()
+        )
+
     def note_weights(
         self, endpoint_id: ids.EndpointId, model: str, version: int
     ) -> None:
@@ -240,6 +268,15 @@
                 WeightsNews(endpoint_id, model, version)
                 for (endpoint_id, model), (version, _) in self._shown.items()
             ],
+            namings=[
+                NamingNews(
+                    model,
+                    self._replica.wanted_weights[model],
+                    int((now - at) * 1000),
+                )
+                for model, at in self._replica.weights_named_at.items()
+            ],
+            is_leaving=self.is_leaving,
         )
 
     def _merge(self, digest: Digest) -> None:
@@ -260,6 +297,11 @@
                 self._replica.registry.note_weights(
                     endpoint_id, news.model, news.version
                 )
+        for naming in digest.namings:
+            self._replica.note_naming_age(
+                naming.model, naming.version, now - naming.age_ms / 1000
+            )
+        self._heard[digest.sender] = (now, digest.started, digest.is_leaving)
         if digest.rolling or digest.sender == self._roller:
             self._roller = digest.sender
             self._rolls.hear(
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -20,7 +20,9 @@
         configuration: The newest configuration seen.
         registry: The endpoints.
         wanted_weights: Version wanted of each model.
-        weights_named_at: When each version was heard of, by model.
+        weights_named_at: Since when each version is wanted, by model;
+            missing for a version that was named before this process began,
+            until another gateway tells.
         members: Addresses of the gateways by name.
         roll_holder: The gateway that orders engines; empty if none does.
         revision: The store's revision that all this is at.
@@ -57,15 +59,24 @@
         """Notes that the store is back after an outage."""
         self._doubt_until = clocks.Deadline.after(_RETURN_S)
 
-    def apply(self, change: changes.Change, now: float) -> None:
-        """Takes in a change."""
+    def note_naming_age(self, model: str, version: int, at: float) -> None:
+        """Takes in when another gateway heard of a wanted version."""
+        if version == self.wanted_weights.get(model):
+            known = self.weights_named_at.get(model, at)
+            self.weights_named_at[model] = min(known, at)
+
+    def apply(self, change: changes.Change, now: float | None) -> None:
+        """Takes in a change.
+
+        Args:
+            change: The change.
+            now: When it was made, at the earliest; None if that is unknown.
+        """
         if isinstance(change, changes.ConfigurationChange):
             if change.configuration.version > self.configuration.version:
                 self.configuration = change.configuration
         elif isinstance(change, changes.WeightsNamed):
-            if change.version > self.wanted_weights.get(change.model, 0):
-                self.wanted_weights[change.model] = change.version
-                self.weights_named_at[change.model] = now
+            self._note_naming(change, now)
         elif isinstance(change, changes.EndpointChange):
             self._doubtful.pop(change.endpoint.id, None)
             self.registry.put(change.endpoint)
@@ -78,8 +89,9 @@
         else:
             self.members.pop(change.name, None)
 
-    def replace(self, found: Iterable[changes.Change], now: float) -> None:
+    def replace(self, found: Iterable[changes.Change]) -> None:
         """Takes in a whole listing; what is missing in it is gone."""
+        now = self._proved_at if self.is_filled else None
         endpoints: set[ids.EndpointId] = set()
         members: set[str] = set()
         self.roll_holder = ""
@@ -103,6 +115,16 @@
                 del self._doubtful[endpoint_id]
                 self.registry.remove(endpoint_id)
 
+    def _note_naming(
+        self, change: changes.WeightsNamed, now: float | None
+    ) -> None:
+        if change.version <= self.wanted_weights.get(change.model, 0):
+            return
+        self.wanted_weights[change.model] = change.version
+        self.weights_named_at.pop(change.model, None)
+        if now is not None:
+            self.weights_named_at[change.model] = now
+
     def _lose_endpoint(self, endpoint_id: ids.EndpointId) -> None:
         if self._doubt_until.is_past():
             self.registry.remove(endpoint_id)
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -21,8 +21,10 @@
 _log = logs.get_logger("weights")
 _TICK_S = 0.05
 _HOLD_TICK_S = 0.25
-# Spreads the gateways that want an office that became free, in seconds.
-_TAKE_JITTER_S = 0.4
+# Gateways want an office that became free one after the other, the youngest
+# first, in seconds.
+_TAKE_STEP_S = 0.08
+_TAKE_LIMIT_S = 1.0
 # Time for the news that an engine is led away from, in seconds.
 _LEAD_S = 0.06
 _CALL_S = 0.5
@@ -78,7 +80,7 @@
             is_held = bool(self._tenure.epoch)
             if is_held or self._may_take():
                 if not is_held:
-                    await asyncio.sleep(random.uniform(0, _TAKE_JITTER_S))
+                    await asyncio.sleep(self._find_turn())
                 if is_held or self._may_take():
                     await self._tenure.keep()
             is_held = bool(self._tenure.epoch)
@@ -101,8 +103,15 @@
     async def stop(self) -> None:
         """Gives no further order and leaves the office."""
         self._is_stopping = True
-        self._tenure.abandon()
+        self._peers.is_leaving = True
+        self._peers.tell()
         await self._tasks.close()
+        await self._tenure.resign()
+
+    def _find_turn(self) -> float:
+        """Returns the seconds to wait for gateways that should go first."""
+        turn = self._peers.count_younger() * _TAKE_STEP_S
+        return min(_TAKE_LIMIT_S, turn + random.uniform(0, _TAKE_STEP_S / 2))
 
     def _may_take(self) -> bool:
         return self._replica.is_filled and not self._replica.roll_holder
@@ -183,17 +192,17 @@
         tenure = self._tenure.find_deadline()
         if tenure is None or self._is_stopping:
             return None
+        self._tenure.note_act()
+        order = control_lib.WeightsOrder(
+            model=model,
+            version=version,
+            mode=control_lib.SwitchMode.FINISH,
+            holder=self._name,
+            epoch=self._tenure.epoch,
+            after_orders=orders,
+        )
         result = await self._control.order_weights(
-            endpoint,
-            control_lib.WeightsOrder(
-                model=model,
-                version=version,
-                mode=control_lib.SwitchMode.FINISH,
-                holder=self._name,
-                epoch=self._tenure.epoch,
-                after_orders=orders,
-            ),
-            clocks.Deadline.after(_CALL_S).earlier(tenure),
+            endpoint, order, clocks.Deadline.after(_CALL_S).earlier(tenure)
         )
         _log.info(
             "Ordered {} to load {} version {} after order {}: {}.",
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -154,9 +154,9 @@
         """Returns the engines whose weights may begin a request now."""
         registry = self._replica.registry
         wanted = self._replica.wanted_weights.get(model, 0)
-        named_at = self._replica.weights_named_at.get(model, now)
+        named_at = self._replica.weights_named_at.get(model)
         limit = self._settings.promises.weights_ms / 1000 - _WEIGHTS_MARGIN_S
-        may_be_old = now - named_at < limit
+        may_be_old = named_at is not None and now - named_at < limit
         current = [
             endpoint
             for endpoint in endpoints
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -21,6 +21,8 @@
 _OUTAGE_S = 1.5
 # A watch that has not brought by then what others know is silent, in seconds.
 _NEWER_S = 0.6
+# A change reaches a watch within this time, in seconds.
+_WATCH_LAG_S = 0.2
 _ALL_KEYS = ""
 _log = logs.get_logger("sync")
 
@@ -87,7 +89,7 @@
             return False
         self._note_contact()
         found = [self._reader.read_change(e) for e in listing.entries]
-        self._replica.replace([c for c in found if c is not None], sent)
+        self._replica.replace([c for c in found if c is not None])
         self._replica.revision = listing.revision
         self._replica.prove(sent)
         return True
@@ -96,6 +98,7 @@
         sent = clocks.read_monotonic()
         seconds = _SHORT_WATCH_S if self._has_failed else _WATCH_S
         until = clocks.Deadline(sent + seconds)
+        was_failing = self._has_failed
         result = await self._watch_or_hurry(until)
         if result is None:
             return True
@@ -107,10 +110,14 @@
             _log.info("The store has dropped its history; reading all keys.")
             self._replica.expect_returns()
             return await self._list()
+        # After a failure, changes may be as old as the last proof.
+        since = self._replica.proved_at
+        if not was_failing:
+            since = clocks.read_monotonic() - _WATCH_LAG_S
         for entry in result.entries:
             change = self._reader.read_change(entry)
             if change is not None:
-                self._replica.apply(change, sent)
+                self._replica.apply(change, since)
         self._replica.revision = max(self._replica.revision, result.revision)
         is_whole_wait = not result.entries and until.is_past()
         self._replica.prove(until.at if is_whole_wait else sent)
--- a/sardinewharf/leases/tenure.py
+++ b/sardinewharf/leases/tenure.py
@@ -2,11 +2,18 @@
 
 import dataclasses
 
+import msgspec
+
 from sardinewharf import clocks
 from sardinewharf import keyvalue
 
 KEY_PREFIX = "sardinewharf/placement/"
 
+# Wall clocks of two machines may differ by this much, in seconds.
+_CLOCK_SLACK_S = 0.4
+# Stands for a holder that never acted, in milliseconds since the epoch.
+_LONG_AGO_MS = 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TenureSettings:
@@ -29,6 +36,37 @@
     pause_s: float = 0.0
 
 
+class Office(msgspec.Struct):
+    """An office's record in the store.
+
+    Attributes:
+        holder: Name of the holder; empty if it resigned.
+        last_act_ms: Wall-clock time of the last holder's last act, in
+            milliseconds; 0 if it is not known.
+    """
+
+    holder: str
+    last_act_ms: int = 0
+
+
+def decode_office(value: bytes | None) -> Office:
+    """Returns an office's record; one that is missing has no holder.
+
+    Examples:
+        >>> decode_office(None).holder
+        ''
+        >>> decode_office(b"not a record").holder
+        'unknown'
+    """
+    if not value:
+        return Office("")
+    try:
+        return msgspec.json.decode(value, type=Office)
+    except msgspec.MsgspecError:
+        # Whoever wrote it may act; its lease will end.
+        return Office("unknown")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
     lease: keyvalue.Lease
@@ -56,8 +94,9 @@
         self._kv = kv
         self._settings = settings or TenureSettings()
         self._key = KEY_PREFIX + failure_domain
-        self._holder = holder.encode()
+        self._holder = holder
         self._held: _Held | None = None
+        self._last_act_ms = 0
 
     @property
     def epoch(self) -> int:
@@ -98,19 +137,51 @@
     async def _take(self) -> None:
         deadline = clocks.Deadline.after(self._settings.call_s)
         read = await self._kv.read(self._key, deadline)
-        if not isinstance(read, keyvalue.Absent):
+        if isinstance(read, keyvalue.Unavailable):
+            return
+        office = decode_office(getattr(read, "value", None))
+        if office.holder:
             return
         lease = await self._kv.grant_lease(self._settings.lease_s, deadline)
         if isinstance(lease, keyvalue.Unavailable):
             return
         written = await self._kv.write(
-            self._key, self._holder, read.revision, deadline, lease.lease
+            self._key,
+            msgspec.json.encode(Office(self._holder)),
+            read.revision,
+            deadline,
+            lease.lease,
         )
         # A lost answer leaves the office empty until the lease ends.
         if isinstance(written, keyvalue.Written):
-            acts_from = clocks.Deadline.after(self._settings.pause_s)
+            acts_from = clocks.Deadline.after(self._find_pause(office))
             self._held = _Held(lease, written.revision, acts_from)
 
+    def _find_pause(self, office: Office) -> float:
+        """Returns the seconds to wait after a former holder's last act."""
+        pause = self._settings.pause_s
+        if not office.last_act_ms:
+            return pause
+        passed = clocks.read_wall() - office.last_act_ms / 1000
+        return min(pause, max(0.0, pause + _CLOCK_SLACK_S - passed))
+
+    def note_act(self) -> None:
+        """Notes that the holder acts now."""
+        self._last_act_ms = int(clocks.read_wall() * 1000)
+
+    async def resign(self) -> None:
+        """Leaves the office at once, so that another may take it."""
+        held, self._held = self._held, None
+        if held is None:
+            return
+        last_act_ms = self._last_act_ms or _LONG_AGO_MS
+        await self._kv.write(
+            self._key,
+            msgspec.json.encode(Office("", last_act_ms)),
+            held.epoch,
+            clocks.Deadline.after(self._settings.call_s),
+        )
+
     def abandon(self) -> None:
         """Stops acting at once; the lease runs out by itself."""
         self._held = None
--- a/sardinewharf/platform/changes.py
+++ b/sardinewharf/platform/changes.py
@@ -37,7 +37,9 @@
         if entry.key.startswith(members.KEY_PREFIX):
             return members.read_member(entry)
         if entry.key == leases.KEY_PREFIX + changes.ROLLS_OFFICE:
-            return changes.OfficeChange((entry.value or b"").decode())
+            return changes.OfficeChange(
+                leases.decode_office(entry.value).holder
+            )
         if entry.value is None:
             return None
         try:
