Log decisions as typed records, and serve metrics

Each decision that touches a request, or changes what a gateway believes, is one JSON line with its inputs, their age and the outcome.

--- a/sardinewharf/fleet/health.py
+++ b/sardinewharf/fleet/health.py
@@ -23,6 +23,7 @@
 import dataclasses
 
 from sardinewharf import ids
+from sardinewharf import records
 
 # Failures in a row that take an endpoint out.
 _FAILURES_TO_OPEN = 3
@@ -44,9 +45,14 @@
 
 
 class HealthTable:
-    """How well endpoints answered of late."""
+    """How well endpoints answered of late.
 
-    def __init__(self) -> None:
+    Args:
+        log: Where endpoints that are left alone are written; None for nowhere.
+    """
+
+    def __init__(self, log: records.RecordSink | None = None) -> None:
+        self._log = log
         self._known: dict[ids.EndpointId, _Health] = {}
 
     def may_try(self, endpoint_id: ids.EndpointId, now: float) -> bool:
@@ -69,6 +75,8 @@
         """Notes a whole answer."""
         health = self._known.get(endpoint_id)
         if health is not None:
+            if health.opens and self._log is not None:
+                self._log.write(records.events.EndpointReopened(endpoint_id))
             health.failures = 0
             health.opens = 0
             health.closed_until = 0.0
@@ -80,11 +88,12 @@
         health.failures += 1
         health.failure_share += _SMOOTHING * (1 - health.failure_share)
         if health.opens or health.failures >= _FAILURES_TO_OPEN:
-            self._open(health, now)
+            self._open(endpoint_id, health, now)
 
     def note_unreached(self, endpoint_id: ids.EndpointId, now: float) -> None:
         """Notes that no connection could be made."""
-        self._open(self._known.setdefault(endpoint_id, _Health()), now)
+        health = self._known.setdefault(endpoint_id, _Health())
+        self._open(endpoint_id, health, now)
 
     def pause(self, endpoint_id: ids.EndpointId, until: float) -> None:
         """Leaves an endpoint alone that is well but takes no requests."""
@@ -95,7 +104,15 @@
         """Forgets an endpoint that is gone or began anew."""
         self._known.pop(endpoint_id, None)
 
-    def _open(self, health: _Health, now: float) -> None:
+    def _open(
+        self, endpoint_id: ids.EndpointId, health: _Health, now: float
+    ) -> None:
         pause = min(_MAX_PAUSE_S, _PAUSE_S * 2**health.opens)
         health.opens += 1
         health.closed_until = now + pause
+        if self._log is not None:
+            self._log.write(
+                records.events.EndpointClosed(
+                    endpoint_id, health.failures, pause
+                )
+            )
--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
+import dataclasses
 
 from sardinewharf import clocks
-from sardinewharf import logs
+from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -17,11 +19,22 @@
 from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import selection
 
-_log = logs.get_logger("callers")
-
 Receive = Callable[[], Awaitable[Mapping[str, object]]]
 
 
+@dataclasses.dataclass(slots=True)
+class _Visit:
+    """What is known of a request so far, for the log."""
+
+    arrived: float
+    headers: messages.CallerHeaders | None = None
+    call: requests.Call | None = None
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.request_id if self.headers else ""
+
+
 class _CallerLeftError(Exception):
     """The caller closed its connection before its request was whole."""
 
@@ -35,6 +48,8 @@
         gatekeeper: Admits requests.
         selector: Chooses services.
         relay: Answers requests.
+        log: Where refusals are written.
+        metrics: Counts them.
 
     Attributes:
         is_leaving: Whether the process is shutting down.
@@ -48,12 +63,16 @@
         gatekeeper: admission.Gatekeeper,
         selector: selection.Selector,
         relay: relay_lib.Relay,
+        log: records.RecordSink,
+        metrics: metrics_lib.GatewayMetrics,
     ):
         self._dialect = dialect
         self._replica = replica
         self._gatekeeper = gatekeeper
         self._selector = selector
         self._relay = relay
+        self._log = log
+        self._metrics = metrics
         self.is_leaving = False
         self.running = 0
         self._is_idle = asyncio.Event()
@@ -88,28 +107,88 @@
         receive: Receive,
         responder: responder_lib.Responder,
     ) -> None:
-        request_id = ""
+        arrived = scope["state"]["arrived"]
+        visit = _Visit(arrived)
         try:
-            arrived = scope["state"]["arrived"]
             headers = self._read_headers(scope, arrived)
-            request_id = headers.request_id
+            visit.headers = headers
             body = await self._read_body(receive)
             request = _make_request(scope, headers, body, arrived)
-            await self._answer(request, receive, responder)
+            await self._answer(request, visit, receive, responder)
         except refusals.RefusedError as error:
-            if not responder.has_started:
-                await responder.refuse(
-                    error.refusal,
-                    self._dialect.write_refusal(
-                        request_id, error.refusal.retry_after_s
-                    ),
-                )
+            await self._refuse(error.refusal, visit, responder)
         except _CallerLeftError:
-            _log.debug("A caller left before its request was whole.")
-        except Exception:
-            _log.exception("Request {} met a fault of the gateway.", request_id)
+            self._log_leaving(visit, responder)
+        except Exception as error:
+            self._log.write(
+                records.events.GatewayFault(
+                    visit.request_id, f"{type(error).__name__}: {error}"
+                )
+            )
             raise
 
+    async def _refuse(
+        self,
+        refusal: refusals.Refusal,
+        visit: "_Visit",
+        responder: responder_lib.Responder,
+    ) -> None:
+        self._log_refusal(refusal, visit)
+        if responder.has_started:
+            return
+        await responder.refuse(
+            refusal,
+            self._dialect.write_refusal(
+                visit.request_id, refusal.retry_after_s
+            ),
+        )
+
+    def _log_refusal(self, refusal: refusals.Refusal, visit: "_Visit") -> None:
+        call = visit.call
+        route = call.admitted.route.name if call else ""
+        now = clocks.read_monotonic()
+        left = visit.headers.deadline.remaining() if visit.headers else 0.0
+        self._metrics.count_refusal(route, refusal.reason.value)
+        self._log.write(
+            records.events.RequestRefused(
+                request=visit.request_id,
+                reason=refusal.reason.value,
+                status=refusal.status,
+                detail=refusal.detail,
+                route=route,
+                organisation=call.admitted.organisation_name if call else "",
+                may_have_run=bool(call and call.may_have_run),
+                sends=call.sends if call else 0,
+                retry_after_s=refusal.retry_after_s,
+                waited_ms=int((now - visit.arrived) * 1000),
+                left_ms=int(left * 1000),
+                configuration=self._replica.configuration.version,
+                age_s=self._read_age(),
+            )
+        )
+
+    def _read_age(self) -> float:
+        """Returns the age of the configuration in seconds; -1 if unknown."""
+        if not self._replica.is_filled:
+            return -1.0
+        return round(self._replica.count_age(), 3)
+
+    def _log_leaving(
+        self, visit: "_Visit", responder: responder_lib.Responder
+    ) -> None:
+        now = clocks.read_monotonic()
+        call = visit.call
+        route = call.admitted.route.name if call else ""
+        self._metrics.count_end(route, "caller_left")
+        self._log.write(
+            records.events.CallerLeft(
+                request=visit.request_id,
+                endpoint=call.endpoint if call else "",
+                waited_ms=int((now - visit.arrived) * 1000),
+                has_started=responder.has_started,
+            )
+        )
+
     def _read_headers(
         self, scope: Mapping[str, object], arrived: float
     ) -> messages.CallerHeaders:
@@ -144,6 +223,7 @@
     async def _answer(
         self,
         request: requests.Request,
+        visit: "_Visit",
         receive: Receive,
         responder: responder_lib.Responder,
     ) -> None:
@@ -156,14 +236,16 @@
             self._selector.choose_service(route),
             request.headers.deadline.earlier(timeout),
         )
+        visit.call = call
         answering = asyncio.ensure_future(self._relay.answer(call, responder))
         leaving = asyncio.ensure_future(_wait_for_leaving(receive))
         try:
             await asyncio.wait(
                 {answering, leaving}, return_when=asyncio.FIRST_COMPLETED
             )
-            if answering.done():
-                answering.result()
+            if not answering.done():
+                raise _CallerLeftError
+            answering.result()
         finally:
             answering.cancel()
             leaving.cancel()
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -9,9 +9,12 @@
 from sardinewharf import http1
 from sardinewharf import ids
 from sardinewharf import limits
+from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import refusals
+from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import selection
 
@@ -43,6 +46,9 @@
         health: How endpoints answer.
         connections: Pools of connections.
         budgets: Budgets of repeats by service.
+        replica: What the gateway believes.
+        log: Where choices are written.
+        metrics: Counts what endpoints answer.
     """
 
     dialect: messages.Dialect
@@ -53,6 +59,9 @@
     health: fleet.HealthTable
     connections: "ConnectionTable"
     budgets: "BudgetTable"
+    replica: replica_lib.Replica
+    log: records.RecordSink
+    metrics: metrics_lib.GatewayMetrics
 
 
 class ConnectionTable:
@@ -133,6 +142,7 @@
             except http1.ConnectError as error:
                 call.last_detail = str(error)
                 call.excluded.add(target.endpoint.id)
+                self._log_failure(call, target.endpoint.id, "unreached")
                 unreached += 1
                 continue
             if not self._may_send(call):
@@ -150,6 +160,7 @@
         endpoint = attempt.target.endpoint
         call.last_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
+        self._log_failure(call, endpoint.id, "lost")
         self._parts.health.note_failure(endpoint.id, clocks.read_monotonic())
 
     def note_success(self, attempt: requests.Attempt) -> None:
@@ -209,8 +220,54 @@
         )
         call.sends += 1
         call.runs += 1
+        call.endpoint = target.endpoint.id
+        self._log_choice(call, target)
         return requests.Attempt(target, pool, connection, work, exchange)
 
+    def _log_choice(self, call: requests.Call, target: requests.Target) -> None:
+        prompt = call.request.headers.prompt
+        model = prompt.model if prompt is not None else ""
+        self._parts.metrics.count_choice(call.service, target)
+        self._parts.log.write(
+            records.events.EndpointChosen(
+                request=call.request.headers.request_id,
+                attempt=call.sends,
+                route=call.admitted.route.name,
+                organisation=call.admitted.organisation_name,
+                endpoint=target.endpoint.id,
+                candidates=target.candidates,
+                cost_ms=round(target.cost_ms, 1),
+                running=target.load.running,
+                prompt_tokens=target.load.prompt_tokens,
+                weights=target.weights,
+                wanted_weights=self._parts.replica.wanted_weights.get(model, 0),
+                fetch_from=target.fetch_from,
+                resume_after=call.resume_after,
+                left_ms=int(call.deadline.remaining() * 1000),
+                configuration=self._parts.replica.configuration.version,
+                age_s=round(self._parts.replica.count_age(), 3),
+            )
+        )
+
+    def _log_failure(
+        self, call: requests.Call, endpoint_id: ids.EndpointId, outcome: str
+    ) -> None:
+        now = clocks.read_monotonic()
+        self._parts.metrics.count_failure(call.service, outcome)
+        self._parts.log.write(
+            records.events.AttemptFailed(
+                request=call.request.headers.request_id,
+                attempt=call.sends,
+                endpoint=endpoint_id,
+                outcome=outcome,
+                detail=call.last_detail,
+                waited_ms=int((now - call.request.arrived) * 1000),
+                budget_left=round(
+                    self._parts.budgets.find(call.service).read_left(now), 1
+                ),
+            )
+        )
+
     def _encode(self, call: requests.Call, target: requests.Target) -> bytes:
         request = call.request
         headers = self._parts.dialect.write_request(
@@ -306,6 +363,7 @@
         status = attempt.head.status
         call.last_detail = f"{endpoint.id}: not run, status {status}"
         call.excluded.add(endpoint.id)
+        self._log_failure(call, endpoint.id, "not_run")
         pause = _MOVED_PAUSE_S if status == 421 else _REFUSED_PAUSE_S
         self._parts.health.pause(endpoint.id, clocks.read_monotonic() + pause)
 
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -3,9 +3,12 @@
 import asyncio
 
 from sardinewharf import catalog
+from sardinewharf import clocks
 from sardinewharf import http1
+from sardinewharf import records
 from sardinewharf.gateway import dispatcher as dispatcher_lib
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
@@ -19,10 +22,19 @@
 
     Args:
         dispatcher: Opens the answers.
+        log: Where the ends of answers are written.
+        metrics: Counts them.
     """
 
-    def __init__(self, dispatcher: dispatcher_lib.Dispatcher):
+    def __init__(
+        self,
+        dispatcher: dispatcher_lib.Dispatcher,
+        log: records.RecordSink,
+        metrics: metrics_lib.GatewayMetrics,
+    ):
         self._dispatcher = dispatcher
+        self._log = log
+        self._metrics = metrics
 
     async def answer(
         self, call: requests.Call, responder: responder_lib.Responder
@@ -38,11 +50,17 @@
             is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
             try:
                 if is_stream and head.is_success:
-                    await self._relay_stream(call, attempt, responder)
+                    is_whole = await self._relay_stream(
+                        call, attempt, responder
+                    )
+                    self._log_end(call, head, is_whole)
                     return
                 body = await self._read_body(call, attempt)
                 if body is not None:
+                    call.first_byte_at = clocks.read_monotonic()
+                    call.sent_bytes = len(body)
                     await responder.answer(head, body)
+                    self._log_end(call, head, is_whole=True)
                     return
             finally:
                 attempt.close()
@@ -77,8 +95,11 @@
         call: requests.Call,
         attempt: requests.Attempt,
         responder: responder_lib.Responder,
-    ) -> None:
-        """Passes on a stream; one that may be resumed goes on elsewhere."""
+    ) -> bool:
+        """Passes on a stream; one that may be resumed goes on elsewhere.
+
+        Returns whether it came to its end.
+        """
         framer = streams.EventFramer()
         await responder.start(attempt.head)
         current = attempt
@@ -87,7 +108,7 @@
                 current.close()
             framer.drop_rest()
             if not call.may_run_again or call.deadline.is_past():
-                return
+                return False
             call.resume_after = (
                 framer.last_id
                 if framer.last_id is not None
@@ -95,14 +116,49 @@
             )
             try:
                 current = await self._dispatcher.open(call)
-            except refusals.RefusedError:
-                return
+            except refusals.RefusedError as error:
+                call.last_detail = error.refusal.detail
+                return False
             if not _continues(current.head):
                 current.close()
-                return
+                return False
         await responder.finish()
         if current is not attempt:
             current.close()
+        return True
+
+    def _log_end(
+        self, call: requests.Call, head: messages.AnswerHead, is_whole: bool
+    ) -> None:
+        now = clocks.read_monotonic()
+        arrived = call.request.arrived
+        route = call.admitted.route.name
+        first = (call.first_byte_at or now) - arrived
+        request_id = call.request.headers.request_id
+        if not is_whole:
+            self._metrics.count_end(route, "cut")
+            self._log.write(
+                records.events.AnswerCut(
+                    request=request_id,
+                    endpoint=call.endpoint,
+                    detail=call.last_detail,
+                    last_event=call.resume_after,
+                    total_ms=int((now - arrived) * 1000),
+                )
+            )
+            return
+        self._metrics.count_answer(route, head.status, first, now - arrived)
+        self._log.write(
+            records.events.RequestAnswered(
+                request=request_id,
+                status=head.status,
+                endpoint=call.endpoint,
+                sends=call.sends,
+                first_ms=int(first * 1000),
+                total_ms=int((now - arrived) * 1000),
+                bytes=call.sent_bytes,
+            )
+        )
 
     async def _copy_events(
         self,
@@ -121,6 +177,9 @@
                 attempt.work.end_prompt()
                 whole = framer.feed(chunk)
                 if whole:
+                    if call.first_byte_at is None:
+                        call.first_byte_at = clocks.read_monotonic()
+                    call.sent_bytes += len(whole)
                     await responder.write(whole)
         except http1.LostError as error:
             self._dispatcher.note_loss(call, attempt, str(error))
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -6,6 +6,7 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import ids
+from sardinewharf import records
 from sardinewharf.gateway import changes
 
 # After an outage of the store, registrations that lapsed meanwhile come back
@@ -16,6 +17,9 @@
 class Replica:
     """A gateway's copy of configuration, endpoints and wanted weights.
 
+    Args:
+        log: Where changes of what is believed are written.
+
     Attributes:
         configuration: The newest configuration seen.
         registry: The endpoints.
@@ -29,7 +33,8 @@
         is_filled: Whether the store was read since the start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, log: records.RecordSink) -> None:
+        self._log = log
         self.configuration = catalog.Configuration()
         self.registry = fleet.Registry()
         self.wanted_weights: dict[str, int] = {}
@@ -73,13 +78,11 @@
             now: When it was made, at the earliest; None if that is unknown.
         """
         if isinstance(change, changes.ConfigurationChange):
-            if change.configuration.version > self.configuration.version:
-                self.configuration = change.configuration
+            self._apply_configuration(change.configuration)
         elif isinstance(change, changes.WeightsNamed):
             self._note_naming(change, now)
         elif isinstance(change, changes.EndpointChange):
-            self._doubtful.pop(change.endpoint.id, None)
-            self.registry.put(change.endpoint)
+            self._see_endpoint(change.endpoint)
         elif isinstance(change, changes.EndpointGone):
             self._lose_endpoint(change.id)
         elif isinstance(change, changes.OfficeChange):
@@ -113,7 +116,7 @@
         for endpoint_id, deadline in list(self._doubtful.items()):
             if deadline.is_past():
                 del self._doubtful[endpoint_id]
-                self.registry.remove(endpoint_id)
+                self._remove_endpoint(endpoint_id)
 
     def _note_naming(
         self, change: changes.WeightsNamed, now: float | None
@@ -124,9 +127,56 @@
         self.weights_named_at.pop(change.model, None)
         if now is not None:
             self.weights_named_at[change.model] = now
+        self._log.write(
+            records.events.WeightsNamed(
+                change.model, change.version, self.revision
+            )
+        )
+
+    def _apply_configuration(self, found: catalog.Configuration) -> None:
+        former = self.configuration.version
+        if found.version <= former:
+            return
+        self.configuration = found
+        self._log.write(
+            records.events.ConfigurationApplied(
+                version=found.version,
+                former=former,
+                revision=self.revision,
+                routes=len(found.routes),
+                organisations=len(found.organisations),
+            )
+        )
+
+    def _see_endpoint(self, endpoint: fleet.Endpoint) -> None:
+        self._doubtful.pop(endpoint.id, None)
+        if self.registry.find(endpoint.id) == endpoint:
+            return
+        self.registry.put(endpoint)
+        self._log.write(
+            records.events.EndpointSeen(
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                address=endpoint.address,
+                state=endpoint.state.value,
+                started_ms=endpoint.started_ms,
+                revision=self.revision,
+            )
+        )
+
+    def _remove_endpoint(self, endpoint_id: ids.EndpointId) -> None:
+        if self.registry.find(endpoint_id) is None:
+            return
+        self.registry.remove(endpoint_id)
+        self._log.write(
+            records.events.EndpointLost(endpoint_id, False, self.revision)
+        )
 
     def _lose_endpoint(self, endpoint_id: ids.EndpointId) -> None:
         if self._doubt_until.is_past():
-            self.registry.remove(endpoint_id)
-        else:
-            self._doubtful.setdefault(endpoint_id, self._doubt_until)
+            self._remove_endpoint(endpoint_id)
+        elif endpoint_id not in self._doubtful:
+            self._doubtful[endpoint_id] = self._doubt_until
+            self._log.write(
+                records.events.EndpointLost(endpoint_id, True, self.revision)
+            )
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -45,6 +45,9 @@
         excluded: Endpoints that are not tried again.
         resume_after: Last event that its caller has.
         last_detail: What was seen of the last attempt.
+        endpoint: The endpoint that it was last sent to; empty before.
+        first_byte_at: When the first byte was passed on; None before.
+        sent_bytes: Bytes of the answer's body that were passed on.
     """
 
     request: Request
@@ -56,6 +59,9 @@
     excluded: set[ids.EndpointId] = dataclasses.field(default_factory=set)
     resume_after: int | None = None
     last_detail: str = ""
+    endpoint: str = ""
+    first_byte_at: float | None = None
+    sent_bytes: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -85,6 +91,8 @@
         read_tokens: Prompt tokens that it is expected to read.
         held_tokens: Tokens of memory that the request takes.
         cost_ms: What it was chosen by.
+        candidates: Endpoints that it was chosen from.
+        load: Work that was known there.
     """
 
     endpoint: fleet.Endpoint
@@ -96,6 +104,8 @@
     read_tokens: int = 0
     held_tokens: int = 0
     cost_ms: float = 0.0
+    candidates: int = 0
+    load: fleet.EndpointLoad = fleet.EndpointLoad()
 
 
 class Attempt:
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -12,13 +12,12 @@
 from sardinewharf import fleet
 from sardinewharf import ids
 from sardinewharf import leases
-from sardinewharf import logs
+from sardinewharf import records
 from sardinewharf import tasks
 from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import replica as replica_lib
 
-_log = logs.get_logger("weights")
 _TICK_S = 0.05
 _HOLD_TICK_S = 0.25
 # Gateways want an office that became free one after the other, the youngest
@@ -50,6 +49,7 @@
         loads: Work at endpoints.
         rolls: Engines that are led away from.
         peers: Tells other gateways.
+        log: Where orders are written.
     """
 
     def __init__(
@@ -61,6 +61,7 @@
         loads: fleet.LoadTable,
         rolls: peers_lib.RollTable,
         peers: peers_lib.Peers,
+        log: records.RecordSink,
     ):
         self._name = name
         self._tenure = tenure
@@ -69,6 +70,7 @@
         self._loads = loads
         self._rolls = rolls
         self._peers = peers
+        self._log = log
         self._tasks = tasks.TaskGroup()
         self._busy: set[ids.EndpointId] = set()
         self._is_stopping = False
@@ -86,10 +88,8 @@
             is_held = bool(self._tenure.epoch)
             if is_held != was_held:
                 was_held = is_held
-                _log.info(
-                    "Office of weights {}: epoch {}.",
-                    "taken" if is_held else "lost",
-                    self._tenure.epoch,
+                self._log.write(
+                    records.events.OfficeChanged(is_held, self._tenure.epoch)
                 )
             await asyncio.sleep(_HOLD_TICK_S)
 
@@ -147,16 +147,32 @@
         self._rolls.lead_away(endpoint.id, until)
         self._peers.tell()
         is_done = False
+        began = clocks.read_monotonic()
         try:
             await asyncio.sleep(_LEAD_S)
             is_done = await self._order_and_wait(endpoint, model, until)
         finally:
             self._rolls.lead_back(endpoint.id)
             self._peers.tell()
+            self._log_end(endpoint, model, is_done, began)
             if not is_done:
                 await asyncio.sleep(_FAILURE_PAUSE_S)
             self._busy.discard(endpoint.id)
 
+    def _log_end(
+        self, endpoint: fleet.Endpoint, model: str, is_done: bool, began: float
+    ) -> None:
+        took = clocks.read_monotonic() - began
+        self._log.write(
+            records.events.OrderEnded(
+                endpoint=endpoint.id,
+                model=model,
+                version=self._replica.registry.find_weights(endpoint.id, model),
+                is_done=is_done,
+                took_ms=int(took * 1000),
+            )
+        )
+
     async def _order_and_wait(
         self, endpoint: fleet.Endpoint, model: str, until: clocks.Deadline
     ) -> bool:
@@ -204,18 +220,33 @@
         result = await self._control.order_weights(
             endpoint, order, clocks.Deadline.after(_CALL_S).earlier(tenure)
         )
-        _log.info(
-            "Ordered {} to load {} version {} after order {}: {}.",
-            endpoint.id,
-            model,
-            version,
-            orders,
-            result.value,
-        )
+        self._log_order(endpoint, order, result)
         if result is control_lib.OrderResult.OLD_EPOCH:
             self._tenure.abandon()
         return result
 
+    def _log_order(
+        self,
+        endpoint: fleet.Endpoint,
+        order: control_lib.WeightsOrder,
+        result: control_lib.OrderResult,
+    ) -> None:
+        now = clocks.read_monotonic()
+        self._log.write(
+            records.events.OrderGiven(
+                endpoint=endpoint.id,
+                model=order.model,
+                version=order.version,
+                shown=self._replica.registry.find_weights(
+                    endpoint.id, order.model
+                ),
+                after_orders=order.after_orders,
+                epoch=order.epoch,
+                running=self._loads.read(endpoint.id, now).running,
+                result=result.value,
+            )
+        )
+
     async def _read(
         self, endpoint: fleet.Endpoint
     ) -> control_lib.EngineReport | None:
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -96,7 +96,11 @@
         chosen = balancing.choose_server(states, self._settings.failure_domain)
         for endpoint in endpoints:
             if endpoint.id == chosen:
-                return requests.Target(endpoint)
+                return requests.Target(
+                    endpoint,
+                    candidates=len(endpoints),
+                    load=self._loads.read(endpoint.id, now),
+                )
         return None
 
     def _choose_engine(
@@ -146,6 +150,8 @@
             read_tokens=prompt.tokens - prompt.shared_tokens,
             held_tokens=prompt.tokens + prompt.answer_tokens,
             cost_ms=choice.cost_ms,
+            candidates=len(usable),
+            load=self._loads.read(endpoint.id, now),
         )
 
     def _list_current(
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -10,7 +10,7 @@
 from sardinewharf import keyvalue
 from sardinewharf import leases
 from sardinewharf import limits
-from sardinewharf import logs
+from sardinewharf import records
 from sardinewharf import tasks
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import app as app_lib
@@ -19,6 +19,7 @@
 from sardinewharf.gateway import dispatcher as dispatcher_lib
 from sardinewharf.gateway import members
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -43,7 +44,6 @@
 _LEASE_MARGIN_S = 0.7
 _LEASE_RENEW_S = 1.4
 _LEASE_CALL_S = 0.5
-_log = logs.get_logger("gateway")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,16 +69,22 @@
     Args:
         settings: Its settings.
         platform: The platform that it runs on.
+        log: Where it writes its log.
     """
 
     def __init__(
-        self, settings: settings_lib.GatewaySettings, platform: Platform
+        self,
+        settings: settings_lib.GatewaySettings,
+        platform: Platform,
+        log: records.RecordSink,
     ):
         self._settings = settings
         self._platform = platform
-        self._replica = replica_lib.Replica()
+        self._log = log
+        self._metrics = metrics_lib.GatewayMetrics()
+        self._replica = replica_lib.Replica(log)
         self._loads = fleet.LoadTable()
-        self._health = fleet.HealthTable()
+        self._health = fleet.HealthTable(log)
         self._tasks = tasks.TaskGroup()
         self._stopping = asyncio.Event()
         self._connections = dispatcher_lib.ConnectionTable()
@@ -100,6 +106,9 @@
                 health=self._health,
                 connections=self._connections,
                 budgets=self._budgets,
+                replica=self._replica,
+                log=log,
+                metrics=self._metrics,
             )
         )
         self._app = app_lib.GatewayApp(
@@ -107,10 +116,12 @@
             self._replica,
             self._gatekeeper,
             selector,
-            relay_lib.Relay(dispatcher),
+            relay_lib.Relay(dispatcher, log, self._metrics),
+            log,
+            self._metrics,
         )
         self._synchronizer = sync.Synchronizer(
-            platform.store, platform.reader, self._replica
+            platform.store, platform.reader, self._replica, log
         )
         self._peers = peers_lib.Peers(
             settings,
@@ -124,6 +135,17 @@
         self._ready_server = http_server.HttpServer(
             _make_probe(self._is_ready), self._read_limits
         )
+        self._metrics_server = http_server.HttpServer(
+            _make_page(self._render_metrics), self._read_limits
+        )
+
+    def reload(self) -> None:
+        """Notes that the settings file has changed.
+
+        Nothing of it is read again: addresses are bound once, and gateways
+        find one another in the store.
+        """
+        self._log.write(records.events.Reloaded("settings are read at start"))
 
     def stop(self) -> None:
         """Begins the shutdown."""
@@ -133,6 +155,8 @@
         """Serves until stopped, and then finishes what has begun."""
         await self._peers.start()
         await self._ready_server.start(self._settings.ready_listen)
+        if self._settings.metrics_listen:
+            await self._metrics_server.start(self._settings.metrics_listen)
         await self._server.start(self._settings.listen)
         self._tasks.start(self._synchronizer.run(), "sync")
         self._tasks.start(self._register(), "register")
@@ -140,17 +164,19 @@
         self._tasks.start(self._peers.run(), "peers")
         self._tasks.start(self._roller.hold(), "office")
         self._tasks.start(self._roller.run(), "weights")
-        _log.info(
-            "Started as {} in {}; callers are served at {}.",
-            self._settings.name,
-            self._settings.failure_domain,
-            self._settings.listen,
+        self._log.write(
+            records.events.Started(
+                failure_domain=self._settings.failure_domain,
+                listen=self._settings.listen,
+                peer_listen=self._settings.peer_listen,
+                store=self._settings.store,
+            )
         )
         await self._stopping.wait()
         await self._drain()
         await self._tasks.close()
         await self._platform.store.close()
-        _log.info("Stopped.")
+        self._log.write(records.events.Stopped(self._app.running))
 
     def _make_roller(self) -> rollout.Roller:
         tenure = leases.Tenure(
@@ -173,6 +199,7 @@
             self._loads,
             self._rolls,
             self._peers,
+            self._log,
         )
 
     def _is_ready(self) -> bool:
@@ -182,6 +209,20 @@
             and bool(self._replica.configuration.version)
         )
 
+    def _render_metrics(self) -> bytes:
+        if self._replica.is_filled:
+            age = self._replica.count_age()
+            self._metrics.set_gauge("configuration_age_seconds", age)
+        self._metrics.set_gauge(
+            "configuration_version", self._replica.configuration.version
+        )
+        self._metrics.set_gauge("running_requests", self._app.running)
+        self._metrics.set_gauge("endpoints", len(self._replica.registry))
+        self._metrics.set_gauge("gateways", len(self._replica.members))
+        self._metrics.set_gauge("log_lines_lost", self._log.total_dropped)
+        self._metrics.set_gauge("store_calls", self._platform.store.calls)
+        return self._metrics.render()
+
     def _read_limits(self) -> http_server.ServerLimits:
         found = self._replica.configuration.limits
         return http_server.ServerLimits(
@@ -226,7 +267,7 @@
                 self._connections.close_gone(self._replica.registry)
 
     async def _drain(self) -> None:
-        _log.info("Stopping; {} requests run.", self._app.running)
+        self._log.write(records.events.Stopping(self._app.running))
         self._app.is_leaving = True
         await self._roller.stop()
         grace_s = self._settings.promises.grace_ms / 1000
@@ -237,6 +278,25 @@
         await self._app.wait_until_idle(end)
 
 
+def _make_page(render: Callable[[], bytes]) -> Callable[..., object]:
+    async def page(
+        scope: Mapping[str, object],
+        receive: app_lib.Receive,
+        send: responder_lib.Send,
+    ) -> None:
+        body = render()
+        headers = [
+            (b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return page
+
+
 def _make_probe(is_ready: Callable[[], bool]) -> Callable[..., object]:
     async def probe(
         scope: Mapping[str, object],
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -5,7 +5,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import keyvalue
-from sardinewharf import logs
+from sardinewharf import records
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import replica as replica_lib
 
@@ -24,7 +24,6 @@
 # A change reaches a watch within this time, in seconds.
 _WATCH_LAG_S = 0.2
 _ALL_KEYS = ""
-_log = logs.get_logger("sync")
 
 
 class Synchronizer:
@@ -34,6 +33,7 @@
         store: The platform's store.
         reader: Translates its entries.
         replica: The copy that is kept current.
+        log: Where lost and regained contact is written.
     """
 
     def __init__(
@@ -41,10 +41,12 @@
         store: keyvalue.PrefixStore,
         reader: changes.ChangeReader,
         replica: replica_lib.Replica,
+        log: records.RecordSink,
     ):
         self._store = store
         self._reader = reader
         self._replica = replica
+        self._log = log
         self._pause = _MIN_PAUSE_S
         self._has_failed = False
         self._hurry = asyncio.Event()
@@ -107,7 +109,7 @@
             return False
         self._note_contact()
         if isinstance(result, keyvalue.HistoryLost):
-            _log.info("The store has dropped its history; reading all keys.")
+            self._log.write(records.events.HistoryLost(self._replica.revision))
             self._replica.expect_returns()
             return await self._list()
         # After a failure, changes may be as old as the last proof.
@@ -144,16 +146,29 @@
     def _note_failure(self, detail: str) -> None:
         if not self._has_failed:
             self._has_failed = True
-            _log.warning(
-                "The store does not answer ({}); going on with revision {}.",
-                detail,
-                self._replica.revision,
+            self._log.write(
+                records.events.DependencyLost(
+                    "store",
+                    detail,
+                    self._replica.revision,
+                    self._read_age(),
+                )
             )
 
+    def _read_age(self) -> float:
+        """Returns the seconds since the last proof; -1 if there was none."""
+        if not self._replica.is_filled:
+            return -1.0
+        return round(self._replica.count_age(), 3)
+
     def _note_contact(self) -> None:
         if self._has_failed:
-            age = self._replica.count_age()
-            _log.info("The store answers again after {:.2f} s.", age)
+            age = self._read_age()
+            self._log.write(
+                records.events.DependencyRegained(
+                    "store", self._replica.revision, age
+                )
+            )
             self._has_failed = False
             if age > _OUTAGE_S:
                 self._replica.expect_returns()
--- a/sardinewharf/keyvalue/prefixes.py
+++ b/sardinewharf/keyvalue/prefixes.py
@@ -58,7 +58,13 @@
 
 
 class PrefixStore(store.KeyValueStore):
-    """A key-value service with listings and watches of prefixes."""
+    """A key-value service with listings and watches of prefixes.
+
+    Attributes:
+        calls: Calls made so far.
+    """
+
+    calls: int = 0
 
     @abc.abstractmethod
     async def list_prefix(
--- a/sardinewharf/logs.py
+++ b/sardinewharf/logs.py
@@ -10,6 +10,8 @@
 
 import loguru
 
+from sardinewharf import records
+
 _FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {extra[part]}: {message}"
 
 
@@ -28,6 +30,30 @@
     )
 
 
+def configure_records(sink: records.RecordSink) -> None:
+    """Sends log lines as records to ``sink``."""
+
+    def write(message: "loguru.Message") -> None:
+        record = message.record
+        sink.write(
+            records.events.Message(
+                part=record["extra"].get("part", ""),
+                level=record["level"].name,
+                text=str(message).strip(),
+            )
+        )
+
+    loguru.logger.remove()
+    loguru.logger.add(
+        write,
+        level="INFO",
+        format="{message}",
+        catch=True,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
 def get_logger(part: str) -> "loguru.Logger":
     """Returns a logger whose lines begin with ``part``."""
     return loguru.logger.bind(part=part)
--- a/sardinewharf/platform/changes.py
+++ b/sardinewharf/platform/changes.py
@@ -7,7 +7,7 @@
 from sardinewharf import ids
 from sardinewharf import keyvalue
 from sardinewharf import leases
-from sardinewharf import logs
+from sardinewharf import records
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import members
 from sardinewharf.platform import wire
@@ -24,16 +24,23 @@
     "ready": fleet.EndpointState.READY,
     "draining": fleet.EndpointState.LEAVING,
 }
-_log = logs.get_logger("platform")
 
 
 class EntryReader(changes.ChangeReader):
-    """The platform's entries."""
+    """The platform's entries.
+
+    Args:
+        log: Where entries that cannot be used are written.
+    """
+
+    def __init__(self, log: records.RecordSink):
+        self._log = log
+        self._rejected: dict[str, int] = {}
 
     def read_change(self, entry: keyvalue.Entry) -> changes.Change | None:
         """Returns what an entry says; None if it is of no concern."""
         if entry.key.startswith(_SERVERS):
-            return _read_server(entry)
+            return self._read_server(entry)
         if entry.key.startswith(members.KEY_PREFIX):
             return members.read_member(entry)
         if entry.key == leases.KEY_PREFIX + changes.ROLLS_OFFICE:
@@ -50,33 +57,38 @@
                 naming = msgspec.json.decode(entry.value, type=wire.Naming)
                 return changes.WeightsNamed(naming.model, naming.version)
         except (msgspec.MsgspecError, KeyError, ValueError) as error:
-            _log.error("Entry {} is left out: {}.", entry.key, error)
+            self._reject(entry, str(error))
         return None
 
+    def _reject(self, entry: keyvalue.Entry, detail: str) -> None:
+        """Logs an entry that cannot be used, once for each revision."""
+        if self._rejected.get(entry.key) != entry.revision:
+            self._rejected[entry.key] = entry.revision
+            self._log.write(records.events.EntryRejected(entry.key, detail))
 
-def _read_server(
-    entry: keyvalue.Entry,
-) -> changes.EndpointChange | changes.EndpointGone:
-    endpoint_id = ids.EndpointId(entry.key.removeprefix(_SERVERS))
-    if entry.value is None:
-        return changes.EndpointGone(endpoint_id)
-    try:
-        found = msgspec.json.decode(entry.value, type=wire.ServerEntry)
-        return changes.EndpointChange(
-            fleet.Endpoint(
-                id=endpoint_id,
-                service=found.service,
-                address=found.address,
-                failure_domain=found.zone,
-                slots=max(1, found.slots),
-                state=_STATES[found.state],
-                started_ms=found.born,
-                weights={row.name: row.version for row in found.models},
+    def _read_server(
+        self, entry: keyvalue.Entry
+    ) -> changes.EndpointChange | changes.EndpointGone:
+        endpoint_id = ids.EndpointId(entry.key.removeprefix(_SERVERS))
+        if entry.value is None:
+            return changes.EndpointGone(endpoint_id)
+        try:
+            found = msgspec.json.decode(entry.value, type=wire.ServerEntry)
+            return changes.EndpointChange(
+                fleet.Endpoint(
+                    id=endpoint_id,
+                    service=found.service,
+                    address=found.address,
+                    failure_domain=found.zone,
+                    slots=max(1, found.slots),
+                    state=_STATES[found.state],
+                    started_ms=found.born,
+                    weights={row.name: row.version for row in found.models},
+                )
             )
-        )
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
-        _log.warning("Endpoint {} is not used: {}.", endpoint_id, error)
-        return changes.EndpointGone(endpoint_id)
+        except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+            self._reject(entry, str(error))
+            return changes.EndpointGone(endpoint_id)
 
 
 def _read_manifest(found: wire.Manifest) -> catalog.Configuration:
--- a/sardinewharf/platform/program.py
+++ b/sardinewharf/platform/program.py
@@ -10,8 +10,10 @@
 
 from sardinewharf import logs
 from sardinewharf import platform
+from sardinewharf import records
 from sardinewharf.gateway import loops
 from sardinewharf.gateway import service
+from sardinewharf.gateway import settings as settings_lib
 
 _SETTINGS_VARIABLE = "SARDINEWHARF_CONFIG"
 
@@ -24,26 +26,31 @@
         )
     except platform.SettingsFileError as error:
         sys.exit(f"sardinewharf: {error}")
-    logs.configure_logs("INFO", settings.name)
+    log = records.RecordSink(
+        sys.stdout.fileno(), settings.name, records.SinkSettings()
+    )
+    logs.configure_records(log)
     # What its server reports of callers is logged by the gateway itself.
     logging.disable(logging.CRITICAL)
     found = service.Platform(
         store=platform.StoreClient(settings.store),
-        reader=platform.EntryReader(),
+        reader=platform.EntryReader(log),
         dialect=platform.HeaderDialect(),
         control=platform.ServerControl(),
     )
     gc.freeze()
-    loops.run(_serve(settings, found))
+    loops.run(_serve(settings, found, log))
 
 
 async def _serve(
-    settings: service.settings_lib.GatewaySettings, found: service.Platform
+    settings: settings_lib.GatewaySettings,
+    found: service.Platform,
+    log: records.RecordSink,
 ) -> None:
-    gateway = service.GatewayService(settings, found)
+    gateway = service.GatewayService(settings, found, log)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, gateway.stop)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.run()
 
 
--- a/sardinewharf/platform/settings.py
+++ b/sardinewharf/platform/settings.py
@@ -7,6 +7,9 @@
 from sardinewharf.gateway import settings
 from sardinewharf.platform import wire
 
+# The port that the deploy file names for metrics.
+_METRICS_PORT = 9464
+
 
 class SettingsFileError(Exception):
     """The settings file cannot be used; the message names the remedy."""
@@ -34,9 +37,7 @@
         failure_domain=found.zone,
         listen=found.listen.front,
         ready_listen=found.listen.ready,
-        metrics_listen=(
-            f"{found.ip}:{peer_port + 1}" if found.port_range else ""
-        ),
+        metrics_listen=f"{found.ip}:{_METRICS_PORT}",
         peer_listen=f"{found.ip}:{peer_port}",
         store=found.platform.address,
         promises=settings.Promises(
--- /dev/null
+++ b/sardinewharf/records/__init__.py
@@ -0,0 +1,7 @@
+"""Logs decisions as structured lines of bounded volume."""
+
+from sardinewharf.records import events
+from sardinewharf.records.sink import RecordSink
+from sardinewharf.records.sink import SinkSettings
+
+__all__ = ["RecordSink", "SinkSettings", "events"]
--- /dev/null
+++ b/sardinewharf/records/sink.py
@@ -0,0 +1,110 @@
+"""Writes records without ever waiting for their reader.
+
+A full pipe loses lines, and so does a kind of line that comes too often. The
+next line that is written says how many were lost before it.
+
+Examples:
+    >>> sink = RecordSink(-1, "vm-1", SinkSettings(per_second=1))
+    >>> sink.is_due("request_answered", now=5.0)
+    True
+    >>> sink.is_due("request_answered", now=5.5), sink.dropped
+    (False, 1)
+    >>> sink.is_due("request_answered", now=6.1)
+    True
+"""
+
+import dataclasses
+import os
+
+import msgspec
+
+from sardinewharf import clocks
+from sardinewharf.records import events
+
+# Lines that wait for a full pipe; those beyond are lost.
+_MAX_WAITING_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SinkSettings:
+    """Bounds of the log's volume.
+
+    Attributes:
+        per_second: Lines of each kind in a second.
+    """
+
+    per_second: int = 200
+
+
+class RecordSink:
+    """Writes records to a file descriptor.
+
+    Args:
+        descriptor: Where to write; it is set to never block.
+        vm: Name of the VM, which stands on each line.
+        settings: Bounds of the volume.
+
+    Attributes:
+        dropped: Lines lost since the last one written.
+        total_dropped: Lines lost since the start.
+        written: Lines written since the start.
+    """
+
+    def __init__(self, descriptor: int, vm: str, settings: SinkSettings):
+        self._descriptor = descriptor
+        self._vm = msgspec.json.encode(vm)
+        self._settings = settings
+        self._encoder = msgspec.json.Encoder()
+        self._counts: dict[str, tuple[int, int]] = {}
+        self._waiting = b""
+        self.dropped = 0
+        self.total_dropped = 0
+        self.written = 0
+        if descriptor >= 0:
+            os.set_blocking(descriptor, False)
+
+    def write(self, record: events.Record) -> None:
+        """Writes a record, or counts it as lost."""
+        now = clocks.read_wall()
+        if not self.is_due(type(record).__struct_config__.tag, now):
+            return
+        head = b'{"time":%.3f,"vm":%s,' % (now, self._vm)
+        if self.dropped:
+            head += b'"dropped_before":%d,' % self.dropped
+        line = head + self._encoder.encode(record)[1:] + b"\n"
+        if len(self._waiting) + len(line) > _MAX_WAITING_BYTES:
+            self._drop()
+            self._flush()
+            return
+        self.dropped = 0
+        self.written += 1
+        self._waiting += line
+        self._flush()
+
+    def is_due(self, kind: str, now: float) -> bool:
+        """Returns whether a line of a kind may be written, and counts it."""
+        second = int(now)
+        at, count = self._counts.get(kind, (second, 0))
+        if at != second:
+            count = 0
+        if count >= self._settings.per_second:
+            self._drop()
+            return False
+        self._counts[kind] = (second, count + 1)
+        return True
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.total_dropped += 1
+
+    def _flush(self) -> None:
+        try:
+            sent = os.write(self._descriptor, self._waiting)
+        except BlockingIOError:
+            # The reader is slow: the lines wait for the next one.
+            return
+        except OSError:
+            # The reader is gone: there is nobody to tell.
+            self._waiting = b""
+            return
+        self._waiting = self._waiting[sent:]
