Know where shared prompts are held, and let one request read a cold one

Gateways now follow the cache store's events, tell one another which engine reads or used which prompt, wait for a read in progress, and count the tokens that an engine really has to read.

Ruled out: reading every engine's events; they are 600 a second, and a fetch from the store costs a hundredth of a read.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -5,10 +5,14 @@
 
 from sardinewharf.balancing.applications import ServerState
 from sardinewharf.balancing.applications import choose_server
+from sardinewharf.balancing.cold_prompts import ReadTable
+from sardinewharf.balancing.engines import READ_TOKENS_PER_MS
 from sardinewharf.balancing.engines import Choice
 from sardinewharf.balancing.engines import EngineState
 from sardinewharf.balancing.engines import PromptSize
+from sardinewharf.balancing.engines import SharedPrompt
 from sardinewharf.balancing.engines import choose_engine
+from sardinewharf.balancing.holdings import Holdings
 from sardinewharf.balancing.homes import rank_homes
 from sardinewharf.balancing.rolls import RollState
 from sardinewharf.balancing.rolls import choose_rolls
@@ -16,9 +20,13 @@
 __all__ = [
     "Choice",
     "EngineState",
+    "Holdings",
     "PromptSize",
+    "READ_TOKENS_PER_MS",
+    "ReadTable",
     "RollState",
     "ServerState",
+    "SharedPrompt",
     "choose_engine",
     "choose_rolls",
     "choose_server",
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -9,19 +9,22 @@
 
 from collections.abc import Sequence
 import dataclasses
+import enum
 
 from sardinewharf import fleet
 from sardinewharf.balancing import homes
 
 # Prompt tokens that an engine reads in a millisecond.
-_READ_TOKENS_PER_MS = 50.0
+READ_TOKENS_PER_MS = 50.0
 # Time that each running request adds to the steps of an engine, in ms.
 _MS_PER_RUNNING = 1.5
-# Cost of an engine that has to fetch a shared prompt: a share of the time that
-# reading it would take.
-_FETCH_SHARE = 0.4
-# The second home costs this share of fetching, since it may hold the prompt.
-_SECOND_HOME_SHARE = 0.5
+# Weight of a millisecond of reading a shared prompt again: it delays others
+# too, and evicts what they would have found.
+_REREAD_WEIGHT = 2.0
+# Cost of a fetch beside its time, in ms: it takes the links from others.
+_FETCH_MS = 20.0
+# An engine that is not the first home of a cold prompt costs this, in ms.
+_NOT_HOME_MS = 8.0
 # Cost of memory that running requests exceed, in ms for each 1,000 tokens.
 _MS_PER_1000_OVER = 60.0
 # Share of an engine's memory that requests may fill before others wait.
@@ -32,6 +35,14 @@
 _FAR_MS = 2.0
 
 
+class SharedPrompt(enum.Enum):
+    """Where the shared part of a prompt would come from."""
+
+    HELD = "held"
+    FETCHED = "fetched"
+    READ = "read"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineState:
     """What is known of an engine.
@@ -41,8 +52,7 @@
         failure_domain: Where it stands.
         load: Work at it.
         failure_share: Share of its answers that failed of late.
-        holds_shared: Whether it is believed to hold the shared prompt; None
-            if nothing is known.
+        shared: Where it would take the shared prompt from.
         has_old_weights: Whether newer weights were named.
     """
 
@@ -50,7 +60,7 @@
     failure_domain: str
     load: fleet.EndpointLoad
     failure_share: float = 0.0
-    holds_shared: bool | None = None
+    shared: SharedPrompt = SharedPrompt.READ
     has_old_weights: bool = False
 
 
@@ -63,12 +73,14 @@
         shared_tokens: Tokens of the shared prompt.
         tokens: Tokens of the whole prompt.
         answer_tokens: Most tokens of the answer.
+        fetch_ms: Time of fetching the shared prompt.
     """
 
     shared_key: str
     shared_tokens: int
     tokens: int
     answer_tokens: int
+    fetch_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,13 +91,13 @@
         id: The engine.
         cost_ms: Its cost.
         wait_ms: Time until its prompts in line are read.
-        fetch_cost_ms: Cost of bringing the shared prompt to it.
+        shared: Where it takes the shared prompt from.
     """
 
     id: str
     cost_ms: float
     wait_ms: float
-    fetch_cost_ms: float
+    shared: SharedPrompt
 
 
 def choose_engine(
@@ -109,50 +121,47 @@
         >>> home = choose_engine(engines, size, 100_000, "fd").id
         >>> home == homes.rank_homes("rules", [e.id for e in engines])[0]
         True
+        >>> holder = EngineState("e9", "fd", idle, shared=SharedPrompt.HELD)
+        >>> choose_engine([*engines, holder], size, 100_000, "fd").id
+        'e9'
         >>> busy = fleet.EndpointLoad(running=9, prompt_tokens=90_000)
-        >>> engines = [
-        ...     dataclasses.replace(e, load=busy if e.id == home else idle)
-        ...     for e in engines
-        ... ]
-        >>> choose_engine(engines, size, 100_000, "fd").id == home
-        False
+        >>> holder = dataclasses.replace(holder, load=busy)
+        >>> choose_engine([*engines, holder], size, 100_000, "fd").id == home
+        True
     """
-    ranks: dict[str, int] = {}
-    if size.shared_key:
-        names = homes.rank_homes(size.shared_key, [e.id for e in engines])
-        ranks = {name: rank for rank, name in enumerate(names)}
+    home = ""
+    if size.shared_key and engines:
+        home = homes.rank_homes(size.shared_key, [e.id for e in engines])[0]
     choices = [
-        _rate(engine, ranks.get(engine.id, 0), size, capacity_tokens)
+        _rate(engine, home, size, capacity_tokens, failure_domain)
         for engine in engines
     ]
-    far = {e.id for e in engines if e.failure_domain != failure_domain}
-    return min(
-        choices,
-        key=lambda c: c.cost_ms + (_FAR_MS if c.id in far else 0.0),
-        default=None,
-    )
+    return min(choices, key=lambda choice: choice.cost_ms, default=None)
 
 
 def _rate(
-    engine: EngineState, rank: int, size: PromptSize, capacity_tokens: int
+    engine: EngineState,
+    home: str,
+    size: PromptSize,
+    capacity_tokens: int,
+    failure_domain: str,
 ) -> Choice:
     load = engine.load
-    wait = load.prompt_tokens / _READ_TOKENS_PER_MS
-    fetch = _estimate_fetch(engine, rank, size)
+    wait = load.prompt_tokens / READ_TOKENS_PER_MS
+    cost = wait + load.running * _MS_PER_RUNNING
+    if engine.shared is SharedPrompt.READ:
+        reading = size.shared_tokens / READ_TOKENS_PER_MS
+        cost += _REREAD_WEIGHT * reading
+    elif engine.shared is SharedPrompt.FETCHED:
+        cost += size.fetch_ms + _FETCH_MS
+    if home and engine.id != home:
+        cost += _NOT_HOME_MS
     needed = load.held_tokens + size.tokens + size.answer_tokens
     over = max(0.0, needed - _MEMORY_SHARE * capacity_tokens)
-    cost = wait + fetch + load.running * _MS_PER_RUNNING
     cost += over / 1000 * _MS_PER_1000_OVER
     if engine.has_old_weights:
         cost += _OLD_WEIGHTS_MS
+    if engine.failure_domain != failure_domain:
+        cost += _FAR_MS
     cost /= max(0.1, 1.0 - engine.failure_share)
-    return Choice(engine.id, cost, wait, fetch)
-
-
-def _estimate_fetch(engine: EngineState, rank: int, size: PromptSize) -> float:
-    if engine.holds_shared:
-        return 0.0
-    cost = _FETCH_SHARE * size.shared_tokens / _READ_TOKENS_PER_MS
-    if rank == 0:
-        return 0.0
-    return cost * (_SECOND_HOME_SHARE if rank == 1 else 1.0)
+    return Choice(engine.id, cost, wait, engine.shared)
--- a/sardinewharf/fleet/endpoints.py
+++ b/sardinewharf/fleet/endpoints.py
@@ -38,3 +38,8 @@
     state: EndpointState
     started_ms: int = 0
     weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def incarnation(self) -> str:
+        """Names this run of the endpoint; a restart has another."""
+        return f"{self.id}@{self.started_ms}"
--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -20,6 +20,9 @@
 
 # What a peer said of its work counts for this long, in seconds.
 _PEER_S = 1.0
+# Prompt tokens of a peer's requests that an engine has read since the peer
+# told of them, each second.
+_READ_TOKENS_PER_S = 50_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,8 +111,9 @@
         for at, loads in self._peers.values():
             load = loads.get(endpoint_id)
             if load is not None and now - at <= _PEER_S:
+                read = int((now - at) * _READ_TOKENS_PER_S)
                 running += load.running
-                prompt += load.prompt_tokens
+                prompt += max(0, load.prompt_tokens - read)
                 held += load.held_tokens
         return EndpointLoad(running, prompt, held)
 
--- /dev/null
+++ b/sardinewharf/gateway/caches.py
@@ -0,0 +1,95 @@
+"""Follows what the store of kept cache holds."""
+
+import asyncio
+
+from sardinewharf import catalog
+from sardinewharf import clocks
+from sardinewharf import records
+from sardinewharf.gateway import control as control_lib
+from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import replica as replica_lib
+
+# Time that a reading of news waits for some, in seconds.
+_WAIT_S = 1.0
+_IDLE_S = 0.5
+
+
+class StoreFollower:
+    """Reads a store's news.
+
+    Args:
+        control: Calls the store.
+        replica: What the gateway believes.
+        prompts: Where shared prompts are.
+        log: Where a lost and regained store is written.
+    """
+
+    def __init__(
+        self,
+        control: control_lib.EngineControl,
+        replica: replica_lib.Replica,
+        prompts: prompts_lib.PromptTable,
+        log: records.RecordSink,
+    ):
+        self._control = control
+        self._replica = replica
+        self._prompts = prompts
+        self._log = log
+        self._epoch: int | None = None
+        self._since = 0
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Reads news until cancelled."""
+        while True:
+            stores = self._replica.configuration.cache_stores
+            if not stores:
+                await asyncio.sleep(_IDLE_S)
+                continue
+            await self._read(stores[0])
+
+    async def _read(self, store: catalog.CacheStore) -> None:
+        content = self._prompts.store
+        if content.address != store.address:
+            content.address = store.address
+            content.clear()
+            self._since = 0
+        news = await self._control.read_cache(
+            store.address, self._since, clocks.Deadline.after(_WAIT_S)
+        )
+        if news is None:
+            self._note_loss(store)
+            return
+        self._note_contact(store)
+        if news.epoch != self._epoch:
+            content.clear()
+            is_first_read = self._since == 0
+            self._epoch = news.epoch
+            if not is_first_read:
+                self._since = 0
+                return
+        for event in news.events:
+            if event.is_held:
+                content.put(event.scope, event.part, event.tokens)
+            else:
+                content.drop(event.scope, event.part)
+        self._since = news.next
+        content.hear()
+        if news.events:
+            self._prompts.wake()
+
+    def _note_loss(self, store: catalog.CacheStore) -> None:
+        if not self._is_lost and not self._prompts.store.is_alive:
+            self._is_lost = True
+            self._log.write(
+                records.events.DependencyLost(
+                    store.name, "tells no news", self._since, -1.0
+                )
+            )
+
+    def _note_contact(self, store: catalog.CacheStore) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._log.write(
+                records.events.DependencyRegained(store.name, self._since, -1.0)
+            )
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -13,6 +13,7 @@
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
@@ -26,6 +27,10 @@
 # its time.
 _FIRST_ATTEMPT_SHARE = 0.45
 _RETRY_S = 0.3
+# Longest wait for another request that reads the same prompt, in seconds and
+# as a share of the time left.
+_READ_WAIT_S = 0.8
+_READ_WAIT_SHARE = 0.3
 # A busy endpoint is left alone for this long, in seconds.
 _REFUSED_PAUSE_S = 0.15
 _MOVED_PAUSE_S = 1.0
@@ -47,6 +52,7 @@
         connections: Pools of connections.
         budgets: Budgets of repeats by service.
         replica: What the gateway believes.
+        prompts: Where shared prompts are.
         log: Where choices are written.
         metrics: Counts what endpoints answer.
     """
@@ -60,6 +66,7 @@
     connections: "ConnectionTable"
     budgets: "BudgetTable"
     replica: replica_lib.Replica
+    prompts: prompts_lib.PromptTable
     log: records.RecordSink
     metrics: metrics_lib.GatewayMetrics
 
@@ -137,6 +144,8 @@
             target = self._parts.selector.choose(call)
             if target is None:
                 raise self._give_up(call, refusals.Reason.NO_ENDPOINT)
+            if await self._wait_for_reader(call, target):
+                continue
             try:
                 pool, connection = await self._connect(call, target)
             except http1.ConnectError as error:
@@ -178,6 +187,22 @@
         request = call.request
         self._parts.gatekeeper.admit(request.headers, request.path)
 
+    async def _wait_for_reader(
+        self, call: requests.Call, target: requests.Target
+    ) -> bool:
+        """Waits while another request reads the same prompt.
+
+        Returns whether the endpoint is to be chosen again.
+        """
+        if not target.is_reading or call.has_waited:
+            return False
+        left = call.deadline.remaining() * _READ_WAIT_SHARE
+        until = clocks.Deadline.after(min(_READ_WAIT_S, left))
+        call.has_waited = await self._parts.prompts.wait_for_reader(
+            target.prompt_key, until
+        )
+        return call.has_waited
+
     async def _connect(
         self, call: requests.Call, target: requests.Target
     ) -> tuple[http1.Pool, http1.Connection]:
@@ -222,7 +247,15 @@
         call.runs += 1
         call.endpoint = target.endpoint.id
         self._log_choice(call, target)
-        return requests.Attempt(target, pool, connection, work, exchange)
+        reading = self._parts.prompts.begin(
+            target.endpoint.incarnation,
+            target.prompt_key,
+            target.shared_tokens,
+            target.is_reading,
+        )
+        return requests.Attempt(
+            target, pool, connection, work, exchange, reading
+        )
 
     def _log_choice(self, call: requests.Call, target: requests.Target) -> None:
         prompt = call.request.headers.prompt
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -14,11 +14,14 @@
 from sardinewharf import fleet
 from sardinewharf import ids
 from sardinewharf import logs
+from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
 
 # Time between datagrams to each peer, in seconds.
 _TICK_S = 0.2
+# News that cannot wait for that are gathered for this long, in seconds.
+_SOON_S = 0.005
 # Work of a peer that has not been heard for this long is forgotten.
 _SILENT_S = 3.0
 _MAX_BYTES = 1_400
@@ -51,6 +54,23 @@
     age_ms: int
 
 
+class ReadNews(msgspec.Struct, array_like=True):
+    """A shared prompt that an engine reads."""
+
+    key: int
+    incarnation: str
+    age_ms: int
+
+
+class UseNews(msgspec.Struct, array_like=True):
+    """A shared prompt that an engine used."""
+
+    key: int
+    incarnation: str
+    tokens: int
+    age_ms: int
+
+
 class DeathNews(msgspec.Struct, array_like=True):
     """An endpoint that died while a request ran there."""
 
@@ -73,6 +93,8 @@
         deaths: Endpoints that died of requests.
         namings: Since when weights are wanted.
         is_leaving: Whether it is shutting down.
+        reads: Shared prompts that engines read for it.
+        uses: Shared prompts that engines used for it of late.
     """
 
     sender: str
@@ -85,6 +107,8 @@
     deaths: list[DeathNews] = []
     namings: list[NamingNews] = []
     is_leaving: bool = False
+    reads: list[ReadNews] = []
+    uses: list[UseNews] = []
 
 
 class RollTable:
@@ -140,6 +164,7 @@
         replica: What the gateway believes.
         loads: Work at endpoints.
         rolls: Engines that are led away from.
+        prompts: Where shared prompts are.
         hurry: Called when a peer has seen a newer revision of the store.
 
     Attributes:
@@ -152,12 +177,15 @@
         replica: replica_lib.Replica,
         loads: fleet.LoadTable,
         rolls: RollTable,
+        prompts: prompts_lib.PromptTable,
         hurry: Callable[[int], None],
     ):
         self._settings = settings
         self._replica = replica
         self._loads = loads
         self._rolls = rolls
+        self._prompts = prompts
+        self._is_telling = False
         self._hurry = hurry
         self._transport: asyncio.DatagramTransport | None = None
         self._started = int(clocks.read_wall() * 1000)
@@ -186,8 +214,16 @@
             self.tell()
             await asyncio.sleep(_TICK_S * self._random.uniform(0.9, 1.1))
 
+    def tell_soon(self) -> None:
+        """Sends a digest in a moment, together with other news."""
+        if not self._is_telling:
+            self._is_telling = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(_SOON_S, self.tell)
+
     def tell(self) -> None:
         """Sends a digest to all peers, or to some if there are many."""
+        self._is_telling = False
         if self._transport is None or self._transport.is_closing():
             return
         datagram = msgspec.msgpack.encode(self._make_digest())
@@ -277,6 +313,19 @@
                 for model, at in self._replica.weights_named_at.items()
             ],
             is_leaving=self.is_leaving,
+            reads=[
+                ReadNews(key, incarnation, int((now - began) * 1000))
+                for key, incarnation, began in self._prompts.list_reads()
+            ],
+            uses=[
+                UseNews(
+                    use.key,
+                    use.incarnation,
+                    use.tokens,
+                    int((now - use.at) * 1000),
+                )
+                for use in self._prompts.list_uses()
+            ],
         )
 
     def _merge(self, digest: Digest) -> None:
@@ -301,6 +350,22 @@
             self._replica.note_naming_age(
                 naming.model, naming.version, now - naming.age_ms / 1000
             )
+        self._prompts.merge_peer(
+            digest.sender,
+            [
+                (read.key, read.incarnation, now - read.age_ms / 1000)
+                for read in digest.reads
+            ],
+            [
+                prompts_lib.Use(
+                    use.key,
+                    use.incarnation,
+                    use.tokens,
+                    now - use.age_ms / 1000,
+                )
+                for use in digest.uses
+            ],
+        )
         self._heard[digest.sender] = (now, digest.started, digest.is_leaving)
         if digest.rolling or digest.sender == self._roller:
             self._roller = digest.sender
--- /dev/null
+++ b/sardinewharf/gateway/prompts.py
@@ -0,0 +1,233 @@
+"""Knows where shared prompts are held, and who reads one just now."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+import xxhash
+
+from sardinewharf import balancing
+from sardinewharf import clocks
+from sardinewharf.gateway import messages
+
+# Shared prompts from this length on are worth fetching and saving.
+LONG_TOKENS = 512
+# Share of an engine's memory that its cached prompts are believed to fill.
+_CACHE_SHARE = 0.5
+# An engine that used a prompt within this time surely holds it, in seconds.
+_FRESH_S = 3.0
+# Prompts that were used within this time are told to peers, in seconds.
+_TOLD_S = 0.8
+_MAX_TOLD = 24
+# Tokens of a part that are lost to whole blocks.
+_BLOCK_TOKENS = 32
+# A store that has not answered for this long is not asked, in seconds.
+_STORE_SILENT_S = 2.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Use:
+    """A shared prompt that an engine used.
+
+    Attributes:
+        key: The prompt.
+        incarnation: The engine.
+        tokens: Tokens of the prompt.
+        at: When.
+    """
+
+    key: int
+    incarnation: str
+    tokens: int
+    at: float
+
+
+class Reading:
+    """What is noted of one request's shared prompt until it has been read."""
+
+    def __init__(
+        self,
+        table: "PromptTable",
+        use: Use | None,
+        is_reading: bool,
+    ):
+        self._table = table
+        self._use = use
+        self._is_reading = is_reading
+
+    def succeed(self) -> None:
+        """Notes that the engine has read the prompt."""
+        use, self._use = self._use, None
+        if use is not None:
+            self._table.finish(use, self._is_reading, is_held=True)
+
+    def fail(self) -> None:
+        """Notes that the engine may not have read the prompt."""
+        use, self._use = self._use, None
+        if use is not None:
+            self._table.finish(use, self._is_reading, is_held=False)
+
+
+class StoreContent:
+    """What a store of kept cache holds, as it told.
+
+    Attributes:
+        address: ``IP:PORT`` of the store; empty if there is none.
+    """
+
+    def __init__(self) -> None:
+        self.address = ""
+        self._held: dict[tuple[str, str], int] = {}
+        self._heard_at = float("-inf")
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the store answered of late."""
+        return clocks.read_monotonic() - self._heard_at < _STORE_SILENT_S
+
+    def hear(self) -> None:
+        """Notes that the store answered."""
+        self._heard_at = clocks.read_monotonic()
+
+    def clear(self) -> None:
+        """Forgets all, since the store began anew."""
+        self._held.clear()
+
+    def put(self, scope: str, part: str, tokens: int) -> None:
+        """Notes that the store holds a part."""
+        self._held[scope, part] = tokens
+
+    def drop(self, scope: str, part: str) -> None:
+        """Notes that the store dropped a part."""
+        self._held.pop((scope, part), None)
+
+    def holds(self, scope: str, prompt: messages.Prompt) -> bool:
+        """Returns whether the store holds all shared parts of a prompt."""
+        return all(
+            self._held.get((scope, part.id), -1) >= part.tokens - _BLOCK_TOKENS
+            for part in prompt.shared
+        )
+
+
+class PromptTable:
+    """Where shared prompts are held.
+
+    Args:
+        tell: Called when peers should hear the news soon.
+
+    Attributes:
+        store: What the store of kept cache holds.
+    """
+
+    def __init__(self, tell: Callable[[], None]):
+        self._tell = tell
+        self._holdings = balancing.Holdings(0)
+        self._reads = balancing.ReadTable()
+        self._uses: list[Use] = []
+        self._changed = asyncio.Event()
+        self.store = StoreContent()
+
+    def set_capacity(self, tokens: int) -> None:
+        """Sets the memory of each engine, in tokens."""
+        self._holdings.capacity_tokens = int(tokens * _CACHE_SHARE)
+
+    def locate(
+        self,
+        key: int,
+        scope: str,
+        prompt: messages.Prompt,
+        incarnation: str,
+        others: list[str],
+    ) -> balancing.SharedPrompt:
+        """Returns where an engine would take a shared prompt from.
+
+        Args:
+            key: The prompt under its scope.
+            scope: Who may share it.
+            prompt: Its description.
+            incarnation: The engine.
+            others: The engines that it could fetch from.
+        """
+        if not key or self._holdings.holds(incarnation, key):
+            return balancing.SharedPrompt.HELD
+        if self.store.is_alive and self.store.holds(scope, prompt):
+            return balancing.SharedPrompt.FETCHED
+        if self._holdings.find_newest(key, others) is not None:
+            return balancing.SharedPrompt.FETCHED
+        return balancing.SharedPrompt.READ
+
+    def find_holder(self, key: int, incarnations: list[str]) -> str | None:
+        """Returns the engine that used a prompt last."""
+        return self._holdings.find_newest(key, incarnations)
+
+    def begin(
+        self, incarnation: str, key: int, tokens: int, is_reading: bool
+    ) -> Reading:
+        """Notes a request that was sent to an engine."""
+        if not key:
+            return Reading(self, None, is_reading=False)
+        now = clocks.read_monotonic()
+        if is_reading:
+            self._reads.begin(key, incarnation, now)
+            self._tell()
+        return Reading(self, Use(key, incarnation, tokens, now), is_reading)
+
+    def finish(self, use: Use, is_reading: bool, is_held: bool) -> None:
+        """Notes the end of a reading."""
+        if is_held:
+            now = clocks.read_monotonic()
+            self._holdings.touch(use.incarnation, use.key, use.tokens, now)
+            self._uses.append(dataclasses.replace(use, at=now))
+        if is_reading:
+            self._reads.end(use.key, use.incarnation)
+            self._tell()
+        self.wake()
+
+    async def wait_for_reader(self, key: int, until: clocks.Deadline) -> bool:
+        """Waits while a prompt is being read; returns whether it was."""
+        has_waited = False
+        while not until.is_past():
+            now = clocks.read_monotonic()
+            if self._reads.find_reader(key, now) is None:
+                break
+            has_waited = True
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(until.at):
+                    await self._changed.wait()
+        return has_waited
+
+    def wake(self) -> None:
+        """Lets those look again who wait for a prompt."""
+        self._changed.set()
+
+    def list_reads(self) -> list[tuple[int, str, float]]:
+        """Returns key, engine and begin of this gateway's reads."""
+        return self._reads.list_own()
+
+    def list_uses(self) -> list[Use]:
+        """Returns this gateway's latest uses, to be told to peers."""
+        limit = clocks.read_monotonic() - _TOLD_S
+        self._uses = [use for use in self._uses if use.at > limit]
+        return self._uses[-_MAX_TOLD:]
+
+    def merge_peer(
+        self, peer: str, reads: list[tuple[int, str, float]], uses: list[Use]
+    ) -> None:
+        """Takes in a peer's reads and uses."""
+        for use in uses:
+            self._holdings.touch(use.incarnation, use.key, use.tokens, use.at)
+        is_over = self._reads.keep_only(peer, {read[0] for read in reads})
+        for key, incarnation, began in reads:
+            self._reads.begin(key, incarnation, began, owner=peer)
+        if is_over or uses:
+            self.wake()
+
+
+def make_key(scope: str, prompt: messages.Prompt) -> int:
+    """Returns a number that names a long shared prompt; 0 for others."""
+    if prompt.shared_tokens < LONG_TOKENS:
+        return 0
+    parts = ",".join(part.id for part in prompt.shared)
+    return xxhash.xxh3_64_intdigest(f"{scope}\0{parts}".encode())
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -174,7 +174,7 @@
                     chunk = await attempt.exchange.read()
                 if not chunk:
                     break
-                attempt.work.end_prompt()
+                attempt.note_first_event()
                 whole = framer.feed(chunk)
                 if whole:
                     if call.first_byte_at is None:
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -8,6 +8,7 @@
 from sardinewharf import ids
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
+from sardinewharf.gateway import prompts
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
         resume_after: Last event that its caller has.
         last_detail: What was seen of the last attempt.
         endpoint: The endpoint that it was last sent to; empty before.
+        has_waited: Whether it waited for another that reads its prompt.
         first_byte_at: When the first byte was passed on; None before.
         sent_bytes: Bytes of the answer's body that were passed on.
     """
@@ -60,6 +62,7 @@
     resume_after: int | None = None
     last_detail: str = ""
     endpoint: str = ""
+    has_waited: bool = False
     first_byte_at: float | None = None
     sent_bytes: int = 0
 
@@ -88,6 +91,10 @@
         priority: Urgency from 0 to 9, 0 first; None for the default.
         fetch_from: ``IP:PORT`` that holds cached parts; empty for none.
         save_to: ``IP:PORT`` that is to keep them; empty for none.
+        prompt_key: Names the shared prompt under the cache scope; 0 if it has
+            none worth sharing.
+        shared_tokens: Tokens of the shared prompt.
+        is_reading: Whether the endpoint has to read the shared prompt.
         read_tokens: Prompt tokens that it is expected to read.
         held_tokens: Tokens of memory that the request takes.
         cost_ms: What it was chosen by.
@@ -101,6 +108,9 @@
     priority: int | None = None
     fetch_from: str = ""
     save_to: str = ""
+    prompt_key: int = 0
+    shared_tokens: int = 0
+    is_reading: bool = False
     read_tokens: int = 0
     held_tokens: int = 0
     cost_ms: float = 0.0
@@ -117,6 +127,7 @@
         connection: The connection.
         work: The request's place in the load table.
         exchange: The answer as it arrives.
+        reading: What is noted of its prompt.
 
     Attributes:
         head: What the answer's headers say; None before they came.
@@ -129,16 +140,24 @@
         connection: http1.Connection,
         work: fleet.Work,
         exchange: http1.Exchange,
+        reading: prompts.Reading,
     ):
         self.target = target
         self.exchange = exchange
-        self.work = work
+        self._work = work
+        self._reading = reading
         self.head: messages.AnswerHead | None = None
         self._pool = pool
         self._connection = connection
 
+    def note_first_event(self) -> None:
+        """Notes that the prompt was read."""
+        self._work.end_prompt()
+        self._reading.succeed()
+
     def close(self) -> None:
         """Gives the connection back; an unfinished answer ends it."""
         self.exchange.close()
         self._pool.release(self._connection)
-        self.work.end()
+        self._work.end()
+        self._reading.fail()
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint of an attempt from what the gateway believes."""
 
+import dataclasses
 import random
 
 from sardinewharf import balancing
@@ -8,6 +9,7 @@
 from sardinewharf import fleet
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import peers
+from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
@@ -30,6 +32,7 @@
         loads: Work at endpoints.
         health: How endpoints answer.
         rolls: Engines that are led away from.
+        prompts: Where shared prompts are.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
         rolls: peers.RollTable,
+        prompts: prompts_lib.PromptTable,
     ):
         self._settings = settings
         self._replica = replica
         self._loads = loads
         self._health = health
         self._rolls = rolls
+        self._prompts = prompts
 
     def choose_service(self, route: catalog.Route) -> str:
         """Returns the service that one request of a route goes to."""
@@ -112,48 +117,115 @@
         now: float,
     ) -> requests.Target | None:
         usable = self._list_current(endpoints, prompt.model, now)
-        wanted = self._replica.wanted_weights.get(prompt.model, 0)
-        registry = self._replica.registry
+        views = [self._view(call, prompt, e, usable) for e in usable]
         states = [
             balancing.EngineState(
-                endpoint.id,
-                endpoint.failure_domain,
-                self._loads.read(endpoint.id, now),
-                self._health.read_failure_share(endpoint.id),
-                has_old_weights=registry.find_weights(endpoint.id, prompt.model)
-                < wanted,
+                view.endpoint.id,
+                view.endpoint.failure_domain,
+                self._loads.read(view.endpoint.id, now),
+                self._health.read_failure_share(view.endpoint.id),
+                shared=view.shared,
+                has_old_weights=view.weights
+                < self._replica.wanted_weights.get(prompt.model, 0),
             )
-            for endpoint in usable
+            for view in views
         ]
         size = balancing.PromptSize(
             shared_key="/".join(part.id for part in prompt.shared),
             shared_tokens=prompt.shared_tokens,
             tokens=prompt.tokens,
             answer_tokens=prompt.answer_tokens,
+            fetch_ms=self._estimate_fetch(sheet, prompt),
         )
         choice = balancing.choose_engine(
             states, size, sheet.capacity_tokens, self._settings.failure_domain
         )
         if choice is None:
             return None
-        endpoint = next(e for e in usable if e.id == choice.id)
+        chosen = next(v for v in views if v.endpoint.id == choice.id)
+        return self._make_target(call, prompt, chosen, choice, usable)
+
+    def _view(
+        self,
+        call: requests.Call,
+        prompt: messages.Prompt,
+        endpoint: fleet.Endpoint,
+        usable: list[fleet.Endpoint],
+    ) -> "_EngineView":
+        """Returns what a request would find at an engine."""
         weights = self._replica.registry.find_weights(endpoint.id, prompt.model)
-        store = self._find_store()
-        is_long = prompt.shared_tokens >= _LONG_TOKENS
+        scope = make_cache_scope(call, prompt.model, weights)
+        key = prompts_lib.make_key(scope, prompt)
+        others = [e.incarnation for e in usable if e is not endpoint]
+        shared = self._prompts.locate(
+            key, scope, prompt, endpoint.incarnation, others
+        )
+        return _EngineView(endpoint, weights, scope, key, shared)
+
+    def _make_target(
+        self,
+        call: requests.Call,
+        prompt: messages.Prompt,
+        chosen: "_EngineView",
+        choice: balancing.Choice,
+        usable: list[fleet.Endpoint],
+    ) -> requests.Target:
+        is_reading = choice.shared is balancing.SharedPrompt.READ
+        store = self._prompts.store
+        is_stored = store.holds(chosen.scope, prompt)
+        saves = bool(chosen.key) and store.is_alive and not is_stored
+        now = clocks.read_monotonic()
         return requests.Target(
-            endpoint,
-            weights=weights,
-            cache_scope=make_cache_scope(call, prompt.model, weights),
+            chosen.endpoint,
+            weights=chosen.weights,
+            cache_scope=chosen.scope,
             priority=min(_MAX_PRIORITY, max(0, call.admitted.priority)),
-            fetch_from=store if is_long else "",
-            save_to=store if is_long else "",
-            read_tokens=prompt.tokens - prompt.shared_tokens,
+            fetch_from=self._find_source(prompt, chosen, usable),
+            save_to=store.address if saves else "",
+            prompt_key=chosen.key,
+            shared_tokens=prompt.shared_tokens,
+            is_reading=is_reading and bool(chosen.key),
+            read_tokens=prompt.tokens
+            - (0 if is_reading else prompt.shared_tokens),
             held_tokens=prompt.tokens + prompt.answer_tokens,
             cost_ms=choice.cost_ms,
             candidates=len(usable),
-            load=self._loads.read(endpoint.id, now),
+            load=self._loads.read(chosen.endpoint.id, now),
         )
 
+    def _find_source(
+        self,
+        prompt: messages.Prompt,
+        chosen: "_EngineView",
+        usable: list[fleet.Endpoint],
+    ) -> str:
+        """Returns where an engine is to fetch the shared prompt from.
+
+        An engine that is believed to hold it gets a source too: it asks only
+        for what it lacks.
+        """
+        store = self._prompts.store
+        if not chosen.key:
+            return ""
+        if store.is_alive and store.holds(chosen.scope, prompt):
+            return store.address
+        others = {
+            e.incarnation: e.address
+            for e in usable
+            if e.id != chosen.endpoint.id
+        }
+        holder = self._prompts.find_holder(chosen.key, list(others))
+        return others[holder] if holder is not None else ""
+
+    def _estimate_fetch(
+        self, sheet: catalog.EngineSheet, prompt: messages.Prompt
+    ) -> float:
+        """Returns the time of fetching a shared prompt, in ms."""
+        stores = self._replica.configuration.cache_stores
+        link_mbps = stores[0].link_mbps if stores else sheet.link_mbps
+        bits = prompt.shared_tokens * sheet.token_bytes * 8
+        return bits / (max(1.0, link_mbps) * 1000)
+
     def _list_current(
         self, endpoints: list[fleet.Endpoint], model: str, now: float
     ) -> list[fleet.Endpoint]:
@@ -175,13 +247,24 @@
         staying = [e for e in current if not self._rolls.is_rolling(e.id)]
         return staying or current
 
-    def _find_store(self) -> str:
-        stores = self._replica.configuration.cache_stores
-        return stores[0].address if stores else ""
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _EngineView:
+    """What a request would find at an engine.
+
+    Attributes:
+        endpoint: The engine.
+        weights: Version of its weights.
+        scope: Who may share the cached prompt.
+        key: Names the shared prompt under the scope.
+        shared: Where the shared prompt would come from.
+    """
 
-# Shared prompts from this length on are kept in the cache store.
-_LONG_TOKENS = 512
+    endpoint: fleet.Endpoint
+    weights: int
+    scope: str
+    key: int
+    shared: balancing.SharedPrompt
 
 
 def make_cache_scope(call: requests.Call, model: str, weights: int) -> str:
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -14,6 +14,7 @@
 from sardinewharf import tasks
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import app as app_lib
+from sardinewharf.gateway import caches
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import dispatcher as dispatcher_lib
@@ -21,6 +22,7 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import peers as peers_lib
+from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import responder as responder_lib
@@ -93,8 +95,14 @@
             self._replica, settings.promises
         )
         self._rolls = peers_lib.RollTable()
+        self._prompts = prompts_lib.PromptTable(self._tell_peers)
         selector = selection.Selector(
-            settings, self._replica, self._loads, self._health, self._rolls
+            settings,
+            self._replica,
+            self._loads,
+            self._health,
+            self._rolls,
+            self._prompts,
         )
         dispatcher = dispatcher_lib.Dispatcher(
             dispatcher_lib.Parts(
@@ -107,6 +115,7 @@
                 connections=self._connections,
                 budgets=self._budgets,
                 replica=self._replica,
+                prompts=self._prompts,
                 log=log,
                 metrics=self._metrics,
             )
@@ -128,8 +137,12 @@
             self._replica,
             self._loads,
             self._rolls,
+            self._prompts,
             self._synchronizer.note_newer,
         )
+        self._follower = caches.StoreFollower(
+            platform.control, self._replica, self._prompts, log
+        )
         self._roller = self._make_roller()
         self._server = http_server.HttpServer(self._app, self._read_limits)
         self._ready_server = http_server.HttpServer(
@@ -162,6 +175,7 @@
         self._tasks.start(self._register(), "register")
         self._tasks.start(self._tick_forever(), "tick")
         self._tasks.start(self._peers.run(), "peers")
+        self._tasks.start(self._follower.run(), "cache-store")
         self._tasks.start(self._roller.hold(), "office")
         self._tasks.start(self._roller.run(), "weights")
         self._log.write(
@@ -178,6 +192,9 @@
         await self._platform.store.close()
         self._log.write(records.events.Stopped(self._app.running))
 
+    def _tell_peers(self) -> None:
+        self._peers.tell_soon()
+
     def _make_roller(self) -> rollout.Roller:
         tenure = leases.Tenure(
             self._platform.store,
@@ -262,10 +279,16 @@
             await asyncio.sleep(_TICK_S)
             self._replica.drop_doubtful()
             self._budgets.set_share(self._make_share())
+            self._set_capacity()
             if self._replica.registry.changes != changes_seen:
                 changes_seen = self._replica.registry.changes
                 self._connections.close_gone(self._replica.registry)
 
+    def _set_capacity(self) -> None:
+        for service in self._replica.configuration.services.values():
+            if service.engine is not None:
+                self._prompts.set_capacity(service.engine.capacity_tokens)
+
     async def _drain(self) -> None:
         self._log.write(records.events.Stopping(self._app.running))
         self._app.is_leaving = True
