--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -22,6 +22,10 @@
 Receive = Callable[[], Awaitable[Mapping[str, object]]]
 
 
+# Another gateway is ready at once, in seconds.
+_LEAVING_RETRY_S = 0.1
+
+
 @dataclasses.dataclass(slots=True)
 class _Visit:
     """What is known of a request so far, for the log."""
@@ -53,6 +57,7 @@
 
     Attributes:
         is_leaving: Whether the process is shutting down.
+        is_closed: Whether new requests come too late to be finished.
         running: Number of requests being handled.
     """
 
@@ -74,6 +79,7 @@
         self._log = log
         self._metrics = metrics
         self.is_leaving = False
+        self.is_closed = False
         self.running = 0
         self._is_idle = asyncio.Event()
 
@@ -227,6 +233,14 @@
         receive: Receive,
         responder: responder_lib.Responder,
     ) -> None:
+        if self.is_closed:
+            raise refusals.RefusedError(
+                refusals.Refusal(
+                    refusals.Reason.LEAVING,
+                    "this gateway shuts down; connect anew",
+                    _LEAVING_RETRY_S,
+                )
+            )
         admitted = self._gatekeeper.admit(request.headers, request.path)
         route = admitted.route
         timeout = clocks.Deadline(request.arrived + route.timeout_ms / 1000)
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -208,6 +208,11 @@
             lambda: self, local_addr=(host, int(port))
         )
 
+    def close(self) -> None:
+        """Stops listening."""
+        if self._transport is not None:
+            self._transport.close()
+
     async def run(self) -> None:
         """Sends digests until cancelled."""
         while True:
--- a/sardinewharf/gateway/refusals.py
+++ b/sardinewharf/gateway/refusals.py
@@ -18,6 +18,7 @@
     NOT_RUN = "not_run"
     QUARANTINED = "quarantined"
     NO_TIME = "no_time"
+    LEAVING = "leaving"
     LOST = "lost"
     BAD_ANSWER = "bad_answer"
     TIMED_OUT = "timed_out"
@@ -35,6 +36,7 @@
     Reason.NOT_RUN: 503,
     Reason.QUARANTINED: 502,
     Reason.NO_TIME: 503,
+    Reason.LEAVING: 503,
     Reason.LOST: 502,
     Reason.BAD_ANSWER: 502,
     Reason.TIMED_OUT: 504,
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -34,9 +34,9 @@
 
 # The entry point has turned away from a VM that is not ready by then, in
 # seconds.
-_TURN_AWAY_S = 3.2
-# Requests are to be finished this long before the process is killed.
-_GRACE_MARGIN_S = 0.7
+_TURN_AWAY_S = 2.4
+# The process ends this long before it would be killed, in seconds.
+_GRACE_MARGIN_S = 0.3
 _TICK_S = 0.25
 # Share of the retry budget that is split; the rest covers restarts.
 _BUDGET_SHARE = 0.7
@@ -188,8 +188,7 @@
         )
         await self._stopping.wait()
         await self._drain()
-        await self._tasks.close()
-        await self._platform.store.close()
+        await self.close()
         self._log.write(records.events.Stopped(self._app.running))
 
     def _tell_peers(self) -> None:
@@ -219,6 +218,15 @@
             self._log,
         )
 
+    async def close(self) -> None:
+        """Ends all tasks and stops listening, without finishing requests."""
+        await self._tasks.close()
+        await self._platform.store.close()
+        for server in (self._server, self._ready_server, self._metrics_server):
+            server.stop_listening()
+            server.close_idle()
+        self._peers.close()
+
     def _is_ready(self) -> bool:
         return (
             not self._app.is_leaving
@@ -296,6 +304,7 @@
         grace_s = self._settings.promises.grace_ms / 1000
         end = clocks.Deadline.after(grace_s - _GRACE_MARGIN_S)
         await asyncio.sleep(_TURN_AWAY_S)
+        self._app.is_closed = True
         self._server.stop_listening()
         self._server.close_idle()
         await self._app.wait_until_idle(end)
--- /dev/null
+++ b/sardinewharf/gateway/tests/conftest.py
@@ -0,0 +1,5 @@
+from sardinewharf.gateway import loops
+
+
+def pytest_asyncio_loop_factories(config, item):
+    return {"suspend-aware": loops.SuspendAwareLoop}
--- /dev/null
+++ b/sardinewharf/gateway/tests/test_store_faults.py
@@ -0,0 +1,91 @@
+import asyncio
+
+import pytest_asyncio
+
+from sardinewharf import clocks
+from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.testbed import platform_rig
+
+
+@pytest_asyncio.fixture
+async def rig():
+    found = platform_rig.Rig(settings_lib.Promises(revoke_ms=3_300))
+    await found.start()
+    yield found
+    await found.close()
+
+
+async def test_a_new_configuration_is_in_force_at_once(rig):
+    manifest = platform_rig.make_manifest(version=5)
+    manifest["routes"] = manifest["routes"][:2]
+    manifest["tenants"] = [{"name": "org-3", "api_keys": ["key-3"]}]
+    await rig.store.put("op/config", manifest)
+    await asyncio.sleep(0.1)
+    gone = await rig.ask("/book/1", authorization="Token key-3")
+    revoked = await rig.ask("/chat/1", body=b"p")
+    fresh = await rig.ask("/chat/1", body=b"p", authorization="Token key-3")
+    assert [gone.status, revoked.status, fresh.status] == [404, 401, 200]
+
+
+async def test_an_older_configuration_changes_nothing(rig):
+    await rig.store.put("op/config", platform_rig.make_manifest(version=9))
+    await asyncio.sleep(0.1)
+    old = platform_rig.make_manifest(version=8, routes=[])
+    await rig.store.put("op/config", old)
+    await asyncio.sleep(0.1)
+    assert (await rig.ask("/book/1", body=b"x")).status == 200
+
+
+async def test_keys_are_refused_once_nothing_proves_them(rig):
+    rig.store.faults.is_silent = True
+    last_proof = clocks.read_monotonic()
+    assert (await rig.ask("/book/1", body=b"x")).status == 200
+
+    async def is_refused() -> bool:
+        return (await rig.ask("/book/1", body=b"x")).status == 503
+
+    await platform_rig.wait_for(is_refused)
+    # The watch that was running may have proved two seconds more.
+    assert clocks.read_monotonic() - last_proof < 3.3
+    assert not await rig.is_ready()
+    assert (await rig.ask("/open/1", "GET", authorization="")).status == 200
+    rig.store.faults.is_silent = False
+    await rig.wait_until_ready()
+    assert (await rig.ask("/book/1", body=b"x")).status == 200
+
+
+async def test_endpoints_that_lapsed_in_an_outage_stay_until_they_are_back(rig):
+    rig.store.faults.status = 503
+    await asyncio.sleep(1.8)
+    for server in rig.servers:
+        await rig.store.remove(f"servers/{server.id}")
+    await asyncio.sleep(0.2)
+    rig.store.faults.status = 0
+    await asyncio.sleep(1.0)
+    assert (await rig.ask("/book/1", body=b"x")).status == 200
+    await rig.register(rig.servers[0])
+    await asyncio.sleep(2.5)
+    assert (await rig.ask("/book/1", body=b"x")).status == 200
+    assert len(rig.servers[0].ran) >= 1
+    assert len(rig.gateways[0]._replica.registry.list_ready("orders")) == 1
+
+
+async def test_a_dropped_history_is_read_again(rig):
+    rig.store.faults.status = 503
+    await rig.store.put("op/config", platform_rig.make_manifest(version=7))
+    await rig.store.compact()
+    rig.store.faults.status = 0
+
+    async def is_new() -> bool:
+        return rig.gateways[0]._replica.configuration.version == 7
+
+    await platform_rig.wait_for(is_new, 2.0)
+
+
+async def test_the_store_is_called_seldom_on_a_calm_day(rig):
+    await asyncio.sleep(1.0)
+    before = dict(rig.store.calls)
+    await asyncio.sleep(4.0)
+    made = {k: n - before.get(k, 0) for k, n in rig.store.calls.items()}
+    assert made.pop("kv-keep") <= 8
+    assert sum(made.values()) <= 3
--- /dev/null
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -0,0 +1,127 @@
+import asyncio
+
+import pytest_asyncio
+
+from sardinewharf import clocks
+from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.testbed import platform_rig
+
+OFFICE = "sardinewharf/placement/weights"
+
+
+@pytest_asyncio.fixture
+async def rig():
+    found = platform_rig.Rig(
+        settings_lib.Promises(lease_ms=600, weights_ms=4_000)
+    )
+    await found.start(gateways=2)
+    await platform_rig.wait_for(lambda: holds_office(found))
+    yield found
+    await found.close()
+
+
+async def holds_office(rig) -> bool:
+    return any(g._roller._tenure.find_deadline() for g in rig.gateways)
+
+
+async def name_version(rig, version: int) -> None:
+    await rig.store.put(
+        f"op/version/{platform_rig.MODEL}",
+        {"model": platform_rig.MODEL, "version": version},
+    )
+
+
+async def has_version(rig, version: int) -> bool:
+    return all(engine.version == version for engine in rig.engines)
+
+
+async def test_all_engines_are_brought_to_a_named_version(rig):
+    await name_version(rig, 2)
+    await platform_rig.wait_for(lambda: has_version(rig, 2))
+    assert [len(engine.orders) for engine in rig.engines] == [1, 1, 1]
+    assert {o["holder"] for e in rig.engines for o in e.orders} <= {
+        "vm-0",
+        "vm-1",
+    }
+    await asyncio.sleep(0.3)
+    answer = await rig.ask("/chat/1", body=b"p")
+    assert answer.status == 200
+    ran = rig.list_ran()[-1]
+    assert ran.headers["x-sardinewharf-expect-version"] == "2"
+    assert ran.headers["x-sardinewharf-cache-salt"] == "m1/2"
+
+
+async def test_requests_are_led_away_from_engines_that_load(rig):
+    for engine in rig.engines:
+        engine.load_s = 0.6
+    await name_version(rig, 2)
+    await asyncio.sleep(0.2)
+    for gateway in (0, 1):
+        for _ in range(5):
+            answer = await rig.ask("/chat/1", body=b"p", gateway=gateway)
+            assert answer.status == 200
+    # Requests that an engine refuses while it loads count as arrivals.
+    assert sum(e.arrivals for e in rig.engines) == 10
+
+
+async def test_a_holder_that_stops_hands_the_office_over(rig):
+    former = next(g for g in rig.gateways if g._roller._tenure.find_deadline())
+    other = next(g for g in rig.gateways if g is not former)
+    await name_version(rig, 2)
+    await platform_rig.wait_for(lambda: has_version(rig, 2))
+    last = max(o["at"] for e in rig.engines for o in e.orders)
+    former.stop()
+    await name_version(rig, 3)
+
+    async def is_taken() -> bool:
+        return bool(other._roller._tenure.epoch)
+
+    await platform_rig.wait_for(is_taken, 1.5)
+    await platform_rig.wait_for(lambda: has_version(rig, 3))
+    orders = [o for e in rig.engines for o in e.orders if o["version"] == 3]
+    assert min(o["at"] for o in orders) - last >= 0.6
+    fences = [o["fence"] for e in rig.engines for o in e.orders]
+    assert min(o["fence"] for o in orders) > min(fences)
+
+
+async def test_a_holder_whose_lease_ended_gives_no_order(rig):
+    holder = next(g for g in rig.gateways if g._roller._tenure.find_deadline())
+    rig.store.faults.status = 503
+    deadline = holder._roller._tenure.find_deadline()
+    await asyncio.sleep(deadline.remaining() + 0.05)
+    assert holder._roller._tenure.find_deadline() is None
+
+
+async def test_a_restarted_gateway_does_not_take_old_weights_for_new(rig):
+    """A restart made requests begin on weights replaced long ago."""
+    for gateway in rig.gateways:
+        gateway._roller._is_stopping = True
+    await name_version(rig, 2)
+    await asyncio.sleep(0.3)
+    now = clocks.read_monotonic()
+    for gateway in rig.gateways:
+        gateway._replica.weights_named_at[platform_rig.MODEL] = now - 3.0
+    late = await rig.start_gateway("vm-late")
+    late._roller._is_stopping = True
+    await asyncio.sleep(0.5)
+    answer = await rig.ask("/chat/1", body=b"p", gateway=2)
+    assert answer.status == 503
+    assert rig.list_ran() == []
+
+
+async def test_an_order_without_an_answer_is_repeated_without_harm(rig):
+    engine = rig.engines[0]
+    take = engine._take_order
+    lost = []
+
+    def lose_first(connection, order):
+        if not lost:
+            lost.append(order)
+            connection.transport.abort()
+            return
+        take(connection, order)
+
+    engine._take_order = lose_first
+    await name_version(rig, 2)
+    await platform_rig.wait_for(lambda: has_version(rig, 2))
+    assert lost and len(engine.orders) == 1
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -327,7 +327,7 @@
 
     Examples:
         >>> encode_request(b"GET", b"/", [(b"host", b"h")], b"")
-        X
+        b'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
     """
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in headers]
--- /dev/null
+++ b/sardinewharf/standins/platform_servers.py
@@ -0,0 +1,338 @@
+"""Stand in for the application and model servers of the users' platform.
+
+They keep a record of every request that they ran, and can be told to break
+off, to answer twice, to answer garbage, to refuse, or to fall silent.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+
+import httptools
+import msgspec
+
+
+@dataclasses.dataclass
+class Faults:
+    """What a server does wrong.
+
+    Attributes:
+        refuse: Answers 503 and says that it did not run the request.
+        moved: Answers 421, as another server at the address would.
+        status: Answers this status; 0 for none.
+        reset: Runs the request and resets the connection.
+        hang: Runs the request and never answers.
+        cut_after: Breaks a stream off within the event after this one.
+        short_body: Ends an answer before its stated length.
+        extra: Sends a second answer after the first.
+        garbage: Sends bytes that are no answer.
+        wrong_id: Answers as to another request.
+        is_unsigned: Answers without a signature.
+        unframed: States no length and ends with the connection.
+    """
+
+    refuse: bool = False
+    moved: bool = False
+    status: int = 0
+    reset: bool = False
+    hang: bool = False
+    cut_after: int = 0
+    short_body: bool = False
+    extra: bool = False
+    garbage: bool = False
+    wrong_id: bool = False
+    is_unsigned: bool = False
+    unframed: bool = False
+
+
+@dataclasses.dataclass
+class Ran:
+    """A request that a server ran.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Its headers, names in lower case.
+        body: Its body.
+        ended: How it ended: "whole", "cut" or "left".
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ended: str = ""
+
+
+class PlatformServer:
+    """An application server.
+
+    Args:
+        server_id: Its id.
+
+    Attributes:
+        faults: What it does wrong.
+        ran: Requests that it ran.
+        body: The body that it answers.
+        delay_s: Time that a request takes, in seconds.
+    """
+
+    def __init__(self, server_id: str):
+        self.id = server_id
+        self.faults = Faults()
+        self.ran: list[Ran] = []
+        self.body = b"an answer"
+        self.delay_s = 0.0
+        self.address = ""
+        self.arrivals = 0
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+
+    async def start(self, port: int = 0) -> None:
+        """Listens on loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), "127.0.0.1", port
+        )
+        host, found = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{found}"
+
+    async def stop(self) -> None:
+        """Resets all connections and listens no more."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.transport.abort()
+
+    async def answer(self, connection: "_Connection", ran: Ran) -> None:
+        """Runs one request and answers it."""
+        self.arrivals += 1
+        faults = self.faults
+        expected = ran.headers.get("x-sardinewharf-expect-instance", self.id)
+        if faults.moved or expected != self.id:
+            connection.reply(421, [("x-sardinewharf-instance-id", "other")])
+            return
+        if faults.refuse:
+            connection.reply(503, [("x-sardinewharf-not-run", "1")])
+            return
+        self.ran.append(ran)
+        try:
+            await asyncio.sleep(self.delay_s)
+            await self.run(connection, ran)
+        except asyncio.CancelledError:
+            ran.ended = "left"
+            raise
+
+    async def run(self, connection: "_Connection", ran: Ran) -> None:
+        """Answers a request that runs."""
+        faults = self.faults
+        if faults.hang:
+            await asyncio.Event().wait()
+        if faults.reset:
+            connection.transport.abort()
+            return
+        if faults.garbage:
+            connection.transport.write(b"\x00\x01 this is no answer\r\n\r\n")
+            return
+        headers = self.sign(ran)
+        if faults.short_body:
+            connection.write_head(200, headers, len(self.body))
+            connection.transport.write(self.body[:-2])
+            connection.transport.close()
+            return
+        if faults.unframed:
+            connection.write_head(200, headers, None)
+            connection.transport.write(self.body)
+            connection.transport.close()
+        else:
+            connection.reply(faults.status or 200, headers, self.body)
+        ran.ended = "whole"
+        if faults.extra:
+            connection.reply(200, self.sign(ran), b"an extra answer")
+
+    def sign(self, ran: Ran) -> list[tuple[str, str]]:
+        """Returns the headers of an answer."""
+        request_id = ran.headers.get("x-sardinewharf-request-id", "")
+        if self.faults.wrong_id:
+            request_id = "another"
+        headers = [
+            ("x-sardinewharf-request-id", request_id),
+            ("x-sardinewharf-server-load", f"{len(self._connections)},0,6"),
+            ("keep-alive", "timeout=10"),
+        ]
+        if not self.faults.is_unsigned:
+            headers.append(("x-sardinewharf-server-stamp", f"{self.id}.stamp"))
+        return headers
+
+
+class PlatformEngine(PlatformServer):
+    """A model server.
+
+    Args:
+        server_id: Its id.
+        model: Name of its model.
+
+    Attributes:
+        version: Version of its weights.
+        orders: Orders accepted, as they came.
+        load_s: Time of a load, in seconds.
+        events: Number of events of each stream.
+        pause_s: Time between them, in seconds.
+    """
+
+    def __init__(self, server_id: str, model: str):
+        super().__init__(server_id)
+        self.model = model
+        self.version = 1
+        self.orders: list[dict[str, object]] = []
+        self.load_s = 0.05
+        self.events = 4
+        self.pause_s = 0.005
+        self._busy_until = 0.0
+        self._highest_fence = 0
+
+    async def answer(self, connection: "_Connection", ran: Ran) -> None:
+        """Runs one request, or takes an order."""
+        if ran.target == "/-/report":
+            connection.reply(200, [], msgspec.json.encode(self._report()))
+            return
+        if ran.target == "/-/order":
+            self._take_order(connection, msgspec.json.decode(ran.body))
+            return
+        wanted = ran.headers.get("x-sardinewharf-expect-version")
+        if wanted is not None and int(wanted) != self.version:
+            headers = [("x-sardinewharf-weight-versions", str(self.version))]
+            connection.reply(421, headers)
+            return
+        if self._is_busy():
+            connection.reply(503, [("x-sardinewharf-not-run", "1")])
+            return
+        await super().answer(connection, ran)
+
+    async def run(self, connection: "_Connection", ran: Ran) -> None:
+        """Answers a request with a stream of events."""
+        faults = self.faults
+        if faults.hang or faults.reset or faults.garbage or faults.status:
+            await super().run(connection, ran)
+            return
+        headers = self.sign(ran)
+        headers.append(("x-sardinewharf-weight-versions", str(self.version)))
+        headers.append(("content-type", "text/event-stream"))
+        connection.write_head(200, headers, None, is_chunked=True)
+        first = int(ran.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            event = b"id: %d\ndata: word %d\n\n" % (number, number)
+            if faults.cut_after and number > faults.cut_after:
+                connection.write_chunk(event[:7])
+                await asyncio.sleep(self.pause_s)
+                connection.transport.abort()
+                ran.ended = "cut"
+                return
+            connection.write_chunk(event)
+            await asyncio.sleep(self.pause_s)
+        connection.write_chunk(b"")
+        ran.ended = "whole"
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "models": [{"name": self.model, "version": self.version}],
+            "busy": self._is_busy(),
+            "sequence": len(self.orders),
+        }
+
+    def _is_busy(self) -> bool:
+        return time.monotonic() < self._busy_until
+
+    def _take_order(
+        self, connection: "_Connection", order: dict[str, object]
+    ) -> None:
+        if order["fence"] < self._highest_fence:
+            connection.reply(412, [])
+        elif self._is_busy() or order["expected"] != len(self.orders):
+            connection.reply(409, [])
+        elif order["version"] == self.version:
+            connection.reply(200, [])
+        else:
+            self._highest_fence = order["fence"]
+            self.orders.append(order | {"at": time.monotonic()})
+            self._busy_until = time.monotonic() + self.load_s
+            self.version = order["version"]
+            connection.reply(202, [])
+
+
+class _Connection(asyncio.Protocol):
+    """A connection to a server, which serves one request at a time."""
+
+    def __init__(self, server: PlatformServer):
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ran = Ran("", "", {}, b"")
+        self._numbers = itertools.count()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport of a new connection."""
+        self.transport = transport
+        self._server._connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the work for a caller that left."""
+        self._server._connections.discard(self)
+        for task in self._tasks:
+            task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Takes in received bytes."""
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        """Notes the begin of a message."""
+        self._ran = Ran("", "", {}, b"")
+
+    def on_url(self, url: bytes) -> None:
+        """Takes in a part of the target."""
+        self._ran.target += url.decode()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes in a header."""
+        self._ran.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes in a part of the body."""
+        self._ran.body += body
+
+    def on_message_complete(self) -> None:
+        """Begins to answer a request."""
+        self._ran.method = self._parser.get_method().decode()
+        task = asyncio.ensure_future(self._server.answer(self, self._ran))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def reply(
+        self, status: int, headers: list[tuple[str, str]], body: bytes = b""
+    ) -> None:
+        """Writes a whole answer."""
+        self.write_head(status, headers, len(body))
+        self.transport.write(body)
+
+    def write_head(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        length: int | None,
+        is_chunked: bool = False,
+    ) -> None:
+        """Writes a status and headers."""
+        lines = [f"HTTP/1.1 {status} X"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if is_chunked:
+            lines.append("transfer-encoding: chunked")
+        elif length is not None:
+            lines.append(f"content-length: {length}")
+        self.transport.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def write_chunk(self, chunk: bytes) -> None:
+        """Writes a part of a body; an empty one ends it."""
+        self.transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
--- /dev/null
+++ b/sardinewharf/standins/platform_store.py
@@ -0,0 +1,237 @@
+"""Stands in for the store of the users' platform.
+
+It speaks ranges, transactions, watches and leases, and can be told to be out,
+silent, slow, to lose answers, or to drop its history.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import itertools
+import time
+
+from aiohttp import web
+import msgspec
+
+_MAX_WAIT_S = 30.0
+_PAGE = 500
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the store does wrong.
+
+    Attributes:
+        status: Every call gets this status; 0 for none.
+        is_silent: Calls get no answer.
+        lose_answers: Writes that take effect and get no answer.
+    """
+
+    status: int = 0
+    is_silent: bool = False
+    lose_answers: int = 0
+
+
+class PlatformStore:
+    """Keeps keys in memory.
+
+    Attributes:
+        faults: What it does wrong.
+        items: The keys as they stand.
+        calls: Calls by path.
+    """
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.items: dict[str, dict[str, object]] = {}
+        self.calls: dict[str, int] = {}
+        self._history: list[dict[str, object]] = []
+        self._dropped = 0
+        self._revision = 1
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._lease_ids = itertools.count(100)
+        self._changed = asyncio.Condition()
+        self._waiting: set[asyncio.Task[object]] = set()
+
+    def make_app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(client_max_size=1 << 23)
+        app.router.add_get("/-/kv-key", self._guard(self._read))
+        app.router.add_get("/-/kv-range", self._guard(self._range))
+        app.router.add_get("/-/kv-watch", self._guard(self._watch))
+        app.router.add_post("/-/kv-txn", self._guard(self._commit))
+        app.router.add_post("/-/kv-lease", self._guard(self._grant))
+        app.router.add_post("/-/kv-keep/{id}", self._guard(self._keep))
+        return app
+
+    async def put(self, key: str, value: object) -> int:
+        """Writes a key as the operator or a server does; JSON-encodes it."""
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self._write(key, base64.b64encode(raw).decode(), 0)
+        await self._tell()
+        return self._revision
+
+    async def remove(self, key: str) -> None:
+        """Removes a key."""
+        self._remove(key)
+        await self._tell()
+
+    async def compact(self) -> None:
+        """Drops the history."""
+        self._dropped = self._revision
+        self._history.clear()
+        await self._tell()
+
+    def decode(self, key: str) -> bytes | None:
+        """Returns a key's value."""
+        item = self.items.get(key)
+        return base64.b64decode(item["value"]) if item else None
+
+    def _guard(self, handler):
+        async def handle(request: web.Request) -> web.StreamResponse:
+            path = request.path.split("/")[2]
+            self.calls[path] = self.calls.get(path, 0) + 1
+            if self.faults.is_silent:
+                await asyncio.sleep(_MAX_WAIT_S)
+            if self.faults.status:
+                return web.Response(status=self.faults.status)
+            self._end_leases()
+            return await handler(request)
+
+        return handle
+
+    async def _read(self, request: web.Request) -> web.Response:
+        item = self.items.get(request.query["key"])
+        if item is None:
+            return web.Response(status=404)
+        return _answer(item | {"store_revision": self._revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = request.query.get("after", "")
+        keys = sorted(
+            k for k in self.items if k.startswith(prefix) and k > after
+        )
+        page = [self.items[key] for key in keys[:_PAGE]]
+        return _answer(
+            {
+                "items": page,
+                "more_pages": len(keys) > _PAGE,
+                "store_revision": self._revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        wait_s = int(request.query["wait_ms"]) / 1000
+        end = time.monotonic() + wait_s
+        async with self._changed:
+            while True:
+                if after < self._dropped:
+                    return web.Response(status=410)
+                if self.faults.status:
+                    return web.Response(status=self.faults.status)
+                events = [
+                    event
+                    for event in self._history
+                    if event["rev"] > after and event["key"].startswith(prefix)
+                ]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    break
+                try:
+                    await asyncio.wait_for(self._changed.wait(), left)
+                except TimeoutError:
+                    continue
+        if self.faults.is_silent:
+            await asyncio.sleep(_MAX_WAIT_S)
+        return _answer({"events": events, "store_revision": self._revision})
+
+    async def _commit(self, request: web.Request) -> web.Response:
+        txn = msgspec.json.decode(await request.read())
+        for row in txn.get("expected", []):
+            found = self.items.get(row["key"], {"rev": 0})
+            if found["rev"] != row["rev"]:
+                return web.json_response({"items": []}, status=412)
+        for row in txn.get("put", []):
+            lease = row.get("lease", 0)
+            if lease and lease not in self._leases:
+                return web.Response(status=404)
+        for row in txn.get("put", []):
+            self._write(row["key"], row["value"], row.get("lease", 0))
+        for key in txn.get("remove", []):
+            self._remove(key)
+        await self._tell()
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            request.transport.abort()
+        return _answer({"rev": self._revision})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        ttl_ms = msgspec.json.decode(await request.read())["ttl_ms"]
+        lease = next(self._lease_ids)
+        self._leases[lease] = (time.monotonic() + ttl_ms / 1000, ttl_ms / 1000)
+        return _answer({"lease": lease, "ttl_ms": ttl_ms})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["id"])
+        if lease not in self._leases:
+            return web.Response(status=404)
+        _, ttl = self._leases[lease]
+        self._leases[lease] = (time.monotonic() + ttl, ttl)
+        return _answer({"ttl_ms": int(ttl * 1000)})
+
+    def end_lease_of(self, key: str) -> None:
+        """Ends the lease of a key at once, as when its holder died."""
+        lease = self.items[key]["lease"]
+        _, ttl = self._leases[lease]
+        self._leases[lease] = (0.0, ttl)
+        self._end_leases()
+
+    def _end_leases(self) -> None:
+        now = time.monotonic()
+        for lease, (end, _) in list(self._leases.items()):
+            if end > now:
+                continue
+            del self._leases[lease]
+            for key, item in list(self.items.items()):
+                if item["lease"] == lease:
+                    self._remove(key)
+                    self._tell_soon()
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        self._revision += 1
+        former = self.items.get(key)
+        self.items[key] = {
+            "key": key,
+            "value": value,
+            "rev": self._revision,
+            "create_revision": (former or {}).get(
+                "create_revision", self._revision
+            ),
+            "lease": lease,
+        }
+        self._history.append(self.items[key])
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self._revision += 1
+            self._history.append(
+                {"key": key, "rev": self._revision, "deleted": True}
+            )
+
+    async def _tell(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _tell_soon(self) -> None:
+        task = asyncio.ensure_future(self._tell())
+        self._waiting.add(task)
+        task.add_done_callback(self._waiting.discard)
+
+
+def _answer(body: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body), content_type="application/json"
+    )
--- /dev/null
+++ b/sardinewharf/testbed/platform_rig.py
@@ -0,0 +1,290 @@
+"""Runs a gateway and stand-ins of the users' platform in one process."""
+
+import asyncio
+import dataclasses
+import itertools
+import os
+import socket
+
+import aiohttp
+from aiohttp import web
+
+from sardinewharf import clocks
+from sardinewharf import platform
+from sardinewharf import records
+from sardinewharf.gateway import service
+from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.standins import platform_servers
+from sardinewharf.standins import platform_store
+
+MODEL = "m1"
+KEY = "key-1"
+ENGINES = "engines"
+ORDERS = "orders"
+HOST = "apps.example"
+
+
+def make_manifest(version: int = 1, **changes: object) -> dict[str, object]:
+    """Returns a manifest as an operator writes it."""
+    manifest = {
+        "version": version,
+        "routes": [
+            _make_route("chat", "/chat/", "streaming", ENGINES, sticky=True),
+            _make_route(
+                "ask",
+                "/ask/",
+                "streaming",
+                ENGINES,
+                sticky=True,
+                resumable=True,
+                max_attempts=3,
+            ),
+            _make_route("book", "/book/", "unsafe", ORDERS),
+            _make_route("look", "/look/", "safe", ORDERS, max_attempts=2),
+            _make_route("open", "/open/", "safe", ORDERS, public=True),
+        ],
+        "services": [
+            {
+                "name": ENGINES,
+                "max_conns": 100,
+                "engine": {
+                    "slots": 8,
+                    "kv_capacity_tokens": 100_000,
+                    "kv_token_bytes": 18_432,
+                    "link_mbps": 100_000.0,
+                    "models": [{"name": MODEL}],
+                },
+            },
+            {"name": ORDERS, "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 8_192,
+            "max_body_bytes": 65_536,
+            "header_timeout_ms": 300,
+            "idle_timeout_ms": 5_000,
+        },
+        "tenants": [
+            {"name": "org-1", "api_keys": [KEY], "priority": 1},
+            {"name": "org-2", "api_keys": ["key-2"], "isolated": True},
+        ],
+    }
+    return manifest | changes
+
+
+def _make_route(
+    name: str, prefix: str, kind: str, target: str, **changes: object
+) -> dict[str, object]:
+    route = {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "service": target,
+        "timeout_ms": 3_000,
+        "target_latency_ms": 300,
+        "max_attempts": 1,
+    }
+    return route | changes
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status; 0 if the connection ended first.
+        headers: Its headers.
+        body: What came of the body.
+        is_whole: Whether the body came to its end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class Rig:
+    """A gateway between stand-ins.
+
+    Args:
+        promises: Bounds of the deployment.
+    """
+
+    def __init__(self, promises: settings_lib.Promises | None = None):
+        self.promises = promises or settings_lib.Promises()
+        self.store = platform_store.PlatformStore()
+        self.engines = [
+            platform_servers.PlatformEngine(f"e{i}", MODEL) for i in range(3)
+        ]
+        self.servers = [
+            platform_servers.PlatformServer(f"s{i}") for i in range(3)
+        ]
+        self.gateways: list[service.GatewayService] = []
+        self.urls: list[str] = []
+        self.ready_urls: list[str] = []
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._ids = itertools.count(1)
+        self._null = os.open(os.devnull, os.O_WRONLY)
+        self.store_address = ""
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self, gateways: int = 1) -> None:
+        """Starts the stand-ins, the manifest and the gateways."""
+        self.session = aiohttp.ClientSession()
+        runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        port = find_port()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self.store_address = f"127.0.0.1:{port}"
+        await self.store.put("op/config", make_manifest())
+        for server in [*self.engines, *self.servers]:
+            await server.start()
+            await self.register(server)
+        for index in range(gateways):
+            await self.start_gateway(f"vm-{index}")
+
+    async def register(
+        self, server: platform_servers.PlatformServer, **changes: object
+    ) -> None:
+        """Writes a server's entry."""
+        is_engine = isinstance(server, platform_servers.PlatformEngine)
+        entry = {
+            "service": ENGINES if is_engine else ORDERS,
+            "address": server.address,
+            "zone": "fd-1",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+        }
+        if is_engine:
+            entry["models"] = [{"name": MODEL, "version": server.version}]
+        await self.store.put(f"servers/{server.id}", entry | changes)
+
+    async def start_gateway(self, name: str) -> service.GatewayService:
+        """Starts a gateway and waits until it is ready."""
+        settings = settings_lib.GatewaySettings(
+            name=name,
+            failure_domain="fd-1",
+            listen=f"127.0.0.1:{find_port()}",
+            ready_listen=f"127.0.0.1:{find_port()}",
+            metrics_listen="",
+            peer_listen=f"127.0.0.1:{find_port()}",
+            store=self.store_address,
+            promises=self.promises,
+        )
+        log = records.RecordSink(self._null, name, records.SinkSettings())
+        gateway = service.GatewayService(
+            settings,
+            service.Platform(
+                store=platform.StoreClient(self.store_address),
+                reader=platform.EntryReader(log),
+                dialect=platform.HeaderDialect(),
+                control=platform.ServerControl(),
+            ),
+            log,
+        )
+        self._tasks.append(asyncio.ensure_future(gateway.run()))
+        self.gateways.append(gateway)
+        self.urls.append(f"http://{settings.listen}")
+        self.ready_urls.append(f"http://{settings.ready_listen}/-/ready")
+        await self.wait_until_ready(len(self.gateways) - 1)
+        return gateway
+
+    async def is_ready(self, gateway: int = 0) -> bool:
+        """Returns whether a gateway says that it takes connections."""
+        try:
+            async with self.session.get(self.ready_urls[gateway]) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_until_ready(self, gateway: int = 0) -> None:
+        """Returns once a gateway takes connections."""
+        await wait_for(lambda: self.is_ready(gateway))
+
+    def make_id(self) -> str:
+        """Returns a fresh request id."""
+        return f"r{next(self._ids)}"
+
+    async def ask(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"",
+        gateway: int = 0,
+        **headers: str,
+    ) -> Answer:
+        """Sends a request; underscores of header names become dashes."""
+        sent = {
+            "host": HOST,
+            "x-sardinewharf-request-id": self.make_id(),
+            "x-sardinewharf-deadline-ms": "3000",
+            "authorization": f"Token {KEY}",
+        }
+        if path.startswith(("/chat", "/ask")):
+            sent["x-sardinewharf-model"] = MODEL
+            sent["x-sardinewharf-token-usage"] = "1500,20"
+            sent["x-sardinewharf-prompt-prefix"] = "aa:1000,bb:500"
+        sent |= {name.replace("_", "-"): v for name, v in headers.items()}
+        sent = {name: value for name, value in sent.items() if value}
+        chunks = []
+        try:
+            async with self.session.request(
+                method, self.urls[gateway] + path, data=body, headers=sent
+            ) as response:
+                is_whole = True
+                try:
+                    async for chunk in response.content.iter_any():
+                        chunks.append(chunk)
+                except aiohttp.ClientError:
+                    is_whole = False
+                return Answer(
+                    response.status,
+                    {k.lower(): v for k, v in response.headers.items()},
+                    b"".join(chunks),
+                    is_whole,
+                )
+        except aiohttp.ClientError:
+            return Answer(0, {}, b"", False)
+
+    def list_ran(self) -> list[platform_servers.Ran]:
+        """Returns all requests that servers ran."""
+        return [r for s in [*self.engines, *self.servers] for r in s.ran]
+
+    async def close(self) -> None:
+        """Ends everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for gateway in self.gateways:
+            await gateway.close()
+        for server in [*self.engines, *self.servers]:
+            await server.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.session.close()
+        os.close(self._null)
+
+
+def find_port() -> int:
+    """Returns a free port of loopback."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def wait_for(check, seconds: float = 8.0) -> None:
+    """Returns once an asynchronous check holds.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    end = clocks.Deadline.after(seconds)
+    for _ in iter(lambda: end.is_past(), True):
+        if await check():
+            return
+        await asyncio.sleep(0.02)
+    raise TimeoutError("the check did not hold in time")
