Quarantine requests that crash endpoints, and doubt idle connections

A lost connection counts as a death only if its endpoint cannot be reached right after, so that grey resets quarantine nobody; three deaths do, and gateways tell one another. The test of it found that an endpoint that came back under its id was left alone for what its former incarnation had done: health now goes by incarnation.

--- a/sardinewharf/fleet/health.py
+++ b/sardinewharf/fleet/health.py
@@ -2,18 +2,18 @@
 
 Examples:
     >>> health = HealthTable()
-    >>> endpoint_id = ids.EndpointId("e")
+    >>> incarnation = "e"
     >>> for _ in range(3):
-    ...     health.note_failure(endpoint_id, now=0.0)
-    >>> health.may_try(endpoint_id, now=0.1)
+    ...     health.note_failure(incarnation, now=0.0)
+    >>> health.may_try(incarnation, now=0.1)
     False
-    >>> health.may_try(endpoint_id, now=1.0)
+    >>> health.may_try(incarnation, now=1.0)
     True
-    >>> health.note_trial(endpoint_id, now=1.0)
-    >>> health.may_try(endpoint_id, now=1.1)
+    >>> health.note_trial(incarnation, now=1.0)
+    >>> health.may_try(incarnation, now=1.1)
     False
-    >>> health.note_success(endpoint_id)
-    >>> health.may_try(endpoint_id, now=1.1)
+    >>> health.note_success(incarnation)
+    >>> health.may_try(incarnation, now=1.1)
     True
 
 References:
@@ -22,7 +22,6 @@
 
 import dataclasses
 
-from sardinewharf import ids
 from sardinewharf import records
 
 # Failures in a row that take an endpoint out.
@@ -42,10 +41,11 @@
     opens: int = 0
     closed_until: float = 0.0
     failure_share: float = 0.0
+    heard_at: float = float("-inf")
 
 
 class HealthTable:
-    """How well endpoints answered of late.
+    """How well endpoints answered of late, by incarnation.
 
     Args:
         log: Where endpoints that are left alone are written; None for nowhere.
@@ -53,66 +53,73 @@
 
     def __init__(self, log: records.RecordSink | None = None) -> None:
         self._log = log
-        self._known: dict[ids.EndpointId, _Health] = {}
+        self._known: dict[str, _Health] = {}
 
-    def may_try(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+    def may_try(self, incarnation: str, now: float) -> bool:
         """Returns whether requests may go to an endpoint."""
-        health = self._known.get(endpoint_id)
+        health = self._known.get(incarnation)
         return health is None or now >= health.closed_until
 
-    def read_failure_share(self, endpoint_id: ids.EndpointId) -> float:
+    def read_failure_share(self, incarnation: str) -> float:
         """Returns the share of answers that failed of late, 0 to 1."""
-        health = self._known.get(endpoint_id)
+        health = self._known.get(incarnation)
         return health.failure_share if health else 0.0
 
-    def note_trial(self, endpoint_id: ids.EndpointId, now: float) -> None:
+    def note_heard(self, incarnation: str, now: float) -> None:
+        """Notes bytes of an endpoint."""
+        self._known.setdefault(incarnation, _Health()).heard_at = now
+
+    def read_silence(self, incarnation: str, now: float) -> float:
+        """Returns the seconds since an endpoint was heard."""
+        health = self._known.get(incarnation)
+        return now - health.heard_at if health else float("inf")
+
+    def note_trial(self, incarnation: str, now: float) -> None:
         """Notes a request; one that tries a failed endpoint goes alone."""
-        health = self._known.get(endpoint_id)
+        health = self._known.get(incarnation)
         if health is not None and health.opens:
             health.closed_until = now + _TRIAL_S
 
-    def note_success(self, endpoint_id: ids.EndpointId) -> None:
+    def note_success(self, incarnation: str) -> None:
         """Notes a whole answer."""
-        health = self._known.get(endpoint_id)
+        health = self._known.get(incarnation)
         if health is not None:
             if health.opens and self._log is not None:
-                self._log.write(records.events.EndpointReopened(endpoint_id))
+                self._log.write(records.events.EndpointReopened(incarnation))
             health.failures = 0
             health.opens = 0
             health.closed_until = 0.0
             health.failure_share *= 1 - _SMOOTHING
 
-    def note_failure(self, endpoint_id: ids.EndpointId, now: float) -> None:
+    def note_failure(self, incarnation: str, now: float) -> None:
         """Notes an answer that failed or did not come."""
-        health = self._known.setdefault(endpoint_id, _Health())
+        health = self._known.setdefault(incarnation, _Health())
         health.failures += 1
         health.failure_share += _SMOOTHING * (1 - health.failure_share)
         if health.opens or health.failures >= _FAILURES_TO_OPEN:
-            self._open(endpoint_id, health, now)
+            self._open(incarnation, health, now)
 
-    def note_unreached(self, endpoint_id: ids.EndpointId, now: float) -> None:
+    def note_unreached(self, incarnation: str, now: float) -> None:
         """Notes that no connection could be made."""
-        health = self._known.setdefault(endpoint_id, _Health())
-        self._open(endpoint_id, health, now)
+        health = self._known.setdefault(incarnation, _Health())
+        self._open(incarnation, health, now)
 
-    def pause(self, endpoint_id: ids.EndpointId, until: float) -> None:
+    def pause(self, incarnation: str, until: float) -> None:
         """Leaves an endpoint alone that is well but takes no requests."""
-        health = self._known.setdefault(endpoint_id, _Health())
+        health = self._known.setdefault(incarnation, _Health())
         health.closed_until = max(health.closed_until, until)
 
-    def forget(self, endpoint_id: ids.EndpointId) -> None:
+    def forget(self, incarnation: str) -> None:
         """Forgets an endpoint that is gone or began anew."""
-        self._known.pop(endpoint_id, None)
+        self._known.pop(incarnation, None)
 
-    def _open(
-        self, endpoint_id: ids.EndpointId, health: _Health, now: float
-    ) -> None:
+    def _open(self, incarnation: str, health: _Health, now: float) -> None:
         pause = min(_MAX_PAUSE_S, _PAUSE_S * 2**health.opens)
         health.opens += 1
         health.closed_until = now + pause
         if self._log is not None:
             self._log.write(
                 records.events.EndpointClosed(
-                    endpoint_id, health.failures, pause
+                    incarnation, health.failures, pause
                 )
             )
--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from sardinewharf import clocks
+from sardinewharf import limits
 from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
@@ -279,6 +280,7 @@
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
+    caller = f"{headers.key}\0{scope['raw_path'].decode('latin-1')}"
     return requests.Request(
         method=scope["method"].encode(),
         target=target,
@@ -286,6 +288,7 @@
         headers=headers,
         body=body,
         arrived=arrived,
+        fingerprint=limits.make_fingerprint(caller, body),
     )
 
 
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -53,6 +53,7 @@
         budgets: Budgets of repeats by service.
         replica: What the gateway believes.
         prompts: Where shared prompts are.
+        crashes: Requests that endpoints died of.
         log: Where choices are written.
         metrics: Counts what endpoints answer.
     """
@@ -67,6 +68,7 @@
     budgets: "BudgetTable"
     replica: replica_lib.Replica
     prompts: prompts_lib.PromptTable
+    crashes: limits.CrashTable
     log: records.RecordSink
     metrics: metrics_lib.GatewayMetrics
 
@@ -170,11 +172,16 @@
         call.last_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
         self._log_failure(call, endpoint.id, "lost")
-        self._parts.health.note_failure(endpoint.id, clocks.read_monotonic())
+        now = clocks.read_monotonic()
+        self._parts.health.note_failure(endpoint.incarnation, now)
+        if attempt.exchange.was_lost:
+            self._parts.crashes.note_loss(
+                call.request.fingerprint, endpoint.incarnation, now
+            )
 
     def note_success(self, attempt: requests.Attempt) -> None:
         """Notes that an answer came whole."""
-        self._parts.health.note_success(attempt.target.endpoint.id)
+        self._parts.health.note_success(attempt.target.endpoint.incarnation)
 
     def _check(self, call: requests.Call) -> None:
         """Raises RefusedError unless the request may be sent now."""
@@ -182,9 +189,12 @@
             raise self._give_up(call, refusals.Reason.NO_TIME)
         if not call.may_run_again:
             raise self._give_up(call, refusals.Reason.LOST)
+        request = call.request
+        now = clocks.read_monotonic()
+        if self._parts.crashes.is_quarantined(request.fingerprint, now):
+            raise self._give_up(call, refusals.Reason.QUARANTINED)
         if call.may_have_run:
             return
-        request = call.request
         self._parts.gatekeeper.admit(request.headers, request.path)
 
     async def _wait_for_reader(
@@ -210,16 +220,16 @@
         endpoint = target.endpoint
         limit = self._parts.selector.find_connection_limit(endpoint.service)
         pool = self._parts.connections.find(endpoint, limit)
-        self._parts.health.note_trial(endpoint.id, now)
+        self._parts.health.note_trial(endpoint.incarnation, now)
         deadline = clocks.Deadline(now + _CONNECT_S).earlier(call.deadline)
         try:
             return pool, await pool.acquire(deadline)
         except http1.FullError:
             raise
         except http1.ConnectError:
-            self._parts.health.note_unreached(
-                endpoint.id, clocks.read_monotonic()
-            )
+            now = clocks.read_monotonic()
+            self._parts.health.note_unreached(endpoint.incarnation, now)
+            self._parts.crashes.note_unreached(endpoint.incarnation, now)
             raise
 
     def _may_send(self, call: requests.Call) -> bool:
@@ -398,7 +408,9 @@
         call.excluded.add(endpoint.id)
         self._log_failure(call, endpoint.id, "not_run")
         pause = _MOVED_PAUSE_S if status == 421 else _REFUSED_PAUSE_S
-        self._parts.health.pause(endpoint.id, clocks.read_monotonic() + pause)
+        self._parts.health.pause(
+            endpoint.incarnation, clocks.read_monotonic() + pause
+        )
 
     def _learn(self, call: requests.Call, attempt: requests.Attempt) -> None:
         head = attempt.head
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -13,6 +13,7 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import ids
+from sardinewharf import limits
 from sardinewharf import logs
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -26,6 +27,7 @@
 _SILENT_S = 3.0
 _MAX_BYTES = 1_400
 _MAX_PEERS = 12
+_MAX_DEATHS = 6
 _log = logs.get_logger("peers")
 
 
@@ -165,6 +167,7 @@
         loads: Work at endpoints.
         rolls: Engines that are led away from.
         prompts: Where shared prompts are.
+        crashes: Requests that endpoints died of.
         hurry: Called when a peer has seen a newer revision of the store.
 
     Attributes:
@@ -178,6 +181,7 @@
         loads: fleet.LoadTable,
         rolls: RollTable,
         prompts: prompts_lib.PromptTable,
+        crashes: limits.CrashTable,
         hurry: Callable[[int], None],
     ):
         self._settings = settings
@@ -185,6 +189,7 @@
         self._loads = loads
         self._rolls = rolls
         self._prompts = prompts
+        self._crashes = crashes
         self._is_telling = False
         self._hurry = hurry
         self._transport: asyncio.DatagramTransport | None = None
@@ -317,6 +322,14 @@
                 )
                 for model, at in self._replica.weights_named_at.items()
             ],
+            deaths=[
+                DeathNews(
+                    death.fingerprint,
+                    death.incarnation,
+                    int((now - death.at) * 1000),
+                )
+                for death in self._crashes.list_deaths(now)[-_MAX_DEATHS:]
+            ],
             is_leaving=self.is_leaving,
             reads=[
                 ReadNews(key, incarnation, int((now - began) * 1000))
@@ -371,6 +384,11 @@
                 for use in digest.uses
             ],
         )
+        for news in digest.deaths:
+            death = limits.Death(
+                news.fingerprint, news.incarnation, now - news.age_ms / 1000
+            )
+            self._crashes.merge(death, now)
         self._heard[digest.sender] = (now, digest.started, digest.is_leaving)
         if digest.rolling or digest.sender == self._roller:
             self._roller = digest.sender
--- a/sardinewharf/gateway/refusals.py
+++ b/sardinewharf/gateway/refusals.py
@@ -34,7 +34,7 @@
     Reason.NO_ENDPOINT: 503,
     Reason.BUSY: 503,
     Reason.NOT_RUN: 503,
-    Reason.QUARANTINED: 502,
+    Reason.QUARANTINED: 503,
     Reason.NO_TIME: 503,
     Reason.LEAVING: 503,
     Reason.LOST: 502,
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -22,6 +22,7 @@
         headers: What its headers say.
         body: The whole body.
         arrived: When its headers were complete.
+        fingerprint: What repeats of it by the same caller have in common.
     """
 
     method: bytes
@@ -30,6 +31,7 @@
     headers: messages.CallerHeaders
     body: bytes
     arrived: float
+    fingerprint: bytes
 
 
 @dataclasses.dataclass(slots=True)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -77,7 +77,7 @@
             endpoint
             for endpoint in self._replica.registry.list_ready(call.service)
             if endpoint.id not in call.excluded
-            and self._health.may_try(endpoint.id, now)
+            and self._health.may_try(endpoint.incarnation, now)
         ]
         service = self._replica.configuration.services.get(call.service)
         prompt = call.request.headers.prompt
@@ -94,7 +94,7 @@
                 endpoint.failure_domain,
                 endpoint.slots,
                 self._loads.read(endpoint.id, now),
-                self._health.read_failure_share(endpoint.id),
+                self._health.read_failure_share(endpoint.incarnation),
             )
             for endpoint in endpoints
         ]
@@ -123,7 +123,7 @@
                 view.endpoint.id,
                 view.endpoint.failure_domain,
                 self._loads.read(view.endpoint.id, now),
-                self._health.read_failure_share(view.endpoint.id),
+                self._health.read_failure_share(view.endpoint.incarnation),
                 shared=view.shared,
                 has_old_weights=view.weights
                 < self._replica.wanted_weights.get(prompt.model, 0),
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -95,6 +95,7 @@
             self._replica, settings.promises
         )
         self._rolls = peers_lib.RollTable()
+        self._crashes = limits.CrashTable()
         self._prompts = prompts_lib.PromptTable(self._tell_peers)
         selector = selection.Selector(
             settings,
@@ -116,6 +117,7 @@
                 budgets=self._budgets,
                 replica=self._replica,
                 prompts=self._prompts,
+                crashes=self._crashes,
                 log=log,
                 metrics=self._metrics,
             )
@@ -138,6 +140,7 @@
             self._loads,
             self._rolls,
             self._prompts,
+            self._crashes,
             self._synchronizer.note_newer,
         )
         self._follower = caches.StoreFollower(
@@ -288,6 +291,7 @@
             self._replica.drop_doubtful()
             self._budgets.set_share(self._make_share())
             self._set_capacity()
+            self._crashes.forget_old(clocks.read_monotonic())
             if self._replica.registry.changes != changes_seen:
                 changes_seen = self._replica.registry.changes
                 self._connections.close_gone(self._replica.registry)
--- a/sardinewharf/gateway/tests/test_faulty_endpoints.py
+++ b/sardinewharf/gateway/tests/test_faulty_endpoints.py
@@ -127,3 +127,32 @@
     promises = rig.promises
     arrivals = sum(s.arrivals for s in rig.servers)
     assert arrivals - 60 <= promises.retry_extra + promises.retry_ratio * 60
+
+
+async def test_a_request_that_crashes_endpoints_stops_at_the_third(rig):
+    def die_of_poison(server):
+        run = server.run
+
+        async def run_or_die(connection, ran):
+            if ran.body == b"poison":
+                await server.stop()
+            else:
+                await run(connection, ran)
+
+        server.run = run_or_die
+
+    for server in rig.servers:
+        die_of_poison(server)
+    for _ in range(3):
+        await rig.ask("/book/1", body=b"poison")
+        for _ in range(3):
+            await rig.ask("/book/1", body=b"harmless")
+    assert sum(r.body == b"poison" for r in rig.list_ran()) == 3
+    for server in rig.servers:
+        await server.start()
+        await rig.register(server, born=2)
+    await asyncio.sleep(0.1)
+    again = await rig.ask("/book/1", body=b"poison")
+    other = await rig.ask("/book/1", body=b"harmless")
+    assert (again.status, other.status) == (503, 200)
+    assert sum(r.body == b"poison" for r in rig.list_ran()) == 3
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -62,7 +62,13 @@
 
 
 class Exchange:
-    """One request on a connection, and its answer as it arrives."""
+    """One request on a connection, and its answer as it arrives.
+
+    Attributes:
+        method: HTTP method.
+        is_complete: Whether the whole answer has arrived.
+        was_lost: Whether the connection ended before.
+    """
 
     def __init__(self, connection: "Connection", method: bytes):
         self._connection = connection
@@ -73,6 +79,7 @@
         self._error: str | None = None
         self.method = method
         self.is_complete = False
+        self.was_lost = False
 
     async def read_head(self) -> Head:
         """Waits for the answer's status and headers.
@@ -134,12 +141,18 @@
     def fail(self, reason: str) -> None:
         """Marks the answer as lost."""
         if not self.is_complete and self._error is None:
+            self.was_lost = True
             self._error = reason
             self._event.set()
 
 
 class Connection(asyncio.Protocol):
-    """A connection to one endpoint, which serves one exchange at a time."""
+    """A connection to one endpoint, which serves one exchange at a time.
+
+    Attributes:
+        idle_until: When the endpoint may close it.
+        reuse_until: Until when another request may be sent on it.
+    """
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -151,6 +164,7 @@
         self._has_head = False
         self._is_spent = False
         self.idle_until = clocks.Deadline(0.0)
+        self.reuse_until = clocks.Deadline(0.0)
 
     @property
     def is_open(self) -> bool:
--- a/sardinewharf/http1/pools.py
+++ b/sardinewharf/http1/pools.py
@@ -3,6 +3,10 @@
 from sardinewharf import clocks
 from sardinewharf.http1 import client
 
+# A connection that was idle for longer may have fallen silent unnoticed; a
+# new one shows whether its endpoint lives, in seconds.
+_FRESH_S = 0.6
+
 
 class FullError(client.ConnectError):
     """An endpoint has as many connections of this process as it may."""
@@ -33,7 +37,7 @@
         """
         while self._idle and not must_be_new:
             connection = self._idle.pop()
-            if connection.is_open and not connection.idle_until.is_past():
+            if connection.is_open and not connection.reuse_until.is_past():
                 self._busy += 1
                 return connection
             connection.close()
@@ -52,6 +56,8 @@
         """Takes a connection back after its exchange."""
         self._busy -= 1
         if connection.is_open and connection.is_flushed:
+            fresh = clocks.Deadline.after(_FRESH_S)
+            connection.reuse_until = fresh.earlier(connection.idle_until)
             self._idle.append(connection)
         else:
             connection.close()
--- a/sardinewharf/limits/__init__.py
+++ b/sardinewharf/limits/__init__.py
@@ -3,6 +3,7 @@
 from sardinewharf.limits.admission import Admission
 from sardinewharf.limits.admission import AdmissionSettings
 from sardinewharf.limits.buckets import TokenBucket
+from sardinewharf.limits.crashes import CrashTable
 from sardinewharf.limits.fairness import FairGate
 from sardinewharf.limits.fairness import Ticket
 from sardinewharf.limits.retries import RetryBudget
@@ -17,6 +18,7 @@
     "Admission",
     "AdmissionSettings",
     "BudgetShare",
+    "CrashTable",
     "Death",
     "FairGate",
     "RetryBudget",
