Keep engines for short prompts, rank prompts by length, roll slowly under load

Logged choices showed 50 to 80 requests at engines of 24 slots: while an engine reads long prompts each token of its other answers takes ten times as long, so short answers held the slots. Short prompts now have a third of the engines to themselves, go first within a caller's rank, engines load one at a time while prompts queue, dead ones do not count in a roll, and a resumable stream leaves an engine that sends nothing to anybody.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -12,8 +12,10 @@
 from sardinewharf.balancing.engines import PromptSize
 from sardinewharf.balancing.engines import SharedPrompt
 from sardinewharf.balancing.engines import choose_engine
+from sardinewharf.balancing.engines import rank_urgency
 from sardinewharf.balancing.holdings import Holdings
 from sardinewharf.balancing.homes import rank_homes
+from sardinewharf.balancing.rolls import RollPace
 from sardinewharf.balancing.rolls import RollState
 from sardinewharf.balancing.rolls import choose_rolls
 
@@ -24,6 +26,7 @@
     "PromptSize",
     "READ_TOKENS_PER_MS",
     "ReadTable",
+    "RollPace",
     "RollState",
     "ServerState",
     "SharedPrompt",
@@ -31,4 +34,5 @@
     "choose_rolls",
     "choose_server",
     "rank_homes",
+    "rank_urgency",
 ]
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from sardinewharf import catalog
 from sardinewharf import fleet
 from sardinewharf.balancing import homes
 
@@ -31,6 +32,21 @@
 _MEMORY_SHARE = 0.9
 # Cost of an engine whose weights are to be replaced, in ms.
 _OLD_WEIGHTS_MS = 150.0
+# Share of the engines that short prompts have to themselves while long ones
+# find others.
+_SHORT_SHARE = 1 / 3
+# Prompts from this many tokens to be read on are long.
+_LONG_TOKENS = 1_500
+# Prompts from this many tokens to be read on are very long.
+_VERY_LONG = 6_000
+_LAST_PRIORITY = 9
+_PRIORITIES_PER_RANK = 3
+# Cost of a long prompt at an engine that is left to short ones, in ms.
+_LEFT_TO_SHORT_MS = 600.0
+# Cost of a short prompt at an engine that is left to long ones, in ms.
+_LEFT_TO_LONG_MS = 20.0
+# Cost of each request that would wait for a slot, in ms.
+_MS_PER_WAITING = 15.0
 # Cost of an engine in another failure domain, in ms.
 _FAR_MS = 2.0
 
@@ -100,10 +116,25 @@
     shared: SharedPrompt
 
 
+def rank_urgency(rank: int, read_tokens: int) -> int:
+    """Returns an engine's priority for a prompt, 0 first and 9 last.
+
+    Within a caller's rank, short prompts go first: they hardly delay long ones.
+
+    Examples:
+        >>> rank_urgency(0, read_tokens=300), rank_urgency(0, 17_000)
+        (0, 2)
+        >>> rank_urgency(7, read_tokens=300)
+        9
+    """
+    step = sum(read_tokens >= limit for limit in (_LONG_TOKENS, _VERY_LONG))
+    return min(_LAST_PRIORITY, max(0, rank) * _PRIORITIES_PER_RANK + step)
+
+
 def choose_engine(
     engines: Sequence[EngineState],
     size: PromptSize,
-    capacity_tokens: int,
+    sheet: catalog.EngineSheet,
     failure_domain: str,
 ) -> Choice | None:
     """Returns the engine with the least cost.
@@ -111,44 +142,74 @@
     Args:
         engines: Those that may run the request.
         size: What it asks for.
-        capacity_tokens: Memory of each engine.
+        sheet: What each engine offers.
         failure_domain: Where this gateway stands.
 
     Examples:
         >>> size = PromptSize("rules", 10_000, 12_000, 20)
         >>> idle = fleet.EndpointLoad()
         >>> engines = [EngineState(f"e{i}", "fd", idle) for i in range(4)]
-        >>> home = choose_engine(engines, size, 100_000, "fd").id
-        >>> home == homes.rank_homes("rules", [e.id for e in engines])[0]
-        True
-        >>> holder = EngineState("e9", "fd", idle, shared=SharedPrompt.HELD)
-        >>> choose_engine([*engines, holder], size, 100_000, "fd").id
-        'e9'
-        >>> busy = fleet.EndpointLoad(running=9, prompt_tokens=90_000)
-        >>> holder = dataclasses.replace(holder, load=busy)
-        >>> choose_engine([*engines, holder], size, 100_000, "fd").id == home
-        True
+        >>> sheet = catalog.EngineSheet(24, 100_000, 18_432, 1e5, ("m",), 12)
+        >>> first = choose_engine(engines, size, sheet, "fd").id
+        >>> held = SharedPrompt.HELD
+        >>> others = [
+        ...     dataclasses.replace(e, shared=held)
+        ...     for e in engines
+        ...     if e.id != first
+        ... ]
+        >>> cold = [e for e in engines if e.id == first]
+        >>> choose_engine([*others, *cold], size, sheet, "fd").id == first
+        False
     """
     home = ""
     if size.shared_key and engines:
         home = homes.rank_homes(size.shared_key, [e.id for e in engines])[0]
+    misplaced = _rate_misplacement(engines, size)
     choices = [
-        _rate(engine, home, size, capacity_tokens, failure_domain)
+        _rate(engine, home, size, sheet, failure_domain, misplaced[engine.id])
         for engine in engines
     ]
     return min(choices, key=lambda choice: choice.cost_ms, default=None)
 
 
+def _rate_misplacement(
+    engines: Sequence[EngineState], size: PromptSize
+) -> dict[str, float]:
+    """Returns what it costs to put a prompt where the other kind belongs.
+
+    While an engine reads a long prompt, each token of its other answers takes
+    many times as long, and so do they hold their slots. A few engines are
+    therefore kept from long prompts, and short ones go there first.
+
+    References:
+        Harchol-Balter, Crovella and Murta, "On Choosing a Task Assignment
+        Policy for a Distributed Server System", JPDC 59 (2), 1999.
+    """
+    ranked = homes.rank_homes("short prompts", [e.id for e in engines])
+    left_to_short = frozenset(ranked[: int(len(ranked) * _SHORT_SHARE)])
+    if size.tokens >= _LONG_TOKENS:
+        return {
+            name: _LEFT_TO_SHORT_MS if name in left_to_short else 0.0
+            for name in ranked
+        }
+    return {
+        name: 0.0 if name in left_to_short else _LEFT_TO_LONG_MS
+        for name in ranked
+    }
+
+
 def _rate(
     engine: EngineState,
     home: str,
     size: PromptSize,
-    capacity_tokens: int,
+    sheet: catalog.EngineSheet,
     failure_domain: str,
+    misplacement_ms: float,
 ) -> Choice:
     load = engine.load
     wait = load.prompt_tokens / READ_TOKENS_PER_MS
-    cost = wait + load.running * _MS_PER_RUNNING
+    cost = wait + load.running * _MS_PER_RUNNING + misplacement_ms
+    cost += max(0, load.running + 1 - sheet.slots) * _MS_PER_WAITING
     if engine.shared is SharedPrompt.READ:
         reading = size.shared_tokens / READ_TOKENS_PER_MS
         cost += _REREAD_WEIGHT * reading
@@ -157,7 +218,7 @@
     if home and engine.id != home:
         cost += _NOT_HOME_MS
     needed = load.held_tokens + size.tokens + size.answer_tokens
-    over = max(0.0, needed - _MEMORY_SHARE * capacity_tokens)
+    over = max(0.0, needed - _MEMORY_SHARE * sheet.capacity_tokens)
     cost += over / 1000 * _MS_PER_1000_OVER
     if engine.has_old_weights:
         cost += _OLD_WEIGHTS_MS
--- a/sardinewharf/balancing/rolls.py
+++ b/sardinewharf/balancing/rolls.py
@@ -9,6 +9,12 @@
 
 # Share of the engines that load at a time.
 _AT_ONCE_SHARE = 1 / 3
+# Prompts in line at the mean engine above which engines load one at a time,
+# in ms of reading.
+_BUSY_WAIT_MS = 120.0
+# A version that was named this long ago is rolled out at full speed, as a
+# share of the time in which all engines must have it.
+_HURRY_SHARE = 0.45
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,18 +36,51 @@
     is_usable: bool = True
 
 
-def choose_rolls(engines: Sequence[RollState], wanted: int) -> list[str]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class RollPace:
+    """How urgent a roll is.
+
+    Attributes:
+        mean_wait_ms: Time until the mean engine has read its prompts in line.
+        time_used: Share of the time passed in which all engines must have the
+            version; 1 if it is not known when it was named.
+    """
+
+    mean_wait_ms: float = 0.0
+    time_used: float = 0.0
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether engines are to load one at a time.
+
+        After its load an engine holds no prompt: under load, those prompts are
+        better read again a few at a time.
+        """
+        is_busy = self.mean_wait_ms > _BUSY_WAIT_MS
+        return is_busy and self.time_used < _HURRY_SHARE
+
+
+def choose_rolls(
+    engines: Sequence[RollState], wanted: int, pace: RollPace
+) -> list[str]:
     """Returns the engines to order next, the idlest first.
 
     Examples:
         >>> engines = [RollState(f"e{i}", 1, False, i) for i in range(6)]
-        >>> choose_rolls(engines, 2)
+        >>> choose_rolls(engines, 2, RollPace())
+        ['e0', 'e1']
+        >>> choose_rolls(engines, 2, RollPace(mean_wait_ms=500.0))
+        ['e0']
+        >>> choose_rolls(engines, 2, RollPace(500.0, time_used=0.6))
         ['e0', 'e1']
-        >>> choose_rolls(engines, 1)
+        >>> choose_rolls(engines, 1, RollPace())
         []
     """
-    at_once = max(1, round(len(engines) * _AT_ONCE_SHARE))
-    free = at_once - sum(engine.is_rolling for engine in engines)
+    usable = [engine for engine in engines if engine.is_usable]
+    at_once = max(1, round(len(usable) * _AT_ONCE_SHARE))
+    if pace.is_slow:
+        at_once = 1
+    free = at_once - sum(engine.is_rolling for engine in usable)
     old = [
         e
         for e in engines
--- a/sardinewharf/fleet/health.py
+++ b/sardinewharf/fleet/health.py
@@ -41,7 +41,7 @@
     opens: int = 0
     closed_until: float = 0.0
     failure_share: float = 0.0
-    heard_at: float = float("-inf")
+    heard_at: float = 0.0
 
 
 class HealthTable:
@@ -69,10 +69,10 @@
         """Notes bytes of an endpoint."""
         self._known.setdefault(incarnation, _Health()).heard_at = now
 
-    def read_silence(self, incarnation: str, now: float) -> float:
-        """Returns the seconds since an endpoint was heard."""
+    def read_heard_at(self, incarnation: str) -> float:
+        """Returns when an endpoint was last heard; 0 if never."""
         health = self._known.get(incarnation)
-        return now - health.heard_at if health else float("inf")
+        return health.heard_at if health else 0.0
 
     def note_trial(self, incarnation: str, now: float) -> None:
         """Notes a request; one that tries a failed endpoint goes alone."""
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -1,7 +1,10 @@
 """Sends requests to endpoints and decides what may be tried again."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
+from typing import TypeVar
 
 from sardinewharf import catalog
 from sardinewharf import clocks
@@ -27,6 +30,10 @@
 # its time.
 _FIRST_ATTEMPT_SHARE = 0.45
 _RETRY_S = 0.3
+# An endpoint that sends nothing to anybody for this long beyond the time of
+# reading its prompts in line may be silent, in seconds.
+_SILENCE_S = 0.6
+_Read = TypeVar("_Read")
 # Longest wait for another request that reads the same prompt, in seconds and
 # as a share of the time left.
 _READ_WAIT_S = 0.8
@@ -123,6 +130,16 @@
             budget.share = share
 
 
+def _may_go_on_elsewhere(call: requests.Call) -> bool:
+    """Returns whether a stream that is being answered may be resumed."""
+    route = call.admitted.route
+    return (
+        route.kind is catalog.RouteKind.STREAM
+        and route.is_idempotent
+        and call.runs < route.max_attempts
+    )
+
+
 class Dispatcher:
     """Opens answers to requests.
 
@@ -179,6 +196,44 @@
                 call.request.fingerprint, endpoint.incarnation, now
             )
 
+    async def read_heard(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        read: Callable[[], Awaitable[_Read]],
+    ) -> _Read:
+        """Reads from an endpoint; a silent one may be given up.
+
+        Only a stream that may go on elsewhere is given up, and only while the
+        endpoint sends nothing to anybody here: a slow one may still answer.
+
+        Raises:
+            LostError: If the connection ends or the endpoint is silent.
+        """
+        health = self._parts.health
+        incarnation = attempt.target.endpoint.incarnation
+        if not _may_go_on_elsewhere(call):
+            result = await read()
+            health.note_heard(incarnation, clocks.read_monotonic())
+            return result
+        patience = _SILENCE_S + attempt.target.wait_s
+        while True:
+            began = clocks.read_monotonic()
+            try:
+                async with asyncio.timeout(patience):
+                    result = await read()
+            except TimeoutError as error:
+                now = clocks.read_monotonic()
+                heard_at = max(began, health.read_heard_at(incarnation))
+                if now - heard_at < patience:
+                    continue
+                health.note_unreached(incarnation, now)
+                raise http1.LostError(
+                    f"silent for {now - heard_at:.1f} s"
+                ) from error
+            health.note_heard(incarnation, clocks.read_monotonic())
+            return result
+
     def note_success(self, attempt: requests.Attempt) -> None:
         """Notes that an answer came whole."""
         self._parts.health.note_success(attempt.target.endpoint.incarnation)
@@ -338,7 +393,9 @@
         is_kept = False
         try:
             async with asyncio.timeout_at(self._find_limit(call)):
-                head = await attempt.exchange.read_head()
+                head = await self.read_heard(
+                    call, attempt, attempt.exchange.read_head
+                )
             attempt.head = self._parts.dialect.read_answer(head)
             is_kept = self._judge(call, attempt)
         except http1.LostError as error:
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -171,7 +171,9 @@
         try:
             while True:
                 async with asyncio.timeout_at(call.deadline.at):
-                    chunk = await attempt.exchange.read()
+                    chunk = await self._dispatcher.read_heard(
+                        call, attempt, attempt.exchange.read
+                    )
                 if not chunk:
                     break
                 attempt.note_first_event()
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -100,6 +100,8 @@
         read_tokens: Prompt tokens that it is expected to read.
         held_tokens: Tokens of memory that the request takes.
         cost_ms: What it was chosen by.
+        wait_s: Time until the endpoint has read its prompts in line and this
+            one, in seconds.
         candidates: Endpoints that it was chosen from.
         load: Work that was known there.
     """
@@ -116,6 +118,7 @@
     read_tokens: int = 0
     held_tokens: int = 0
     cost_ms: float = 0.0
+    wait_s: float = 0.0
     candidates: int = 0
     load: fleet.EndpointLoad = fleet.EndpointLoad()
 
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 import random
 
 from sardinewharf import balancing
@@ -17,6 +18,7 @@
 from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
 
 _TICK_S = 0.05
 _HOLD_TICK_S = 0.25
@@ -42,11 +44,12 @@
     """Orders engines to load weights while it holds the office.
 
     Args:
-        name: Name of this gateway.
+        settings: Settings of this gateway.
         tenure: The office.
         control: Calls engines.
         replica: What the gateway believes.
         loads: Work at endpoints.
+        health: How endpoints answer.
         rolls: Engines that are led away from.
         peers: Tells other gateways.
         log: Where orders are written.
@@ -54,20 +57,23 @@
 
     def __init__(
         self,
-        name: str,
+        settings: settings_lib.GatewaySettings,
         tenure: leases.Tenure,
         control: control_lib.EngineControl,
         replica: replica_lib.Replica,
         loads: fleet.LoadTable,
+        health: fleet.HealthTable,
         rolls: peers_lib.RollTable,
         peers: peers_lib.Peers,
         log: records.RecordSink,
     ):
-        self._name = name
+        self._name = settings.name
+        self._weights_s = settings.promises.weights_ms / 1000
         self._tenure = tenure
         self._control = control
         self._replica = replica
         self._loads = loads
+        self._health = health
         self._rolls = rolls
         self._peers = peers
         self._log = log
@@ -127,20 +133,39 @@
     def _start_model_rolls(self, service: str, model: str, wanted: int) -> None:
         now = clocks.read_monotonic()
         registry = self._replica.registry
+        engines = registry.list_ready(service)
         states = [
             balancing.RollState(
                 endpoint.id,
                 registry.find_weights(endpoint.id, model),
                 endpoint.id in self._busy,
                 self._loads.read(endpoint.id, now).running,
+                self._health.may_try(endpoint.incarnation, now),
             )
-            for endpoint in registry.list_ready(service)
+            for endpoint in engines
         ]
-        for engine in balancing.choose_rolls(states, wanted):
+        if all(state.version >= wanted for state in states):
+            return
+        pace = self._measure_pace(engines, model, now)
+        for engine in balancing.choose_rolls(states, wanted, pace):
             endpoint = registry.find(ids.EndpointId(engine))
             self._busy.add(endpoint.id)
             self._tasks.start(self._roll(endpoint, model), "roll")
 
+    def _measure_pace(
+        self, engines: Sequence[fleet.Endpoint], model: str, now: float
+    ) -> balancing.RollPace:
+        tokens = sum(
+            self._loads.read(endpoint.id, now).prompt_tokens
+            for endpoint in engines
+        )
+        wait = tokens / len(engines) / balancing.READ_TOKENS_PER_MS
+        named_at = self._replica.weights_named_at.get(model)
+        if named_at is None:
+            return balancing.RollPace(wait, time_used=1.0)
+        used = (now - named_at) / self._weights_s
+        return balancing.RollPace(wait, used)
+
     async def _roll(self, endpoint: fleet.Endpoint, model: str) -> None:
         """Brings one engine to the wanted version."""
         until = clocks.Deadline.after(_LOAD_LIMIT_S)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -20,7 +20,6 @@
 _DEFAULT_CONNECTIONS = 64
 # Requests begin on replaced weights until this long before they must not.
 _WEIGHTS_MARGIN_S = 1.5
-_MAX_PRIORITY = 9
 
 
 class Selector:
@@ -138,7 +137,7 @@
             fetch_ms=self._estimate_fetch(sheet, prompt),
         )
         choice = balancing.choose_engine(
-            states, size, sheet.capacity_tokens, self._settings.failure_domain
+            states, size, sheet, self._settings.failure_domain
         )
         if choice is None:
             return None
@@ -175,20 +174,26 @@
         is_stored = store.holds(chosen.scope, prompt)
         saves = bool(chosen.key) and store.is_alive and not is_stored
         now = clocks.read_monotonic()
+        read_tokens = prompt.tokens
+        if not is_reading:
+            read_tokens -= prompt.shared_tokens
+        own_ms = read_tokens / balancing.READ_TOKENS_PER_MS
         return requests.Target(
             chosen.endpoint,
             weights=chosen.weights,
             cache_scope=chosen.scope,
-            priority=min(_MAX_PRIORITY, max(0, call.admitted.priority)),
+            priority=balancing.rank_urgency(
+                call.admitted.priority, read_tokens
+            ),
             fetch_from=self._find_source(prompt, chosen, usable),
             save_to=store.address if saves else "",
             prompt_key=chosen.key,
             shared_tokens=prompt.shared_tokens,
             is_reading=is_reading and bool(chosen.key),
-            read_tokens=prompt.tokens
-            - (0 if is_reading else prompt.shared_tokens),
+            read_tokens=read_tokens,
             held_tokens=prompt.tokens + prompt.answer_tokens,
             cost_ms=choice.cost_ms,
+            wait_s=(choice.wait_ms + own_ms) / 1000,
             candidates=len(usable),
             load=self._loads.read(chosen.endpoint.id, now),
         )
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -211,11 +211,12 @@
             ),
         )
         return rollout.Roller(
-            self._settings.name,
+            self._settings,
             tenure,
             self._platform.control,
             self._replica,
             self._loads,
+            self._health,
             self._rolls,
             self._peers,
             self._log,
