Send a prompt to the engine that reads its shared part just now

The reader's engine now counts as holding the prompt. Short prompts go to the home of their shared part within their group.

--- a/sardinewharf/balancing/cold_prompts.py
+++ b/sardinewharf/balancing/cold_prompts.py
@@ -17,7 +17,7 @@
 import dataclasses
 
 # A read that has not ended by then is taken for lost, in seconds.
-_READ_LIMIT_S = 1.5
+_READ_LIMIT_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -7,6 +7,7 @@
     ``homes``, which makes all gateways agree on where a prompt is read.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import enum
@@ -24,8 +25,10 @@
 _REREAD_WEIGHT = 2.0
 # Cost of a fetch beside its time, in ms: it takes the links from others.
 _FETCH_MS = 20.0
-# An engine that is not the first home of a cold prompt costs this, in ms.
+# An engine that is not the home of a shared prompt costs this, in ms. For a
+# short one it stands for reading the prompt there too.
 _NOT_HOME_MS = 8.0
+_NOT_HOME_SHORT_MS = 40.0
 # Cost of memory that running requests exceed, in ms for each 1,000 tokens.
 _MS_PER_1000_OVER = 60.0
 # Share of an engine's memory that requests may fill before others wait.
@@ -161,10 +164,8 @@
         >>> choose_engine([*others, *cold], size, sheet, "fd").id == first
         False
     """
-    home = ""
-    if size.shared_key and engines:
-        home = homes.rank_homes(size.shared_key, [e.id for e in engines])[0]
     misplaced = _rate_misplacement(engines, size)
+    home = _find_home(size, misplaced)
     choices = [
         _rate(engine, home, size, sheet, failure_domain, misplaced[engine.id])
         for engine in engines
@@ -172,6 +173,15 @@
     return min(choices, key=lambda choice: choice.cost_ms, default=None)
 
 
+def _find_home(size: PromptSize, misplaced: Mapping[str, float]) -> str:
+    """Returns the engine where a shared prompt is at home; empty for none."""
+    if not size.shared_key or not misplaced:
+        return ""
+    least = min(misplaced.values())
+    group = [name for name, cost in misplaced.items() if cost == least]
+    return homes.rank_homes(size.shared_key, group)[0]
+
+
 def _rate_misplacement(
     engines: Sequence[EngineState], size: PromptSize
 ) -> dict[str, float]:
@@ -216,7 +226,8 @@
     elif engine.shared is SharedPrompt.FETCHED:
         cost += size.fetch_ms + _FETCH_MS
     if home and engine.id != home:
-        cost += _NOT_HOME_MS
+        is_short = size.tokens < _LONG_TOKENS
+        cost += _NOT_HOME_SHORT_MS if is_short else _NOT_HOME_MS
     needed = load.held_tokens + size.tokens + size.answer_tokens
     over = max(0.0, needed - _MEMORY_SHARE * sheet.capacity_tokens)
     cost += over / 1000 * _MS_PER_1000_OVER
--- a/sardinewharf/gateway/prompts.py
+++ b/sardinewharf/gateway/prompts.py
@@ -151,6 +151,10 @@
         """
         if not key or self._holdings.holds(incarnation, key):
             return balancing.SharedPrompt.HELD
+        reader = self._reads.find_reader(key, clocks.read_monotonic())
+        if reader == incarnation:
+            # What is read there now is held once this request's turn comes.
+            return balancing.SharedPrompt.HELD
         if self.store.is_alive and self.store.holds(scope, prompt):
             return balancing.SharedPrompt.FETCHED
         if self._holdings.find_newest(key, others) is not None:
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sardinewharf import balancing
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import http1
@@ -96,7 +97,7 @@
         prompt_key: Names the shared prompt under the cache scope; 0 if it has
             none worth sharing.
         shared_tokens: Tokens of the shared prompt.
-        is_reading: Whether the endpoint has to read the shared prompt.
+        shared: Where it is expected to take the shared prompt from.
         read_tokens: Prompt tokens that it is expected to read.
         held_tokens: Tokens of memory that the request takes.
         cost_ms: What it was chosen by.
@@ -114,7 +115,7 @@
     save_to: str = ""
     prompt_key: int = 0
     shared_tokens: int = 0
-    is_reading: bool = False
+    shared: balancing.SharedPrompt = balancing.SharedPrompt.HELD
     read_tokens: int = 0
     held_tokens: int = 0
     cost_ms: float = 0.0
@@ -122,6 +123,12 @@
     candidates: int = 0
     load: fleet.EndpointLoad = fleet.EndpointLoad()
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether the endpoint has to read a long shared prompt."""
+        is_read = self.shared is balancing.SharedPrompt.READ
+        return is_read and bool(self.prompt_key)
+
 
 class Attempt:
     """A request that was sent to an endpoint, until it is closed.
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -189,7 +189,7 @@
             save_to=store.address if saves else "",
             prompt_key=chosen.key,
             shared_tokens=prompt.shared_tokens,
-            is_reading=is_reading and bool(chosen.key),
+            shared=choice.shared,
             read_tokens=read_tokens,
             held_tokens=prompt.tokens + prompt.answer_tokens,
             cost_ms=choice.cost_ms,
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -177,6 +177,8 @@
     """A request is sent to an endpoint.
 
     ``running`` and ``prompt_tokens`` are the work that was known there.
+    ``prompt`` names a long shared prompt, and ``shared`` where the endpoint
+    was expected to take it from.
     """
 
     request: str
@@ -190,6 +192,9 @@
     prompt_tokens: int
     weights: int
     wanted_weights: int
+    prompt: str
+    shared: str
+    read_tokens: int
     fetch_from: str
     resume_after: int | None
     left_ms: int
