--- a/sardinewharf/balancing/rolls.py
+++ b/sardinewharf/balancing/rolls.py
@@ -9,9 +9,12 @@
 
 # Share of the engines that load at a time.
 _AT_ONCE_SHARE = 1 / 3
+# The share while hardly a prompt is in line, and what that means in ms.
+_IDLE_SHARE = 1 / 2
+_IDLE_WAIT_MS = 40.0
 # Prompts in line at the mean engine above which engines load one at a time,
 # in ms of reading.
-_BUSY_WAIT_MS = 120.0
+_BUSY_WAIT_MS = 250.0
 # A version that was named this long ago is rolled out at full speed, as a
 # share of the time in which all engines must have it.
 _HURRY_SHARE = 0.45
@@ -68,6 +71,8 @@
     Examples:
         >>> engines = [RollState(f"e{i}", 1, False, i) for i in range(6)]
         >>> choose_rolls(engines, 2, RollPace())
+        ['e0', 'e1', 'e2']
+        >>> choose_rolls(engines, 2, RollPace(mean_wait_ms=100.0))
         ['e0', 'e1']
         >>> choose_rolls(engines, 2, RollPace(mean_wait_ms=500.0))
         ['e0']
@@ -77,10 +82,8 @@
         []
     """
     usable = [engine for engine in engines if engine.is_usable]
-    at_once = max(1, round(len(usable) * _AT_ONCE_SHARE))
-    if pace.is_slow:
-        at_once = 1
-    free = at_once - sum(engine.is_rolling for engine in usable)
+    free = _count_at_once(len(usable), pace)
+    free -= sum(engine.is_rolling for engine in usable)
     old = [
         e
         for e in engines
@@ -88,3 +91,12 @@
     ]
     old.sort(key=lambda engine: (engine.version, engine.running))
     return [engine.id for engine in old[: max(0, free)]]
+
+
+def _count_at_once(engines: int, pace: RollPace) -> int:
+    """Returns how many engines may load at a time."""
+    if pace.is_slow:
+        return 1
+    is_idle = pace.mean_wait_ms < _IDLE_WAIT_MS
+    share = _IDLE_SHARE if is_idle else _AT_ONCE_SHARE
+    return max(1, round(engines * share))
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -259,7 +259,7 @@
 
         Returns whether the endpoint is to be chosen again.
         """
-        if not target.is_reading or call.has_waited:
+        if not target.prompt_key or call.has_waited:
             return False
         left = call.deadline.remaining() * _READ_WAIT_SHARE
         until = clocks.Deadline.after(min(_READ_WAIT_S, left))
