--- a/sardinewharf/balancing/rolls.py
+++ b/sardinewharf/balancing/rolls.py
@@ -8,9 +8,9 @@
 import dataclasses
 
 # Share of the engines that load at a time.
-_AT_ONCE_SHARE = 1 / 3
+_AT_ONCE_SHARE = 0.34
 # The share while hardly a prompt is in line, and what that means in ms.
-_IDLE_SHARE = 1 / 2
+_IDLE_SHARE = 0.5
 _IDLE_WAIT_MS = 40.0
 # Prompts in line at the mean engine above which engines load one at a time,
 # in ms of reading.
@@ -99,4 +99,4 @@
         return 1
     is_idle = pace.mean_wait_ms < _IDLE_WAIT_MS
     share = _IDLE_SHARE if is_idle else _AT_ONCE_SHARE
-    return max(1, round(engines * share))
+    return max(1, int(engines * share))
--- a/sardinewharf/cli/program.py
+++ b/sardinewharf/cli/program.py
@@ -13,6 +13,7 @@
 
 from sardinewharf import configuration
 from sardinewharf.cli import client
+from sardinewharf.records import histories
 
 _COLOURS = {"+": "info", "-": "error", "~": "comment"}
 
@@ -226,6 +227,39 @@
         return 0
 
 
+class ExplainCommand(command.Command):
+    """Tells from logs what became of a request."""
+
+    name = "explain"
+    description = "Reads logs, of several VMs too, and names a request's cause"
+    arguments = [
+        argument("request", "id of the request"),
+        argument("files", "log files", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Prints the request's history and its cause."""
+        lines: list[histories.Line] = []
+        for name in self.argument("files"):
+            try:
+                with pathlib.Path(name).open(
+                    encoding="utf-8", errors="replace"
+                ) as file:
+                    lines += histories.read_lines(file)
+            except OSError as error:
+                self.line_error(f"{name}: {error.strerror}; name a log file")
+                return client.EXIT_USAGE
+        history = histories.find_history(self.argument("request"), lines)
+        ordered = sorted(
+            {id(x): x for x in (*history.lines, *history.context)}.values(),
+            key=lambda line: line.time,
+        )
+        for line in ordered:
+            self.line(histories.format_line(line))
+        self.line(f"Cause: {histories.name_cause(history)}")
+        return 0 if history.lines else 1
+
+
 def main() -> None:
     """Runs the tool."""
     application = cleo.application.Application("sardinewharf", "0.1.0")
@@ -236,6 +270,7 @@
         HistoryCommand,
         StatusCommand,
         HashKeyCommand,
+        ExplainCommand,
     ):
         application.add(kind())
     sys.exit(application.run())
--- /dev/null
+++ b/sardinewharf/records/tests/test_histories.py
@@ -0,0 +1,79 @@
+import json
+
+from sardinewharf.records import histories
+
+
+def make_lines(*rows: tuple[float, str, dict]) -> list[str]:
+    return [
+        json.dumps({"time": t, "vm": "vm-1", "event": event} | fields)
+        for t, event, fields in rows
+    ]
+
+
+def explain(*rows: tuple[float, str, dict]) -> str:
+    lines = histories.read_lines(make_lines(*rows))
+    return histories.name_cause(histories.find_history("r", lines))
+
+
+def test_a_refusal_names_its_reason_and_the_lost_dependency():
+    cause = explain(
+        (1.0, "dependency_lost", {"dependency": "store", "detail": "reset"}),
+        (
+            4.0,
+            "request_refused",
+            {
+                "request": "r",
+                "reason": "not_current",
+                "status": 503,
+                "detail": "the configuration was current 4.3 s ago",
+            },
+        ),
+    )
+    assert "not_current" in cause
+    assert "dependency_lost (store reset)" in cause
+
+
+def test_a_lost_answer_names_each_attempt():
+    cause = explain(
+        (1.0, "endpoint_chosen", {"request": "r", "endpoint": "e1"}),
+        (
+            1.2,
+            "attempt_failed",
+            {
+                "request": "r",
+                "attempt": 1,
+                "endpoint": "e1",
+                "outcome": "lost",
+                "detail": "e1: reset",
+            },
+        ),
+        (
+            1.3,
+            "request_refused",
+            {
+                "request": "r",
+                "reason": "lost",
+                "status": 502,
+                "detail": "e1: reset",
+            },
+        ),
+    )
+    assert "Attempt 1 was lost (e1: reset)" in cause
+
+
+def test_a_killed_process_is_told_by_its_new_start():
+    cause = explain(
+        (1.0, "endpoint_chosen", {"request": "r", "endpoint": "e1"}),
+        (2.5, "started", {}),
+    )
+    assert cause.endswith("it was killed.")
+
+
+def test_prefixed_lines_and_strange_ones_are_read_past():
+    lines = make_lines((1.0, "caller_left", {"request": "r"}))
+    texts = ["", "no JSON", "{broken", "  12.1 vm-1 " + lines[0], "[1]"]
+    assert len(list(histories.read_lines(texts))) == 1
+
+
+def test_an_unknown_request_is_said_to_be_unknown():
+    assert "reached none" in explain((1.0, "started", {}))
