--- /dev/null
+++ b/sardinewharf/gateway/tests/test_requests_fuzz.py
@@ -0,0 +1,125 @@
+"""Fuzzes requests through a gateway against the servers' own records.
+
+The oracle: what may not be repeated ran at most once; what was refused as not
+run has not run; an answer of 200 is one server's whole answer; the events of a
+stream come once and in order, and a stream that looks whole is.
+"""
+
+import asyncio
+import os
+
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sardinewharf.gateway import loops
+from sardinewharf.testbed import platform_rig
+
+_IS_LONG = os.environ.get("SARDINEWHARF_FUZZ") == "long"
+_PROMISES = {408, 421, 429, 503}
+_FAULTS = (
+    "refuse",
+    "moved",
+    "reset",
+    "short_body",
+    "extra",
+    "garbage",
+    "wrong_id",
+    "is_unsigned",
+    "unframed",
+    "cut_after",
+    "status",
+)
+_VALUES = {"cut_after": 2, "status": 500}
+_ROUTES = ("/book/", "/look/", "/chat/", "/ask/")
+
+step = st.fixed_dictionaries(
+    {
+        "faults": st.lists(
+            st.tuples(st.integers(0, 5), st.sampled_from(_FAULTS)), max_size=4
+        ),
+        "requests": st.lists(st.sampled_from(_ROUTES), min_size=1, max_size=5),
+        "gone": st.lists(st.integers(0, 5), max_size=2),
+        "store_status": st.sampled_from([0, 0, 0, 503, 429]),
+    }
+)
+
+
+@seed(20261204)
+@settings(
+    max_examples=2_500 if _IS_LONG else 12,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(history=st.lists(step, min_size=1, max_size=4))
+def test_promises_hold_whatever_servers_do(history):
+    with asyncio.Runner(loop_factory=loops.SuspendAwareLoop) as runner:
+        runner.run(play(history))
+
+
+async def play(history):
+    rig = platform_rig.Rig()
+    await rig.start()
+    try:
+        for part in history:
+            await play_part(rig, part)
+        await asyncio.sleep(0.05)
+    finally:
+        await rig.close()
+
+
+async def play_part(rig, part):
+    servers = [*rig.servers, *rig.engines]
+    for server in servers:
+        server.faults = type(server.faults)()
+    for index, fault in part["faults"]:
+        setattr(servers[index].faults, fault, _VALUES.get(fault, True))
+    rig.store.faults.status = part["store_status"]
+    for index in part["gone"]:
+        await servers[index].stop()
+    answers = await asyncio.gather(
+        *(ask(rig, route) for route in part["requests"])
+    )
+    for request_id, route, answer in answers:
+        check(rig, request_id, route, answer)
+    rig.store.faults.status = 0
+
+
+async def ask(rig, route):
+    request_id = rig.make_id()
+    method = "GET" if route == "/look/" else "POST"
+    answer = await rig.ask(
+        route + "1",
+        method,
+        b"" if method == "GET" else b"body",
+        x_sardinewharf_request_id=request_id,
+        x_sardinewharf_deadline_ms="900",
+    )
+    return request_id, route, answer
+
+
+def check(rig, request_id, route, answer):
+    ran = [
+        r
+        for r in rig.list_ran()
+        if r.headers["x-sardinewharf-request-id"] == request_id
+    ]
+    if route in ("/book/", "/chat/"):
+        assert len(ran) <= 1
+    if answer.status in _PROMISES:
+        assert not ran
+    if answer.status == 200:
+        assert ran
+        assert "x-sardinewharf-server-stamp" in answer.headers
+    if answer.status == 200 and route in ("/book/", "/look/"):
+        assert answer.body == b"an answer" and answer.is_whole
+    if answer.status == 200 and route in ("/chat/", "/ask/"):
+        ids = [
+            int(line[4:])
+            for line in answer.body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+        assert ids == list(range(1, len(ids) + 1))
+        assert len(ids) == 4 or not answer.is_whole
--- /dev/null
+++ b/sardinewharf/leases/tests/test_tenure_fuzz.py
@@ -0,0 +1,145 @@
+"""Fuzzes three holders of one office against a clock that tests move.
+
+The oracle: two holders never act at the same time, a later one acts under a
+higher epoch, and it waits the pause after the former one's last act.
+"""
+
+import asyncio
+import os
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from sardinewharf import clocks
+from sardinewharf import keyvalue
+from sardinewharf import leases
+
+_IS_LONG = os.environ.get("SARDINEWHARF_FUZZ") == "long"
+_SETTINGS = leases.TenureSettings(
+    lease_s=2.0, margin_s=0.7, renew_s=1.4, call_s=0.5, pause_s=3.0
+)
+_SLACK_S = 0.4
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1_000.0
+
+
+class FaultyStore(keyvalue.KeyValueStore):
+    """Keeps one key, its lease, and what goes wrong with the next call."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._record = None
+        self._revision = 10
+        self._leases = {}
+        self.fault = "none"
+
+    async def read(self, key, deadline):
+        self._end_leases()
+        if self.fault == "out":
+            return keyvalue.Unavailable("out")
+        if self._record is None:
+            return keyvalue.Absent()
+        return keyvalue.Record(self._record[0], self._record[1])
+
+    async def write(self, key, value, revision, deadline, lease=None):
+        self._end_leases()
+        if self.fault == "out":
+            return keyvalue.Rejected("out")
+        if lease is not None and lease not in self._leases:
+            return keyvalue.Rejected("no such lease")
+        if revision != (self._record[1] if self._record else 0):
+            return keyvalue.Conflict(0)
+        self._revision += 1
+        self._record = (value, self._revision, lease)
+        if self.fault == "lost":
+            return keyvalue.WriteUnknown("lost")
+        return keyvalue.Written(self._revision)
+
+    async def watch(self, key, revision, deadline):
+        raise NotImplementedError
+
+    async def grant_lease(self, seconds, deadline):
+        if self.fault == "out":
+            return keyvalue.Unavailable("out")
+        name = str(len(self._leases) + 100)
+        self._leases[name] = self._clock.now + seconds
+        return keyvalue.Lease(name, clocks.Deadline(self._clock.now + seconds))
+
+    async def renew_lease(self, lease, seconds, deadline):
+        self._end_leases()
+        expires = clocks.Deadline(self._clock.now + seconds)
+        if self.fault == "out" or lease not in self._leases:
+            return keyvalue.Unavailable("out")
+        self._leases[lease] = expires.at
+        if self.fault == "lost":
+            return keyvalue.Unavailable("lost")
+        return keyvalue.Lease(lease, expires)
+
+    async def close(self):
+        pass
+
+    def _end_leases(self):
+        self._leases = {
+            n: end for n, end in self._leases.items() if end > self._clock.now
+        }
+        lease = self._record[2] if self._record else None
+        if lease is not None and lease not in self._leases:
+            self._record = None
+
+
+step = st.tuples(
+    st.integers(0, 2),
+    st.sampled_from(["keep", "keep", "keep", "act", "act", "resign", "die"]),
+    st.sampled_from(["none", "none", "none", "out", "lost"]),
+    st.sampled_from([0.05, 0.25, 0.25, 0.6, 1.4, 3.5]),
+)
+
+
+@seed(20261204)
+@settings(max_examples=10_000 if _IS_LONG else 400, deadline=None)
+@given(steps=st.lists(step, max_size=60))
+def test_holders_never_overlap(steps):
+    with pytest.MonkeyPatch.context() as patch:
+        clock = Clock()
+        patch.setattr(clocks, "read_monotonic", lambda: clock.now)
+        patch.setattr(clocks, "read_wall", lambda: clock.now)
+        asyncio.run(play(clock, steps))
+
+
+async def play(clock, steps):
+    store = FaultyStore(clock)
+    holders = [make_tenure(store, i) for i in range(3)]
+    acts = []
+    for index, what, fault, pause in steps:
+        store.fault = fault
+        tenure = holders[index]
+        if what == "keep":
+            await tenure.keep()
+        elif what == "resign":
+            await tenure.resign()
+        elif what == "die":
+            holders[index] = make_tenure(store, index)
+        elif tenure.find_deadline() is not None:
+            tenure.note_act()
+            acts.append((clock.now, index, tenure.epoch))
+        clock.now += pause
+    check(acts)
+
+
+def make_tenure(store, index):
+    return leases.Tenure(store, "office", f"vm-{index}", _SETTINGS)
+
+
+def check(acts):
+    for former, later in zip(acts, acts[1:], strict=False):
+        if former[2] == later[2]:
+            assert former[1] == later[1]
+            continue
+        assert later[2] > former[2]
+        assert later[0] - former[0] >= _SETTINGS.pause_s - 1e-6
