Let a few gateways read the cache store's news, and tell all of urgent news

Cause: a store serves 12 readers of its news; with 85 gateways 73 would be refused each second and know nothing of it. Eight, the same for all, read; the others hear from peers whether the store lives, and take for stored what somebody read. News that cannot wait (a roll, a prompt being read) goes to all peers, ticks to eight.

--- a/sardinewharf/gateway/caches.py
+++ b/sardinewharf/gateway/caches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sardinewharf import balancing
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import records
@@ -12,12 +13,15 @@
 # Time that a reading of news waits for some, in seconds.
 _WAIT_S = 1.0
 _IDLE_S = 0.5
+# Readers of a store that are left to gateways that have just changed places.
+_SPARE_READERS = 4
 
 
 class StoreFollower:
     """Reads a store's news.
 
     Args:
+        name: Name of this gateway.
         control: Calls the store.
         replica: What the gateway believes.
         prompts: Where shared prompts are.
@@ -26,11 +30,13 @@
 
     def __init__(
         self,
+        name: str,
         control: control_lib.EngineControl,
         replica: replica_lib.Replica,
         prompts: prompts_lib.PromptTable,
         log: records.RecordSink,
     ):
+        self._name = name
         self._control = control
         self._replica = replica
         self._prompts = prompts
@@ -46,7 +52,25 @@
             if not stores:
                 await asyncio.sleep(_IDLE_S)
                 continue
-            await self._read(stores[0])
+            self._prompts.store.is_followed = self._may_follow(stores[0])
+            if self._prompts.store.is_followed:
+                await self._read(stores[0])
+            else:
+                self._prompts.store.address = stores[0].address
+                await asyncio.sleep(_IDLE_S)
+
+    def _may_follow(self, store: catalog.CacheStore) -> bool:
+        """Returns whether this gateway is among the store's readers.
+
+        A store serves only so many; the others hear from them.
+        """
+        count = max(1, store.event_readers - _SPARE_READERS)
+        members = self._replica.members
+        if len(members) <= count:
+            return True
+        return (
+            self._name in balancing.rank_homes(store.address, members)[:count]
+        )
 
     async def _read(self, store: catalog.CacheStore) -> None:
         content = self._prompts.store
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -26,7 +26,9 @@
 # Work of a peer that has not been heard for this long is forgotten.
 _SILENT_S = 3.0
 _MAX_BYTES = 1_400
-_MAX_PEERS = 12
+# Peers that hear of each tick, and of news that cannot wait.
+_TICK_PEERS = 8
+_MAX_PEERS = 100
 _MAX_DEATHS = 6
 _log = logs.get_logger("peers")
 
@@ -97,6 +99,8 @@
         is_leaving: Whether it is shutting down.
         reads: Shared prompts that engines read for it.
         uses: Shared prompts that engines used for it of late.
+        store_age_ms: Since when it has heard nothing of the store of kept
+            cache; None if it does not read its news.
     """
 
     sender: str
@@ -111,6 +115,7 @@
     is_leaving: bool = False
     reads: list[ReadNews] = []
     uses: list[UseNews] = []
+    store_age_ms: int | None = None
 
 
 class RollTable:
@@ -221,7 +226,7 @@
     async def run(self) -> None:
         """Sends digests until cancelled."""
         while True:
-            self.tell()
+            self._tell(_TICK_PEERS)
             await asyncio.sleep(_TICK_S * self._random.uniform(0.9, 1.1))
 
     def tell_soon(self) -> None:
@@ -232,7 +237,11 @@
             loop.call_later(_SOON_S, self.tell)
 
     def tell(self) -> None:
-        """Sends a digest to all peers, or to some if there are many."""
+        """Sends a digest to all peers."""
+        self._tell(_MAX_PEERS)
+
+    def _tell(self, count: int) -> None:
+        """Sends a digest to some peers, or to all if they are few."""
         self._is_telling = False
         if self._transport is None or self._transport.is_closing():
             return
@@ -242,8 +251,8 @@
             return
         own = self._settings.name
         others = [a for n, a in self._replica.members.items() if n != own]
-        if len(others) > _MAX_PEERS:
-            others = self._random.sample(others, _MAX_PEERS)
+        if len(others) > count:
+            others = self._random.sample(others, count)
         for address in others:
             host, _, port = address.rpartition(":")
             self._transport.sendto(datagram, (host, int(port)))
@@ -344,8 +353,14 @@
                 )
                 for use in self._prompts.list_uses()
             ],
+            store_age_ms=self._read_store_age(),
         )
 
+    def _read_store_age(self) -> int | None:
+        store = self._prompts.store
+        age = store.count_age() if store.is_followed else None
+        return None if age is None else int(age * 1000)
+
     def _merge(self, digest: Digest) -> None:
         now = clocks.read_monotonic()
         self._loads.merge_peer(
@@ -368,6 +383,9 @@
             self._replica.note_naming_age(
                 naming.model, naming.version, now - naming.age_ms / 1000
             )
+        store = self._prompts.store
+        if digest.store_age_ms is not None and not store.is_followed:
+            store.hear(digest.store_age_ms / 1000)
         self._prompts.merge_peer(
             digest.sender,
             [
--- a/sardinewharf/gateway/prompts.py
+++ b/sardinewharf/gateway/prompts.py
@@ -1,6 +1,7 @@
 """Knows where shared prompts are held, and who reads one just now."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 import dataclasses
@@ -20,6 +21,8 @@
 # Prompts that were used within this time are told to peers, in seconds.
 _TOLD_S = 0.8
 _MAX_TOLD = 24
+# Prompts that were used by anybody and are kept in mind.
+_MAX_USED = 1_000
 # Tokens of a part that are lost to whole blocks.
 _BLOCK_TOKENS = 32
 # A store that has not answered for this long is not asked, in seconds.
@@ -74,10 +77,12 @@
 
     Attributes:
         address: ``IP:PORT`` of the store; empty if there is none.
+        is_followed: Whether this gateway reads the store's news itself.
     """
 
     def __init__(self) -> None:
         self.address = ""
+        self.is_followed = True
         self._held: dict[tuple[str, str], int] = {}
         self._heard_at = float("-inf")
 
@@ -86,9 +91,15 @@
         """Whether the store answered of late."""
         return clocks.read_monotonic() - self._heard_at < _STORE_SILENT_S
 
-    def hear(self) -> None:
-        """Notes that the store answered."""
-        self._heard_at = clocks.read_monotonic()
+    def hear(self, age_s: float = 0.0) -> None:
+        """Notes that the store answered, here or at another gateway."""
+        at = clocks.read_monotonic() - age_s
+        self._heard_at = max(self._heard_at, at)
+
+    def count_age(self) -> float | None:
+        """Returns the seconds since it answered; None if it is silent."""
+        age = clocks.read_monotonic() - self._heard_at
+        return age if age < _STORE_SILENT_S else None
 
     def clear(self) -> None:
         """Forgets all, since the store began anew."""
@@ -125,6 +136,9 @@
         self._holdings = balancing.Holdings(0)
         self._reads = balancing.ReadTable()
         self._uses: list[Use] = []
+        self._used: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
         self._changed = asyncio.Event()
         self.store = StoreContent()
 
@@ -155,12 +169,24 @@
         if reader == incarnation:
             # What is read there now is held once this request's turn comes.
             return balancing.SharedPrompt.HELD
-        if self.store.is_alive and self.store.holds(scope, prompt):
+        if self.is_stored(key, scope, prompt):
             return balancing.SharedPrompt.FETCHED
         if self._holdings.find_newest(key, others) is not None:
             return balancing.SharedPrompt.FETCHED
         return balancing.SharedPrompt.READ
 
+    def is_stored(self, key: int, scope: str, prompt: messages.Prompt) -> bool:
+        """Returns whether the store is believed to hold a shared prompt.
+
+        A gateway that does not read the store's news goes by the uses that it
+        has heard of: whoever read a prompt first had it saved.
+        """
+        if not self.store.is_alive:
+            return False
+        if self.store.is_followed:
+            return self.store.holds(scope, prompt)
+        return key in self._used
+
     def find_holder(self, key: int, incarnations: list[str]) -> str | None:
         """Returns the engine that used a prompt last."""
         return self._holdings.find_newest(key, incarnations)
@@ -181,7 +207,7 @@
         """Notes the end of a reading."""
         if is_held:
             now = clocks.read_monotonic()
-            self._holdings.touch(use.incarnation, use.key, use.tokens, now)
+            self._note_use(dataclasses.replace(use, at=now))
             self._uses.append(dataclasses.replace(use, at=now))
         if is_reading:
             self._reads.end(use.key, use.incarnation)
@@ -216,12 +242,19 @@
         self._uses = [use for use in self._uses if use.at > limit]
         return self._uses[-_MAX_TOLD:]
 
+    def _note_use(self, use: Use) -> None:
+        self._holdings.touch(use.incarnation, use.key, use.tokens, use.at)
+        self._used[use.key] = None
+        self._used.move_to_end(use.key)
+        if len(self._used) > _MAX_USED:
+            self._used.popitem(last=False)
+
     def merge_peer(
         self, peer: str, reads: list[tuple[int, str, float]], uses: list[Use]
     ) -> None:
         """Takes in a peer's reads and uses."""
         for use in uses:
-            self._holdings.touch(use.incarnation, use.key, use.tokens, use.at)
+            self._note_use(use)
         is_over = self._reads.keep_only(peer, {read[0] for read in reads})
         for key, incarnation, began in reads:
             self._reads.begin(key, incarnation, began, owner=peer)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -171,7 +171,7 @@
     ) -> requests.Target:
         is_reading = choice.shared is balancing.SharedPrompt.READ
         store = self._prompts.store
-        is_stored = store.holds(chosen.scope, prompt)
+        is_stored = self._prompts.is_stored(chosen.key, chosen.scope, prompt)
         saves = bool(chosen.key) and store.is_alive and not is_stored
         now = clocks.read_monotonic()
         read_tokens = prompt.tokens
@@ -212,7 +212,7 @@
         store = self._prompts.store
         if not chosen.key:
             return ""
-        if store.is_alive and store.holds(chosen.scope, prompt):
+        if self._prompts.is_stored(chosen.key, chosen.scope, prompt):
             return store.address
         others = {
             e.incarnation: e.address
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -144,7 +144,7 @@
             self._synchronizer.note_newer,
         )
         self._follower = caches.StoreFollower(
-            platform.control, self._replica, self._prompts, log
+            settings.name, platform.control, self._replica, self._prompts, log
         )
         self._roller = self._make_roller()
         self._server = http_server.HttpServer(self._app, self._read_limits)
--- /dev/null
+++ b/sardinewharf/gateway/tests/test_prompts.py
@@ -0,0 +1,120 @@
+import asyncio
+
+from sardinewharf import balancing
+from sardinewharf import catalog
+from sardinewharf import clocks
+from sardinewharf import records
+from sardinewharf.gateway import caches
+from sardinewharf.gateway import changes
+from sardinewharf.gateway import control
+from sardinewharf.gateway import messages
+from sardinewharf.gateway import prompts
+from sardinewharf.gateway import replica as replica_lib
+
+PROMPT = messages.Prompt(
+    "m",
+    17_000,
+    20,
+    (messages.PromptPart("aa", 13_000), messages.PromptPart("bb", 4_000)),
+)
+SCOPE = "m/1"
+KEY = prompts.make_key(SCOPE, PROMPT)
+
+
+def make_table():
+    table = prompts.PromptTable(lambda: None)
+    table.set_capacity(100_000)
+    return table
+
+
+def locate(table, engine="e1@1", others=("e2@1",)):
+    return table.locate(KEY, SCOPE, PROMPT, engine, list(others))
+
+
+async def test_a_prompt_is_read_then_held_and_fetched_by_others():
+    table = make_table()
+    assert locate(table) is balancing.SharedPrompt.READ
+    reading = table.begin("e1@1", KEY, 13_000, is_reading=True)
+    assert locate(table) is balancing.SharedPrompt.HELD
+    assert locate(table, "e2@1", ("e1@1",)) is balancing.SharedPrompt.READ
+    reading.succeed()
+    assert locate(table, "e2@1", ("e1@1",)) is balancing.SharedPrompt.FETCHED
+
+
+async def test_those_who_wait_go_on_when_the_read_ends_or_fails():
+    table = make_table()
+    reading = table.begin("e1@1", KEY, 13_000, is_reading=True)
+    until = clocks.Deadline.after(5.0)
+    waiting = asyncio.ensure_future(table.wait_for_reader(KEY, until))
+    await asyncio.sleep(0.01)
+    reading.fail()
+    assert await asyncio.wait_for(waiting, 0.5)
+    assert locate(table) is balancing.SharedPrompt.READ
+
+
+async def test_a_peers_read_and_use_are_taken_in():
+    table = make_table()
+    now = clocks.read_monotonic()
+    table.merge_peer("vm-2", [(KEY, "e2@1", now)], [])
+    assert locate(table, "e2@1") is balancing.SharedPrompt.HELD
+    table.merge_peer("vm-2", [], [prompts.Use(KEY, "e2@1", 13_000, now)])
+    assert locate(table) is balancing.SharedPrompt.FETCHED
+
+
+async def test_a_restarted_engine_holds_nothing():
+    table = make_table()
+    table.begin("e1@1", KEY, 13_000, is_reading=True).succeed()
+    assert locate(table, "e1@2", ()) is balancing.SharedPrompt.READ
+
+
+async def test_a_silent_store_is_not_asked():
+    table = make_table()
+    table.store.put(SCOPE, "aa", 13_000)
+    assert locate(table, others=()) is balancing.SharedPrompt.READ
+    table.store.hear()
+    assert locate(table, others=()) is balancing.SharedPrompt.FETCHED
+
+
+class CountingControl(control.EngineControl):
+    """Counts readers, and tells no news."""
+
+    def __init__(self):
+        self.readers = 0
+
+    async def order_weights(self, endpoint, order, deadline):
+        raise NotImplementedError
+
+    async def read_report(self, endpoint, deadline):
+        raise NotImplementedError
+
+    async def read_cache(self, address, since, until):
+        self.readers += 1
+        await asyncio.sleep(60)
+
+
+async def test_a_store_has_no_more_readers_than_it_serves():
+    """With 85 gateways, 73 of them would have been refused each second."""
+    log = records.RecordSink(-1, "vm", records.SinkSettings())
+    store = catalog.CacheStore("memo", "10.0.0.1:1", "fd", 1_000, 1e4, 12)
+    counting = CountingControl()
+    running = []
+    for number in range(40):
+        replica = replica_lib.Replica(log)
+        found = catalog.Configuration(version=1, cache_stores=(store,))
+        replica.apply(changes.ConfigurationChange(found), None)
+        for other in range(40):
+            replica.apply(changes.MemberChange(f"vm-{other}", "a:1"), None)
+        follower = caches.StoreFollower(
+            f"vm-{number}", counting, replica, make_table(), log
+        )
+        running.append(asyncio.ensure_future(follower.run()))
+    await asyncio.sleep(0.05)
+    for task in running:
+        task.cancel()
+    assert counting.readers == 8
+
+
+def test_keys_differ_by_scope_and_short_prompts_have_none():
+    assert prompts.make_key("m/2", PROMPT) != KEY
+    short = messages.Prompt("m", 80, 5, PROMPT.parts[1:])
+    assert prompts.make_key(SCOPE, short) == 0
