Keep every naming in mind, and take back what has not begun in time

Namings are now kept by version, and the newest one past its limit is the least that a request may begin on. Two requests still began 10.04 s after, since they had waited 2 s in an engine's line: an attempt on replaced weights that has not begun 0.3 s before the limit is given up.

Ruled out: a longer margin alone; waits in an engine's line exceed 2 s.

--- a/sardinewharf/fleet/__init__.py
+++ b/sardinewharf/fleet/__init__.py
@@ -6,6 +6,7 @@
 from sardinewharf.fleet.loads import EndpointLoad
 from sardinewharf.fleet.loads import LoadTable
 from sardinewharf.fleet.loads import Work
+from sardinewharf.fleet.namings import NamingTable
 from sardinewharf.fleet.registry import Registry
 
 __all__ = [
@@ -14,6 +15,7 @@
     "EndpointState",
     "HealthTable",
     "LoadTable",
+    "NamingTable",
     "Registry",
     "Work",
 ]
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -338,7 +338,7 @@
                 running=target.load.running,
                 prompt_tokens=target.load.prompt_tokens,
                 weights=target.weights,
-                wanted_weights=self._parts.replica.wanted_weights.get(model, 0),
+                wanted_weights=self._parts.replica.namings.find_wanted(model),
                 prompt=f"{target.prompt_key:x}" if target.prompt_key else "",
                 shared=target.shared.value,
                 read_tokens=target.read_tokens,
@@ -395,7 +395,7 @@
         """Returns whether the answer may be passed on; else closes it."""
         is_kept = False
         try:
-            async with asyncio.timeout_at(self._find_limit(call)):
+            async with asyncio.timeout_at(self._find_limit(call, attempt)):
                 head = await self.read_heard(
                     call, attempt, attempt.exchange.read_head
                 )
@@ -410,8 +410,13 @@
                 attempt.close()
         return is_kept
 
-    def _find_limit(self, call: requests.Call) -> float:
+    def _find_limit(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> float:
         """Returns when the attempt is given up, on the loop's clock."""
+        begin_by = attempt.target.begin_by
+        if begin_by is not None:
+            return begin_by.earlier(call.deadline).at
         route = call.admitted.route
         is_first_of_more = (
             route.kind is catalog.RouteKind.SAFE
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -324,12 +324,8 @@
                 for (endpoint_id, model), (version, _) in self._shown.items()
             ],
             namings=[
-                NamingNews(
-                    model,
-                    self._replica.wanted_weights[model],
-                    int((now - at) * 1000),
-                )
-                for model, at in self._replica.weights_named_at.items()
+                NamingNews(model, version, int((now - at) * 1000))
+                for model, version, at in self._replica.namings.list_known()
             ],
             deaths=[
                 DeathNews(
@@ -380,7 +376,7 @@
                     endpoint_id, news.model, news.version
                 )
         for naming in digest.namings:
-            self._replica.note_naming_age(
+            self._replica.namings.note_age(
                 naming.model, naming.version, now - naming.age_ms / 1000
             )
         store = self._prompts.store
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -23,10 +23,7 @@
     Attributes:
         configuration: The newest configuration seen.
         registry: The endpoints.
-        wanted_weights: Version wanted of each model.
-        weights_named_at: Since when each version is wanted, by model;
-            missing for a version that was named before this process began,
-            until another gateway tells.
+        namings: Versions of weights that are wanted, and since when.
         members: Addresses of the gateways by name.
         roll_holder: The gateway that orders engines; empty if none does.
         revision: The store's revision that all this is at.
@@ -37,8 +34,7 @@
         self._log = log
         self.configuration = catalog.Configuration()
         self.registry = fleet.Registry()
-        self.wanted_weights: dict[str, int] = {}
-        self.weights_named_at: dict[str, float] = {}
+        self.namings = fleet.NamingTable()
         self.members: dict[str, str] = {}
         self.roll_holder = ""
         self.revision = 0
@@ -64,12 +60,6 @@
         """Notes that the store is back after an outage."""
         self._doubt_until = clocks.Deadline.after(_RETURN_S)
 
-    def note_naming_age(self, model: str, version: int, at: float) -> None:
-        """Takes in when another gateway heard of a wanted version."""
-        if version == self.wanted_weights.get(model):
-            known = self.weights_named_at.get(model, at)
-            self.weights_named_at[model] = min(known, at)
-
     def apply(self, change: changes.Change, now: float | None) -> None:
         """Takes in a change.
 
@@ -121,12 +111,8 @@
     def _note_naming(
         self, change: changes.WeightsNamed, now: float | None
     ) -> None:
-        if change.version <= self.wanted_weights.get(change.model, 0):
+        if not self.namings.note(change.model, change.version, now):
             return
-        self.wanted_weights[change.model] = change.version
-        self.weights_named_at.pop(change.model, None)
-        if now is not None:
-            self.weights_named_at[change.model] = now
         self._log.write(
             records.events.WeightsNamed(
                 change.model, change.version, self.revision
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -101,6 +101,8 @@
         read_tokens: Prompt tokens that it is expected to read.
         held_tokens: Tokens of memory that the request takes.
         cost_ms: What it was chosen by.
+        begin_by: When the endpoint must have begun, since its weights were
+            replaced; None if they are the newest.
         wait_s: Time until the endpoint has read its prompts in line and this
             one, in seconds.
         candidates: Endpoints that it was chosen from.
@@ -119,6 +121,7 @@
     read_tokens: int = 0
     held_tokens: int = 0
     cost_ms: float = 0.0
+    begin_by: clocks.Deadline | None = None
     wait_s: float = 0.0
     candidates: int = 0
     load: fleet.EndpointLoad = fleet.EndpointLoad()
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -127,7 +127,7 @@
             if service.engine is None:
                 continue
             for model in service.engine.models:
-                wanted = self._replica.wanted_weights.get(model, 0)
+                wanted = self._replica.namings.find_wanted(model)
                 self._start_model_rolls(service.name, model, wanted)
 
     def _start_model_rolls(self, service: str, model: str, wanted: int) -> None:
@@ -160,7 +160,7 @@
             for endpoint in engines
         )
         wait = tokens / len(engines) / balancing.READ_TOKENS_PER_MS
-        named_at = self._replica.weights_named_at.get(model)
+        named_at = self._replica.namings.find_time(model)
         if named_at is None:
             return balancing.RollPace(wait, time_used=1.0)
         used = (now - named_at) / self._weights_s
@@ -204,7 +204,7 @@
         report = await self._read(endpoint)
         if report is None:
             return False
-        wanted = self._replica.wanted_weights.get(model, 0)
+        wanted = self._replica.namings.find_wanted(model)
         if self._note(endpoint, model, report, wanted):
             return True
         if not report.is_busy:
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -19,7 +19,9 @@
 _MIN_CONNECTIONS = 4
 _DEFAULT_CONNECTIONS = 64
 # Requests begin on replaced weights until this long before they must not.
-_WEIGHTS_MARGIN_S = 1.5
+_WEIGHTS_MARGIN_S = 1.8
+# One that has not begun by this long before the limit is taken back.
+_BEGIN_MARGIN_S = 0.3
 
 
 class Selector:
@@ -125,7 +127,7 @@
                 self._health.read_failure_share(view.endpoint.incarnation),
                 shared=view.shared,
                 has_old_weights=view.weights
-                < self._replica.wanted_weights.get(prompt.model, 0),
+                < self._replica.namings.find_wanted(prompt.model),
             )
             for view in views
         ]
@@ -193,11 +195,22 @@
             read_tokens=read_tokens,
             held_tokens=prompt.tokens + prompt.answer_tokens,
             cost_ms=choice.cost_ms,
+            begin_by=self._find_begin_limit(prompt.model, chosen.weights),
             wait_s=(choice.wait_ms + own_ms) / 1000,
             candidates=len(usable),
             load=self._loads.read(chosen.endpoint.id, now),
         )
 
+    def _find_begin_limit(
+        self, model: str, weights: int
+    ) -> clocks.Deadline | None:
+        """Returns when a request must have begun on an engine's weights."""
+        replaced_at = self._replica.namings.find_replacement(model, weights)
+        if replaced_at is None:
+            return None
+        limit = self._settings.promises.weights_ms / 1000 - _BEGIN_MARGIN_S
+        return clocks.Deadline(replaced_at + limit)
+
     def _find_source(
         self,
         prompt: messages.Prompt,
@@ -236,18 +249,12 @@
     ) -> list[fleet.Endpoint]:
         """Returns the engines whose weights may begin a request now."""
         registry = self._replica.registry
-        wanted = self._replica.wanted_weights.get(model, 0)
-        named_at = self._replica.weights_named_at.get(model)
         limit = self._settings.promises.weights_ms / 1000 - _WEIGHTS_MARGIN_S
-        may_be_old = named_at is not None and now - named_at < limit
+        least = self._replica.namings.find_least(model, now - limit)
         current = [
             endpoint
             for endpoint in endpoints
-            if registry.find_weights(endpoint.id, model) > 0
-            and (
-                may_be_old
-                or registry.find_weights(endpoint.id, model) >= wanted
-            )
+            if registry.find_weights(endpoint.id, model) >= max(1, least)
         ]
         staying = [e for e in current if not self._rolls.is_rolling(e.id)]
         return staying or current
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -100,7 +100,7 @@
     await asyncio.sleep(0.3)
     now = clocks.read_monotonic()
     for gateway in rig.gateways:
-        gateway._replica.weights_named_at[platform_rig.MODEL] = now - 3.0
+        gateway._replica.namings.note_age(platform_rig.MODEL, 2, now - 3.0)
     late = await rig.start_gateway("vm-late")
     late._roller._is_stopping = True
     await asyncio.sleep(0.5)
@@ -125,3 +125,35 @@
     await name_version(rig, 2)
     await platform_rig.wait_for(lambda: has_version(rig, 2))
     assert lost and len(engine.orders) == 1
+
+
+async def test_a_newer_naming_does_not_excuse_older_weights(rig):
+    """Requests began on version 2 10 s after 3, since 4 had just been named."""
+    for gateway in rig.gateways:
+        gateway._roller._is_stopping = True
+    await name_version(rig, 2)
+    await asyncio.sleep(0.2)
+    now = clocks.read_monotonic()
+    for gateway in rig.gateways:
+        gateway._replica.namings.note_age(platform_rig.MODEL, 2, now - 3.0)
+    await name_version(rig, 3)
+    await asyncio.sleep(0.2)
+    answer = await rig.ask("/chat/1", body=b"p")
+    assert answer.status == 503
+    assert rig.list_ran() == []
+
+
+async def test_a_request_that_waits_at_old_weights_is_taken_back(rig):
+    """Requests sent in time waited 2 s in line and began too late."""
+    for gateway in rig.gateways:
+        gateway._roller._is_stopping = True
+    for engine in rig.engines:
+        engine.delay_s = 5.0
+    await name_version(rig, 2)
+    await asyncio.sleep(0.2)
+    now = clocks.read_monotonic()
+    for gateway in rig.gateways:
+        gateway._replica.namings.note_age(platform_rig.MODEL, 2, now - 2.0)
+    answer = await rig.ask("/chat/1", body=b"p")
+    assert answer.status in (502, 504)
+    assert clocks.read_monotonic() - now < 2.0
