Let changes gather before the next watch

A gateway now waits 5 ms for each gateway that is known, 0.3 s at most, before it watches on.

Ruled out for now: a few watchers for all; it needs the entries to travel between gateways.

--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -15,6 +15,10 @@
 # After a failure, a short watch tells soonest whether the store is back.
 _SHORT_WATCH_S = 0.05
 _LIST_S = 1.5
+# Pause after changes, in which more may gather: for each gateway, since all of
+# them call again after each change, and at most, in seconds.
+_GATHER_S_PER_GATEWAY = 0.005
+_MAX_GATHER_S = 0.3
 _MIN_PAUSE_S = 0.1
 _MAX_PAUSE_S = 0.8
 # Without contact for this long, registrations may have lapsed, in seconds.
@@ -123,8 +127,15 @@
         self._replica.revision = max(self._replica.revision, result.revision)
         is_whole_wait = not result.entries and until.is_past()
         self._replica.prove(until.at if is_whole_wait else sent)
+        if result.entries:
+            await asyncio.sleep(self._find_gathering())
         return True
 
+    def _find_gathering(self) -> float:
+        """Returns the seconds to let changes gather before the next watch."""
+        gateways = len(self._replica.members)
+        return min(_MAX_GATHER_S, gateways * _GATHER_S_PER_GATEWAY)
+
     async def _watch_or_hurry(
         self, until: clocks.Deadline
     ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable | None:
--- a/sardinewharf/gateway/tests/test_store_faults.py
+++ b/sardinewharf/gateway/tests/test_store_faults.py
@@ -89,3 +89,21 @@
     made = {k: n - before.get(k, 0) for k, n in rig.store.calls.items()}
     assert made.pop("kv-keep") <= 8
     assert sum(made.values()) <= 3
+
+
+async def test_changes_in_quick_succession_are_read_together(rig):
+    """Each gateway of 58 called the store for each one that registered."""
+    replica = rig.gateways[0]._replica
+    for number in range(60):
+        replica.members[f"vm-{number}"] = "a:1"
+    await rig.store.put("sardinewharf/members/vm-60", {"address": "a:1"})
+    await asyncio.sleep(0.1)
+    before = rig.store.calls["kv-watch"]
+    for number in range(61, 81):
+        await rig.store.put(
+            f"sardinewharf/members/vm-{number}", {"address": "a"}
+        )
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.8)
+    assert rig.store.calls["kv-watch"] - before <= 4
+    assert "vm-80" in replica.members
