--- /dev/null
+++ b/sardinewharf/gateway/attempt_log.py
@@ -0,0 +1,81 @@
+"""Writes what became of each attempt at a request."""
+
+from sardinewharf import clocks
+from sardinewharf import ids
+from sardinewharf import records
+from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import requests
+from sardinewharf.gateway import tables
+
+
+class AttemptLog:
+    """Logs and counts attempts.
+
+    Args:
+        replica: What the gateway believes.
+        budgets: Budgets of repeats by service.
+        log: Where lines are written.
+        metrics: Counts attempts.
+    """
+
+    def __init__(
+        self,
+        replica: replica_lib.Replica,
+        budgets: tables.BudgetTable,
+        log: records.RecordSink,
+        metrics: metrics_lib.GatewayMetrics,
+    ):
+        self._replica = replica
+        self._budgets = budgets
+        self._log = log
+        self._metrics = metrics
+
+    def note_choice(self, call: requests.Call, target: requests.Target) -> None:
+        """Writes which endpoint a request was sent to, and why."""
+        prompt = call.request.headers.prompt
+        model = prompt.model if prompt is not None else ""
+        self._metrics.count_choice(call.service, target)
+        self._log.write(
+            records.events.EndpointChosen(
+                request=call.request.headers.request_id,
+                attempt=call.sends,
+                route=call.admitted.route.name,
+                organisation=call.admitted.organisation_name,
+                endpoint=target.endpoint.id,
+                candidates=target.candidates,
+                cost_ms=round(target.cost_ms, 1),
+                running=target.load.running,
+                prompt_tokens=target.load.prompt_tokens,
+                weights=target.weights,
+                wanted_weights=self._replica.namings.find_wanted(model),
+                prompt=f"{target.prompt_key:x}" if target.prompt_key else "",
+                shared=target.shared.value,
+                read_tokens=target.read_tokens,
+                fetch_from=target.fetch_from,
+                resume_after=call.resume_after,
+                left_ms=int(call.deadline.remaining() * 1000),
+                configuration=self._replica.configuration.version,
+                age_s=round(self._replica.count_age(), 3),
+            )
+        )
+
+    def note_failure(
+        self, call: requests.Call, endpoint_id: ids.EndpointId, outcome: str
+    ) -> None:
+        """Writes that an endpoint gave no answer that may be passed on."""
+        now = clocks.read_monotonic()
+        self._metrics.count_failure(call.service, outcome)
+        self._log.write(
+            records.events.AttemptFailed(
+                request=call.request.headers.request_id,
+                attempt=call.sends,
+                endpoint=endpoint_id,
+                outcome=outcome,
+                detail=call.last_detail,
+                waited_ms=int((now - call.request.arrived) * 1000),
+                budget_left=round(
+                    self._budgets.find(call.service).read_left(now), 1
+                ),
+            )
+        )
--- /dev/null
+++ b/sardinewharf/gateway/digests.py
@@ -0,0 +1,88 @@
+"""Gives the messages that gateways send each other."""
+
+import msgspec
+
+
+class LoadNews(msgspec.Struct, array_like=True):
+    """A gateway's work at an endpoint, in requests and prompt tokens."""
+
+    endpoint: str
+    running: int
+    prompt_tokens: int
+    held_tokens: int
+
+
+class WeightsNews(msgspec.Struct, array_like=True):
+    """The version of an engine's weights."""
+
+    endpoint: str
+    model: str
+    version: int
+
+
+class NamingNews(msgspec.Struct, array_like=True):
+    """Since when a version of a model's weights is wanted."""
+
+    model: str
+    version: int
+    age_ms: int
+
+
+class ReadNews(msgspec.Struct, array_like=True):
+    """A shared prompt that an engine reads."""
+
+    key: int
+    incarnation: str
+    age_ms: int
+
+
+class UseNews(msgspec.Struct, array_like=True):
+    """A shared prompt that an engine used."""
+
+    key: int
+    incarnation: str
+    tokens: int
+    age_ms: int
+
+
+class DeathNews(msgspec.Struct, array_like=True):
+    """An endpoint that died while a request ran there."""
+
+    fingerprint: bytes
+    incarnation: str
+    age_ms: int
+
+
+class Digest(msgspec.Struct, array_like=True):
+    """A gateway's news.
+
+    Attributes:
+        sender: Name of its VM.
+        started: When its process started, in Unix milliseconds.
+        number: Rises with each digest.
+        revision: The store's revision that it has seen.
+        loads: Its work at endpoints.
+        rolling: Engines that it is about to order or has ordered.
+        weights: Versions that engines showed it of late.
+        deaths: Endpoints that died of requests.
+        namings: Since when weights are wanted.
+        is_leaving: Whether it is shutting down.
+        reads: Shared prompts that engines read for it.
+        uses: Shared prompts that engines used for it of late.
+        store_age_ms: Since when it has heard nothing of the store of kept
+            cache; None if it does not read its news.
+    """
+
+    sender: str
+    started: int
+    number: int
+    revision: int
+    loads: list[LoadNews] = []
+    rolling: list[str] = []
+    weights: list[WeightsNews] = []
+    deaths: list[DeathNews] = []
+    namings: list[NamingNews] = []
+    is_leaving: bool = False
+    reads: list[ReadNews] = []
+    uses: list[UseNews] = []
+    store_age_ms: int | None = None
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -10,10 +10,10 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import http1
-from sardinewharf import ids
 from sardinewharf import limits
 from sardinewharf import records
 from sardinewharf.gateway import admission
+from sardinewharf.gateway import attempt_log
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import prompts as prompts_lib
@@ -21,6 +21,7 @@
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import selection
+from sardinewharf.gateway import tables
 
 # Longest time for making a connection, in seconds.
 _CONNECT_S = 0.3
@@ -71,8 +72,8 @@
     registry: fleet.Registry
     loads: fleet.LoadTable
     health: fleet.HealthTable
-    connections: "ConnectionTable"
-    budgets: "BudgetTable"
+    connections: tables.ConnectionTable
+    budgets: tables.BudgetTable
     replica: replica_lib.Replica
     prompts: prompts_lib.PromptTable
     crashes: limits.CrashTable
@@ -80,56 +81,6 @@
     metrics: metrics_lib.GatewayMetrics
 
 
-class ConnectionTable:
-    """Connection pools by endpoint."""
-
-    def __init__(self) -> None:
-        self._pools: dict[tuple[ids.EndpointId, int], http1.Pool] = {}
-
-    def find(self, endpoint: fleet.Endpoint, limit: int) -> http1.Pool:
-        """Returns the pool of an endpoint's present incarnation."""
-        key = (endpoint.id, endpoint.started_ms)
-        pool = self._pools.get(key)
-        if pool is None or pool.address != endpoint.address:
-            pool = http1.Pool(endpoint.address, limit)
-            self._pools[key] = pool
-        pool.limit = limit
-        return pool
-
-    def close_gone(self, registry: fleet.Registry) -> None:
-        """Closes the connections of endpoints that are gone."""
-        for key in list(self._pools):
-            endpoint = registry.find(key[0])
-            if endpoint is None or endpoint.started_ms != key[1]:
-                self._pools.pop(key).close()
-
-
-class BudgetTable:
-    """Budgets of repeats by service.
-
-    Args:
-        share: This gateway's part of each.
-    """
-
-    def __init__(self, share: limits.BudgetShare):
-        self._share = share
-        self._budgets: dict[str, limits.WindowBudget] = {}
-
-    def find(self, service: str) -> limits.WindowBudget:
-        """Returns a service's budget."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = limits.WindowBudget(self._share)
-            self._budgets[service] = budget
-        return budget
-
-    def set_share(self, share: limits.BudgetShare) -> None:
-        """Changes this gateway's part of each budget."""
-        self._share = share
-        for budget in self._budgets.values():
-            budget.share = share
-
-
 def _may_go_on_elsewhere(call: requests.Call) -> bool:
     """Returns whether a stream that is being answered may be resumed."""
     route = call.admitted.route
@@ -149,6 +100,9 @@
 
     def __init__(self, parts: Parts):
         self._parts = parts
+        self._log = attempt_log.AttemptLog(
+            parts.replica, parts.budgets, parts.log, parts.metrics
+        )
 
     async def open(self, call: requests.Call) -> requests.Attempt:
         """Returns an attempt whose answer has begun; it must be closed.
@@ -170,7 +124,7 @@
             except http1.ConnectError as error:
                 call.last_detail = str(error)
                 call.excluded.add(target.endpoint.id)
-                self._log_failure(call, target.endpoint.id, "unreached")
+                self._log.note_failure(call, target.endpoint.id, "unreached")
                 unreached += 1
                 continue
             if not self._may_send(call):
@@ -188,7 +142,7 @@
         endpoint = attempt.target.endpoint
         call.last_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
-        self._log_failure(call, endpoint.id, "lost")
+        self._log.note_failure(call, endpoint.id, "lost")
         now = clocks.read_monotonic()
         self._parts.health.note_failure(endpoint.incarnation, now)
         if attempt.exchange.was_lost:
@@ -311,7 +265,7 @@
         call.sends += 1
         call.runs += 1
         call.endpoint = target.endpoint.id
-        self._log_choice(call, target)
+        self._log.note_choice(call, target)
         reading = self._parts.prompts.begin(
             target.endpoint.incarnation,
             target.prompt_key,
@@ -322,53 +276,6 @@
             target, pool, connection, work, exchange, reading
         )
 
-    def _log_choice(self, call: requests.Call, target: requests.Target) -> None:
-        prompt = call.request.headers.prompt
-        model = prompt.model if prompt is not None else ""
-        self._parts.metrics.count_choice(call.service, target)
-        self._parts.log.write(
-            records.events.EndpointChosen(
-                request=call.request.headers.request_id,
-                attempt=call.sends,
-                route=call.admitted.route.name,
-                organisation=call.admitted.organisation_name,
-                endpoint=target.endpoint.id,
-                candidates=target.candidates,
-                cost_ms=round(target.cost_ms, 1),
-                running=target.load.running,
-                prompt_tokens=target.load.prompt_tokens,
-                weights=target.weights,
-                wanted_weights=self._parts.replica.namings.find_wanted(model),
-                prompt=f"{target.prompt_key:x}" if target.prompt_key else "",
-                shared=target.shared.value,
-                read_tokens=target.read_tokens,
-                fetch_from=target.fetch_from,
-                resume_after=call.resume_after,
-                left_ms=int(call.deadline.remaining() * 1000),
-                configuration=self._parts.replica.configuration.version,
-                age_s=round(self._parts.replica.count_age(), 3),
-            )
-        )
-
-    def _log_failure(
-        self, call: requests.Call, endpoint_id: ids.EndpointId, outcome: str
-    ) -> None:
-        now = clocks.read_monotonic()
-        self._parts.metrics.count_failure(call.service, outcome)
-        self._parts.log.write(
-            records.events.AttemptFailed(
-                request=call.request.headers.request_id,
-                attempt=call.sends,
-                endpoint=endpoint_id,
-                outcome=outcome,
-                detail=call.last_detail,
-                waited_ms=int((now - call.request.arrived) * 1000),
-                budget_left=round(
-                    self._parts.budgets.find(call.service).read_left(now), 1
-                ),
-            )
-        )
-
     def _encode(self, call: requests.Call, target: requests.Target) -> bytes:
         request = call.request
         headers = self._parts.dialect.write_request(
@@ -471,7 +378,7 @@
         status = attempt.head.status
         call.last_detail = f"{endpoint.id}: not run, status {status}"
         call.excluded.add(endpoint.id)
-        self._log_failure(call, endpoint.id, "not_run")
+        self._log.note_failure(call, endpoint.id, "not_run")
         pause = _MOVED_PAUSE_S if status == 421 else _REFUSED_PAUSE_S
         self._parts.health.pause(
             endpoint.incarnation, clocks.read_monotonic() + pause
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -15,8 +15,10 @@
 from sardinewharf import ids
 from sardinewharf import limits
 from sardinewharf import logs
+from sardinewharf.gateway import digests
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import rolls as rolls_lib
 from sardinewharf.gateway import settings as settings_lib
 
 # Time between datagrams to each peer, in seconds.
@@ -33,136 +35,6 @@
 _log = logs.get_logger("peers")
 
 
-class LoadNews(msgspec.Struct, array_like=True):
-    """A gateway's work at an endpoint, in requests and prompt tokens."""
-
-    endpoint: str
-    running: int
-    prompt_tokens: int
-    held_tokens: int
-
-
-class WeightsNews(msgspec.Struct, array_like=True):
-    """The version of an engine's weights."""
-
-    endpoint: str
-    model: str
-    version: int
-
-
-class NamingNews(msgspec.Struct, array_like=True):
-    """Since when a version of a model's weights is wanted."""
-
-    model: str
-    version: int
-    age_ms: int
-
-
-class ReadNews(msgspec.Struct, array_like=True):
-    """A shared prompt that an engine reads."""
-
-    key: int
-    incarnation: str
-    age_ms: int
-
-
-class UseNews(msgspec.Struct, array_like=True):
-    """A shared prompt that an engine used."""
-
-    key: int
-    incarnation: str
-    tokens: int
-    age_ms: int
-
-
-class DeathNews(msgspec.Struct, array_like=True):
-    """An endpoint that died while a request ran there."""
-
-    fingerprint: bytes
-    incarnation: str
-    age_ms: int
-
-
-class Digest(msgspec.Struct, array_like=True):
-    """A gateway's news.
-
-    Attributes:
-        sender: Name of its VM.
-        started: When its process started, in Unix milliseconds.
-        number: Rises with each digest.
-        revision: The store's revision that it has seen.
-        loads: Its work at endpoints.
-        rolling: Engines that it is about to order or has ordered.
-        weights: Versions that engines showed it of late.
-        deaths: Endpoints that died of requests.
-        namings: Since when weights are wanted.
-        is_leaving: Whether it is shutting down.
-        reads: Shared prompts that engines read for it.
-        uses: Shared prompts that engines used for it of late.
-        store_age_ms: Since when it has heard nothing of the store of kept
-            cache; None if it does not read its news.
-    """
-
-    sender: str
-    started: int
-    number: int
-    revision: int
-    loads: list[LoadNews] = []
-    rolling: list[str] = []
-    weights: list[WeightsNews] = []
-    deaths: list[DeathNews] = []
-    namings: list[NamingNews] = []
-    is_leaving: bool = False
-    reads: list[ReadNews] = []
-    uses: list[UseNews] = []
-    store_age_ms: int | None = None
-
-
-class RollTable:
-    """Engines that are led away from, since they are about to load weights.
-
-    Examples:
-        >>> table = RollTable()
-        >>> table.lead_away(ids.EndpointId("e"), clocks.Deadline.after(1.0))
-        >>> table.is_rolling(ids.EndpointId("e"))
-        True
-        >>> table.lead_back(ids.EndpointId("e"))
-        >>> table.is_rolling(ids.EndpointId("e"))
-        False
-    """
-
-    def __init__(self) -> None:
-        self._own: dict[ids.EndpointId, clocks.Deadline] = {}
-        self._heard: dict[ids.EndpointId, clocks.Deadline] = {}
-
-    def lead_away(
-        self, endpoint_id: ids.EndpointId, until: clocks.Deadline
-    ) -> None:
-        """Keeps requests from an engine."""
-        self._own[endpoint_id] = until
-
-    def lead_back(self, endpoint_id: ids.EndpointId) -> None:
-        """Lets requests go to an engine again."""
-        self._own.pop(endpoint_id, None)
-
-    def hear(self, endpoint_ids: list[str], until: clocks.Deadline) -> None:
-        """Takes in which engines another gateway leads away from."""
-        self._heard = {ids.EndpointId(e): until for e in endpoint_ids}
-
-    def list_own(self) -> list[str]:
-        """Returns the engines that this gateway leads away from."""
-        self._own = {e: d for e, d in self._own.items() if not d.is_past()}
-        return list(self._own)
-
-    def is_rolling(self, endpoint_id: ids.EndpointId) -> bool:
-        """Returns whether requests are to keep away from an engine."""
-        for table in (self._own, self._heard):
-            until = table.get(endpoint_id)
-            if until is not None and not until.is_past():
-                return True
-        return False
-
-
 class Peers(asyncio.DatagramProtocol):
     """Exchanges digests with other gateways.
 
@@ -184,7 +56,7 @@
         settings: settings_lib.GatewaySettings,
         replica: replica_lib.Replica,
         loads: fleet.LoadTable,
-        rolls: RollTable,
+        rolls: rolls_lib.RollTable,
         prompts: prompts_lib.PromptTable,
         crashes: limits.CrashTable,
         hurry: Callable[[int], None],
@@ -283,7 +155,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes in a datagram."""
         try:
-            digest = msgspec.msgpack.decode(data, type=Digest)
+            digest = msgspec.msgpack.decode(data, type=digests.Digest)
         except msgspec.MsgspecError as error:
             _log.warning("A digest of {} cannot be read: {}.", addr[0], error)
             return
@@ -296,7 +168,7 @@
         """Notes that a datagram could not be delivered."""
         _log.debug("A datagram was not delivered: {}.", exc)
 
-    def _make_digest(self) -> Digest:
+    def _make_digest(self) -> digests.Digest:
         self._number += 1
         now = clocks.read_monotonic()
         self._shown = {
@@ -304,13 +176,13 @@
             for key, shown in self._shown.items()
             if now - shown[1] < _SILENT_S
         }
-        return Digest(
+        return digests.Digest(
             sender=self._settings.name,
             started=self._started,
             number=self._number,
             revision=self._replica.revision,
             loads=[
-                LoadNews(
+                digests.LoadNews(
                     endpoint_id,
                     load.running,
                     load.prompt_tokens,
@@ -320,15 +192,15 @@
             ],
             rolling=self._rolls.list_own(),
             weights=[
-                WeightsNews(endpoint_id, model, version)
+                digests.WeightsNews(endpoint_id, model, version)
                 for (endpoint_id, model), (version, _) in self._shown.items()
             ],
             namings=[
-                NamingNews(model, version, int((now - at) * 1000))
+                digests.NamingNews(model, version, int((now - at) * 1000))
                 for model, version, at in self._replica.namings.list_known()
             ],
             deaths=[
-                DeathNews(
+                digests.DeathNews(
                     death.fingerprint,
                     death.incarnation,
                     int((now - death.at) * 1000),
@@ -337,11 +209,11 @@
             ],
             is_leaving=self.is_leaving,
             reads=[
-                ReadNews(key, incarnation, int((now - began) * 1000))
+                digests.ReadNews(key, incarnation, int((now - began) * 1000))
                 for key, incarnation, began in self._prompts.list_reads()
             ],
             uses=[
-                UseNews(
+                digests.UseNews(
                     use.key,
                     use.incarnation,
                     use.tokens,
@@ -357,7 +229,7 @@
         age = store.count_age() if store.is_followed else None
         return None if age is None else int(age * 1000)
 
-    def _merge(self, digest: Digest) -> None:
+    def _merge(self, digest: digests.Digest) -> None:
         now = clocks.read_monotonic()
         self._loads.merge_peer(
             digest.sender,
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -18,6 +18,7 @@
 from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import rolls as rolls_lib
 from sardinewharf.gateway import settings as settings_lib
 
 _TICK_S = 0.05
@@ -63,7 +64,7 @@
         replica: replica_lib.Replica,
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
-        rolls: peers_lib.RollTable,
+        rolls: rolls_lib.RollTable,
         peers: peers_lib.Peers,
         log: records.RecordSink,
     ):
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -8,10 +8,10 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf.gateway import messages
-from sardinewharf.gateway import peers
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
+from sardinewharf.gateway import rolls as rolls_lib
 from sardinewharf.gateway import settings as settings_lib
 
 # Share of an endpoint's connections that all gateways together may use.
@@ -42,7 +42,7 @@
         replica: replica_lib.Replica,
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
-        rolls: peers.RollTable,
+        rolls: rolls_lib.RollTable,
         prompts: prompts_lib.PromptTable,
     ):
         self._settings = settings
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -27,9 +27,11 @@
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import rollout
+from sardinewharf.gateway import rolls as rolls_lib
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
+from sardinewharf.gateway import tables
 from sardinewharf.http1 import server as http_server
 
 # The entry point has turned away from a VM that is not ready by then, in
@@ -89,12 +91,12 @@
         self._health = fleet.HealthTable(log)
         self._tasks = tasks.TaskGroup()
         self._stopping = asyncio.Event()
-        self._connections = dispatcher_lib.ConnectionTable()
-        self._budgets = dispatcher_lib.BudgetTable(self._make_share())
+        self._connections = tables.ConnectionTable()
+        self._budgets = tables.BudgetTable(self._make_share())
         self._gatekeeper = admission.Gatekeeper(
             self._replica, settings.promises
         )
-        self._rolls = peers_lib.RollTable()
+        self._rolls = rolls_lib.RollTable()
         self._crashes = limits.CrashTable()
         self._prompts = prompts_lib.PromptTable(self._tell_peers)
         selector = selection.Selector(
--- /dev/null
+++ b/sardinewharf/gateway/tables.py
@@ -0,0 +1,56 @@
+"""Keeps connections and budgets by what they belong to."""
+
+from sardinewharf import fleet
+from sardinewharf import http1
+from sardinewharf import ids
+from sardinewharf import limits
+
+
+class ConnectionTable:
+    """Connection pools by endpoint."""
+
+    def __init__(self) -> None:
+        self._pools: dict[tuple[ids.EndpointId, int], http1.Pool] = {}
+
+    def find(self, endpoint: fleet.Endpoint, limit: int) -> http1.Pool:
+        """Returns the pool of an endpoint's present incarnation."""
+        key = (endpoint.id, endpoint.started_ms)
+        pool = self._pools.get(key)
+        if pool is None or pool.address != endpoint.address:
+            pool = http1.Pool(endpoint.address, limit)
+            self._pools[key] = pool
+        pool.limit = limit
+        return pool
+
+    def close_gone(self, registry: fleet.Registry) -> None:
+        """Closes the connections of endpoints that are gone."""
+        for key in list(self._pools):
+            endpoint = registry.find(key[0])
+            if endpoint is None or endpoint.started_ms != key[1]:
+                self._pools.pop(key).close()
+
+
+class BudgetTable:
+    """Budgets of repeats by service.
+
+    Args:
+        share: This gateway's part of each.
+    """
+
+    def __init__(self, share: limits.BudgetShare):
+        self._share = share
+        self._budgets: dict[str, limits.WindowBudget] = {}
+
+    def find(self, service: str) -> limits.WindowBudget:
+        """Returns a service's budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = limits.WindowBudget(self._share)
+            self._budgets[service] = budget
+        return budget
+
+    def set_share(self, share: limits.BudgetShare) -> None:
+        """Changes this gateway's part of each budget."""
+        self._share = share
+        for budget in self._budgets.values():
+            budget.share = share
