--- a/sardinewharf/gateway/__init__.py
+++ b/sardinewharf/gateway/__init__.py
@@ -1,8 +1,8 @@
 """Routes the requests of callers to the endpoints of services.
 
 A request goes through ``app`` (reads it), ``admission`` (may it pass),
-``dispatcher`` with ``selection`` and ``prompts`` (where it goes, and what may be
-tried again) and ``relay`` with ``streams`` (its answer). ``service`` starts all
+``dispatcher`` with ``selection`` and ``prompts`` (where it goes, and what may
+be tried again) and ``relay`` with ``streams`` (its answer). ``service`` starts all
 of it, beside ``sync`` with ``replica`` (what the store says), ``peers`` (what
 other gateways say), ``caches`` (what the cache store holds) and ``rollout``
 (weights of the engines).
