Repeat unanswered orders at once, and skip dead engines in a roll

The log of orders shows why: crashed engines that were still listed took each second turn (their report was awaited 0.5 s again and again), and an order without an answer cost 2.2 s. Such refusals now say how many endpoints were ready, left alone, and fit.

Ruled out: the limit on replaced weights itself; what begins later earns and promises nothing.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -116,6 +116,8 @@
             self._check(call)
             target = self._parts.selector.choose(call)
             if target is None:
+                if not call.last_detail:
+                    call.last_detail = self._parts.selector.explain_none(call)
                 raise self._give_up(call, refusals.Reason.NO_ENDPOINT)
             if await self._wait_for_reader(call, target):
                 continue
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -35,9 +35,9 @@
 _POLL_S = 0.12
 # An engine that does not show the version by then is ordered again.
 _LOAD_LIMIT_S = 4.0
-# An order without an answer is given up for now when it shows no effect by
-# then.
-_UNANSWERED_S = 1.0
+# An order that is not answered by then is repeated, so many times at most.
+_ORDER_S = 0.25
+_MAX_ORDERS = 5
 _FAILURE_PAUSE_S = 0.5
 
 
@@ -202,22 +202,13 @@
     async def _order_and_wait(
         self, endpoint: fleet.Endpoint, model: str, until: clocks.Deadline
     ) -> bool:
-        report = await self._read(endpoint)
-        if report is None:
-            return False
         wanted = self._replica.namings.find_wanted(model)
-        if self._note(endpoint, model, report, wanted):
+        result = await self._order_until_answered(endpoint, model, wanted)
+        if result is control_lib.OrderResult.HOLDS_ALREADY:
             return True
-        if not report.is_busy:
-            result = await self._order(endpoint, model, wanted, report.orders)
-            if result is control_lib.OrderResult.HOLDS_ALREADY:
-                self._peers.note_weights(endpoint.id, model, wanted)
-                return True
-            if result is control_lib.OrderResult.UNKNOWN:
-                until = clocks.Deadline.after(_UNANSWERED_S + _LOAD_S)
-            elif result is not control_lib.OrderResult.ACCEPTED:
-                return False
-            await asyncio.sleep(_LOAD_S)
+        if result is not control_lib.OrderResult.ACCEPTED:
+            return False
+        await asyncio.sleep(_LOAD_S)
         while not until.is_past():
             report = await self._read(endpoint)
             if report is None:
@@ -227,6 +218,30 @@
             await asyncio.sleep(_POLL_S)
         return False
 
+    async def _order_until_answered(
+        self, endpoint: fleet.Endpoint, model: str, wanted: int
+    ) -> control_lib.OrderResult | None:
+        """Orders an engine, again if there is no answer.
+
+        Repeats do no harm: each names the orders that the engine has accepted,
+        so that one of them is carried out, and a late one never.
+        """
+        for _ in range(_MAX_ORDERS):
+            report = await self._read(endpoint)
+            if report is None:
+                return None
+            if self._note(endpoint, model, report, wanted):
+                return control_lib.OrderResult.HOLDS_ALREADY
+            if report.is_busy:
+                return control_lib.OrderResult.ACCEPTED
+            result = await self._order(endpoint, model, wanted, report.orders)
+            if result is control_lib.OrderResult.HOLDS_ALREADY:
+                self._peers.note_weights(endpoint.id, model, wanted)
+            if result is not control_lib.OrderResult.UNKNOWN:
+                return result
+            await asyncio.sleep(_POLL_S)
+        return None
+
     async def _order(
         self, endpoint: fleet.Endpoint, model: str, version: int, orders: int
     ) -> control_lib.OrderResult | None:
@@ -244,7 +259,7 @@
             after_orders=orders,
         )
         result = await self._control.order_weights(
-            endpoint, order, clocks.Deadline.after(_CALL_S).earlier(tenure)
+            endpoint, order, clocks.Deadline.after(_ORDER_S).earlier(tenure)
         )
         self._log_order(endpoint, order, result)
         if result is control_lib.OrderResult.OLD_EPOCH:
@@ -276,9 +291,15 @@
     async def _read(
         self, endpoint: fleet.Endpoint
     ) -> control_lib.EngineReport | None:
-        return await self._control.read_report(
+        report = await self._control.read_report(
             endpoint, clocks.Deadline.after(_CALL_S)
         )
+        if report is None:
+            # Another engine has its turn while this one is tried more seldom.
+            self._health.note_unreached(
+                endpoint.incarnation, clocks.read_monotonic()
+            )
+        return report
 
     def _note(
         self,
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -86,6 +86,21 @@
             return self._choose_server(endpoints, now)
         return self._choose_engine(call, service.engine, prompt, endpoints, now)
 
+    def explain_none(self, call: requests.Call) -> str:
+        """Returns why there is no endpoint for a request."""
+        now = clocks.read_monotonic()
+        ready = self._replica.registry.list_ready(call.service)
+        closed = sum(
+            not self._health.may_try(e.incarnation, now) for e in ready
+        )
+        text = f"{len(ready)} endpoints ready, {closed} of them left alone"
+        prompt = call.request.headers.prompt
+        if prompt is None:
+            return text
+        current = self._list_current(list(ready), prompt.model, now)
+        wanted = self._replica.namings.find_wanted(prompt.model)
+        return f"{text}, {len(current)} with weights fit for {wanted}"
+
     def _choose_server(
         self, endpoints: list[fleet.Endpoint], now: float
     ) -> requests.Target | None:
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -157,3 +157,35 @@
     answer = await rig.ask("/chat/1", body=b"p")
     assert answer.status in (502, 504)
     assert clocks.read_monotonic() - now < 2.0
+
+
+async def test_dead_engines_do_not_hold_up_the_others(rig):
+    """A dead engine that was still listed took each second turn of a roll."""
+    await rig.engines[0].stop()
+    await name_version(rig, 2)
+
+    async def are_done() -> bool:
+        return all(engine.version == 2 for engine in rig.engines[1:])
+
+    await platform_rig.wait_for(are_done, 2.5)
+
+
+async def test_unanswered_orders_are_repeated_soon(rig):
+    for engine in rig.engines:
+        lose_answers(engine, count=3)
+    await name_version(rig, 2)
+    await platform_rig.wait_for(lambda: has_version(rig, 2), 6.0)
+    assert [len(engine.orders) for engine in rig.engines] == [1, 1, 1]
+
+
+def lose_answers(engine, count):
+    take = engine._take_order
+    lost = []
+
+    def lose(connection, order):
+        if len(lost) < count:
+            lost.append(order)
+            return
+        take(connection, order)
+
+    engine._take_order = lose
