Refuse at once a long prompt whose line exceeds its caller's time

Only a wait beyond 1.2 times the time left counts, and only for long prompts: short ones pass them in line.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -12,6 +12,7 @@
 from sardinewharf.balancing.engines import PromptSize
 from sardinewharf.balancing.engines import SharedPrompt
 from sardinewharf.balancing.engines import choose_engine
+from sardinewharf.balancing.engines import is_hopeless
 from sardinewharf.balancing.engines import rank_urgency
 from sardinewharf.balancing.holdings import Holdings
 from sardinewharf.balancing.homes import rank_homes
@@ -33,6 +34,7 @@
     "choose_engine",
     "choose_rolls",
     "choose_server",
+    "is_hopeless",
     "rank_homes",
     "rank_urgency",
 ]
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -40,6 +40,9 @@
 _SHORT_SHARE = 1 / 3
 # Prompts from this many tokens to be read on are long.
 _LONG_TOKENS = 1_500
+# Waits are estimates: only one that exceeds the time left by this factor is
+# sure to be too long.
+_SURE_FACTOR = 1.2
 # Prompts from this many tokens to be read on are very long.
 _VERY_LONG = 6_000
 _LAST_PRIORITY = 9
@@ -119,6 +122,29 @@
     shared: SharedPrompt
 
 
+def is_hopeless(read_tokens: int, wait_ms: float, left_ms: float) -> bool:
+    """Returns whether a long prompt cannot be answered in time.
+
+    The load pattern: few engines are left, and their lines grow beyond what
+    callers wait for. Short prompts pass long ones in line, so that the wait
+    says nothing of them.
+
+    Args:
+        read_tokens: Prompt tokens that have to be read.
+        wait_ms: Time until its first token, with its own prompt.
+        left_ms: Time that the caller waits.
+
+    Examples:
+        >>> is_hopeless(20_000, wait_ms=9_500.0, left_ms=6_900.0)
+        True
+        >>> is_hopeless(20_000, wait_ms=3_000.0, left_ms=6_900.0)
+        False
+        >>> is_hopeless(300, wait_ms=9_500.0, left_ms=3_000.0)
+        False
+    """
+    return read_tokens >= _LONG_TOKENS and wait_ms > _SURE_FACTOR * left_ms
+
+
 def rank_urgency(rank: int, read_tokens: int) -> int:
     """Returns an engine's priority for a prompt, 0 first and 9 last.
 
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TypeVar
 
+from sardinewharf import balancing
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
@@ -121,6 +122,7 @@
                 raise self._give_up(call, refusals.Reason.NO_ENDPOINT)
             if await self._wait_for_reader(call, target):
                 continue
+            self._check_wait(call, target)
             try:
                 pool, connection = await self._connect(call, target)
             except http1.ConnectError as error:
@@ -208,6 +210,18 @@
             return
         self._parts.gatekeeper.admit(request.headers, request.path)
 
+    def _check_wait(self, call: requests.Call, target: requests.Target) -> None:
+        """Raises RefusedError for a prompt that cannot be served in time."""
+        left = call.deadline.remaining()
+        if not balancing.is_hopeless(
+            target.read_tokens, target.wait_s * 1000, left * 1000
+        ):
+            return
+        call.last_detail = (
+            f"the least line is {target.wait_s:.1f} s, {left:.1f} s are left"
+        )
+        raise self._give_up(call, refusals.Reason.BUSY)
+
     async def _wait_for_reader(
         self, call: requests.Call, target: requests.Target
     ) -> bool:
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -189,3 +189,26 @@
         take(connection, order)
 
     engine._take_order = lose
+
+
+async def test_a_long_prompt_that_cannot_be_served_is_refused_at_once(rig):
+    """A caller left after 3.2 s; 456 thousand tokens had been in line."""
+    for engine in rig.engines:
+        rig.gateways[0]._loads.begin(engine.id, prompt_tokens=456_000)
+    began = clocks.read_monotonic()
+    long = await rig.ask(
+        "/chat/1",
+        body=b"p",
+        x_sardinewharf_token_usage="17000,20",
+        x_sardinewharf_prompt_prefix="aa:13000,bb:4000",
+    )
+    assert long.status == 503
+    assert float(long.headers["retry-after"]) > 0
+    assert clocks.read_monotonic() - began < 0.5
+    short = await rig.ask(
+        "/chat/1",
+        body=b"p",
+        x_sardinewharf_token_usage="300,20",
+        x_sardinewharf_prompt_prefix="cc:100,dd:200",
+    )
+    assert short.status == 200
