Take no success that does not name its request

The check of an answer's id passed when there was none, which is the only way that reading the code shows; an echo is owed in every answer of a server.

Ruled out: bytes that come while a connection is idle, or behind an answer in the same segment; both end the connection (test_extra_answers_reach_nobody).

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -364,7 +364,8 @@
             self.note_loss(call, attempt, "the answer is to another request")
             return False
         if head.is_success:
-            if head.is_stamped and not head.is_encoded:
+            is_own = head.request_id == call.request.headers.request_id
+            if is_own and head.is_stamped and not head.is_encoded:
                 return True
             self.note_loss(call, attempt, "the answer is not the endpoint's")
             return False
--- a/sardinewharf/gateway/tests/test_faulty_endpoints.py
+++ b/sardinewharf/gateway/tests/test_faulty_endpoints.py
@@ -21,7 +21,8 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["reset", "garbage", "short_body", "wrong_id", "is_unsigned"]
+    "fault",
+    ["reset", "garbage", "short_body", "wrong_id", "no_id", "is_unsigned"],
 )
 async def test_an_unsafe_request_runs_once_whatever_is_answered(rig, fault):
     spoil(rig.servers, **{fault: True})
@@ -54,7 +55,8 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["reset", "garbage", "short_body", "wrong_id", "is_unsigned"]
+    "fault",
+    ["reset", "garbage", "short_body", "wrong_id", "no_id", "is_unsigned"],
 )
 async def test_a_safe_request_is_tried_at_a_second_endpoint(rig, fault):
     spoil(rig.servers[:2], **{fault: True})
--- a/sardinewharf/gateway/tests/test_requests_fuzz.py
+++ b/sardinewharf/gateway/tests/test_requests_fuzz.py
@@ -27,6 +27,7 @@
     "extra",
     "garbage",
     "wrong_id",
+    "no_id",
     "is_unsigned",
     "unframed",
     "cut_after",
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -28,6 +28,7 @@
         extra: Sends a second answer after the first.
         garbage: Sends bytes that are no answer.
         wrong_id: Answers as to another request.
+        no_id: Answers without saying to which request.
         is_unsigned: Answers without a signature.
         unframed: States no length and ends with the connection.
     """
@@ -42,6 +43,7 @@
     extra: bool = False
     garbage: bool = False
     wrong_id: bool = False
+    no_id: bool = False
     is_unsigned: bool = False
     unframed: bool = False
 
@@ -157,10 +159,11 @@
         if self.faults.wrong_id:
             request_id = "another"
         headers = [
-            ("x-sardinewharf-request-id", request_id),
             ("x-sardinewharf-server-load", f"{len(self._connections)},0,6"),
             ("keep-alive", "timeout=10"),
         ]
+        if not self.faults.no_id:
+            headers.append(("x-sardinewharf-request-id", request_id))
         if not self.faults.is_unsigned:
             headers.append(("x-sardinewharf-server-stamp", f"{self.id}.stamp"))
         return headers
