Keep a second answer's headers from the first

Ruled out: reuse of the connection; it was marked as spent.

Measured: test_headers_of_a_second_answer_do_not_join_the_first failed before and passes; 30 tests of http1 and faulty endpoints pass.

--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -257,7 +257,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes in a header."""
-        self._headers.append((name.lower(), value))
+        # Headers of a second answer would join those of the first.
+        if not self._exchange.is_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Takes in a whole head."""
--- /dev/null
+++ b/sardinewharf/http1/tests/test_client.py
@@ -0,0 +1,84 @@
+import asyncio
+
+from sardinewharf import http1
+
+
+class Transport(asyncio.Transport):
+    """Takes what is written, and remembers whether it was ended."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_ended = False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.is_ended = True
+
+    close = abort
+
+    def is_closing(self):
+        return self.is_ended
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+def make_answer(name, body):
+    return b"HTTP/1.1 200 OK\r\nstamp: %b\r\ncontent-length: %d\r\n\r\n%b" % (
+        name,
+        len(body),
+        body,
+    )
+
+
+def open_exchange():
+    connection = http1.Connection()
+    connection.connection_made(Transport())
+    return connection, connection.start(b"POST", b"request")
+
+
+async def test_headers_of_a_second_answer_do_not_join_the_first():
+    """Both came in one segment, and a caller got both signatures."""
+    connection, exchange = open_exchange()
+    connection.data_received(
+        make_answer(b"own", b"one") + make_answer(b"foreign", b"two")
+    )
+    head = await exchange.read_head()
+    assert [v for n, v in head.headers if n == b"stamp"] == [b"own"]
+    assert await exchange.read() == b"one"
+    assert await exchange.read() == b""
+    assert not connection.is_open
+
+
+async def test_bytes_behind_an_answer_end_the_connection():
+    connection, exchange = open_exchange()
+    connection.data_received(make_answer(b"own", b"one"))
+    assert exchange.is_complete and connection.is_open
+    connection.data_received(make_answer(b"foreign", b"two"))
+    assert not connection.is_open
+
+
+async def test_a_second_answer_in_parts_joins_nothing():
+    connection, exchange = open_exchange()
+    extra = make_answer(b"foreign", b"two")
+    connection.data_received(make_answer(b"own", b"one") + extra[:20])
+    head = await exchange.read_head()
+    connection.data_received(extra[20:])
+    assert [v for n, v in head.headers if n == b"stamp"] == [b"own"]
+    assert not connection.is_open
+
+
+async def test_an_answer_cut_short_is_lost():
+    connection, exchange = open_exchange()
+    connection.data_received(make_answer(b"own", b"one")[:-1])
+    connection.eof_received()
+    connection.connection_lost(None)
+    await exchange.read_head()
+    assert await exchange.read() == b"on"
+    try:
+        await exchange.read()
+    except http1.LostError:
+        return
+    raise AssertionError("a cut answer looked whole")
