Tell a cut from a crash, and ask again for answers held back

Four faults in the product, all traced from the daemons' logs, which behave now prints when a scenario fails: - A cut-off daemon took two engines beyond the cut for dead of one good request and quarantined it. With the key-value service out of reach, suspects now run in the own failure domain first. - A load report asked for before an engine died, and read after, brought it back and withdrew its death, so a crashing request killed a third engine. Reports count from when they were asked for; a digest's age is taken to miss up to 2 s. - A connection that held a request back kept its caller waiting until the deadline beside idle engines. Ruled out: load alone (configuration:37 fails on an idle machine, too).

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,8 +1,12 @@
 """Gives each feature a deployment of its own, behind the proxy."""
 
+from behave.model_core import Status
+
 from sardinewharf import testbed
 
 _DOMAINS = ("fd1", "fd2", "fd3")
+_KEPT_LINES = 60
+_KEPT_CHARACTERS = 400
 _QUICK = (
     "--drain-seconds=0.5",
     "--gossip-seconds=0.3",
@@ -57,8 +61,19 @@
     context.threads = []
 
 
+def print_logs(bed):
+    """Prints what the processes last wrote, for whoever reads a failure."""
+    for process in bed.processes.values():
+        lines = process.log.read_text(errors="replace").splitlines()
+        print(f"Last lines of {process.name}:")
+        for line in lines[-_KEPT_LINES:]:
+            print(f"  {line[:_KEPT_CHARACTERS]}")
+
+
 def after_scenario(context, scenario):
     bed = context.bed
+    if scenario.status in (Status.failed, Status.error):
+        print_logs(bed)
     for thread in context.threads:
         thread.join(40)
     for link in bed.links:
@@ -74,8 +89,14 @@
     for name in bed.planned_daemons:
         if not bed.processes[name].is_live:
             bed.start_daemon(name)
-    bed.wait_ready(context.version)
-    bed.wait_usable()
+    try:
+        bed.wait_ready(context.version)
+        bed.wait_usable()
+    except testbed.BedError:
+        for daemon in bed.daemons:
+            print(daemon.name, bed.read_status(daemon)["endpoints"])
+        print_logs(bed)
+        raise
 
 
 def _marker(feature):
--- a/sardinewharf/daemon/polling.py
+++ b/sardinewharf/daemon/polling.py
@@ -92,9 +92,10 @@
         endpoint: ids.EndpointId,
         report: endpoints.LoadReport,
         at: float,
+        lived_at: float,
     ) -> None:
         """Tells the router of a report."""
-        self._suspects.withdraw(report.incarnation, at)
+        self._suspects.withdraw(report.incarnation, lived_at)
         self._router.note_incarnation(endpoint, report.incarnation)
         self._router.get_view(endpoint).note_report(report.queued_tokens, at)
 
@@ -159,6 +160,7 @@
     async def _poll(self, endpoint: endpoints.Endpoint) -> None:
         name = endpoint.endpoint
         was_leaving = endpoint.is_leaving
+        asked_at = clocks.read_monotonic()
         try:
             report = await self._engines.report(
                 endpoint.vm.address, clocks.Deadline.after(_CALL_S)
@@ -166,11 +168,10 @@
         except endpoints.EndpointError:
             endpoint.failures += 1
             if endpoint.failures >= _FAILURES_TO_DOWN:
-                self._directory.note_failure(name)
+                self._directory.note_failure(name, clocks.read_monotonic())
             return
-        now = clocks.read_monotonic()
-        self._directory.note_report(name, report, now)
-        self.note_load(name, report, now)
+        self._directory.note_report(name, report, asked_at)
+        self.note_load(name, report, asked_at, lived_at=asked_at)
         if report.leaving and not was_leaving:
             _log.info("Endpoint {} leaves, says itself.", name)
             self._gossip.announce_leaving(name, report.incarnation)
--- a/sardinewharf/daemon/service.py
+++ b/sardinewharf/daemon/service.py
@@ -130,7 +130,10 @@
 
     def _build_relays(self) -> None:
         settings = self._settings
-        relay_settings = relay.RelaySettings(retry_ratio=settings.retry_ratio)
+        relay_settings = relay.RelaySettings(
+            retry_ratio=settings.retry_ratio,
+            failure_domain=ids.FailureDomainId(settings.failure_domain),
+        )
         self._models = relay.ModelRelay(
             self.state.directory,
             self._engines,
--- a/sardinewharf/daemons/gossip.py
+++ b/sardinewharf/daemons/gossip.py
@@ -42,6 +42,8 @@
 _RUMOUR_S = 30.0
 _DEATH_PEERS = 64
 _DEATH_S = 0.5
+# Longest time that a digest is taken to spend on its way.
+_UNDERWAY_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,8 +99,16 @@
         endpoint: ids.EndpointId,
         report: endpoints.LoadReport,
         at: float,
+        lived_at: float,
     ) -> None:
-        """Notes a report that was made at a time on this process's clock."""
+        """Notes a report that was made at a time on this process's clock.
+
+        Args:
+            endpoint: Whose report it is.
+            report: What the endpoint said.
+            at: When it was asked.
+            lived_at: A time at which it surely lived.
+        """
 
 
 class Gossip:
@@ -357,7 +367,7 @@
         for endpoint in self._state.directory:
             is_same = endpoint.report.incarnation == death.incarnation
             if is_same and endpoint.reported_at < death.at:
-                self._state.directory.note_failure(endpoint.endpoint)
+                self._state.directory.note_failure(endpoint.endpoint, death.at)
 
     def _merge_loads(self, digest: ttypes.Digest, now: float) -> None:
         for load in digest.loads:
@@ -371,9 +381,13 @@
                 )
             except msgspec.MsgspecError:
                 continue
-            self._state.directory.note_report(load.endpoint, report, at)
+            # The age leaves out how long the digest itself took to come.
+            lived_at = at - _UNDERWAY_S
+            self._state.directory.note_report(
+                load.endpoint, report, at, lived_at
+            )
             if self.listener is not None:
-                self.listener.note_load(load.endpoint, report, at)
+                self.listener.note_load(load.endpoint, report, at, lived_at)
 
     async def _fetch_newer(self, digest: ttypes.Digest) -> None:
         own = self._state.holder.snapshot.version
--- a/sardinewharf/endpoints/directory.py
+++ b/sardinewharf/endpoints/directory.py
@@ -36,6 +36,7 @@
         is_leaving: Whether any signal said that it leaves.
         is_down: Whether it failed since its last report.
         failures: Number of failures in a row.
+        failed_at: When it last failed, on this process's clock.
     """
 
     endpoint: ids.EndpointId
@@ -45,6 +46,7 @@
     is_leaving: bool = False
     is_down: bool = False
     failures: int = 0
+    failed_at: float = 0.0
 
     @property
     def state(self) -> EndpointState:
@@ -126,9 +128,21 @@
         return True
 
     def note_report(
-        self, endpoint: ids.EndpointId, report: reports.LoadReport, at: float
+        self,
+        endpoint: ids.EndpointId,
+        report: reports.LoadReport,
+        at: float,
+        lived_at: float | None = None,
     ) -> None:
-        """Takes in an endpoint's own report, unless a newer one is known."""
+        """Takes in an endpoint's own report, unless a newer one is known.
+
+        Args:
+            endpoint: The endpoint.
+            report: What it said.
+            at: When it was asked, on this process's clock. An answer that
+                waited to be read must not outlive the endpoint.
+            lived_at: A time at which it surely lived, if that is not ``at``.
+        """
         known = self._endpoints.get(endpoint)
         if known is None or at <= known.reported_at:
             return
@@ -136,8 +150,10 @@
         has_restarted = known.report.incarnation != report.incarnation
         known.report = report
         known.reported_at = at
-        known.is_down = False
-        known.failures = 0
+        proved_at = at if lived_at is None else lived_at
+        if has_restarted or known.failed_at < proved_at:
+            known.is_down = False
+            known.failures = 0
         if report.leaving:
             known.is_leaving = True
         elif has_restarted and known.vm.state is inventory.VmState.LIVE:
@@ -146,11 +162,12 @@
         if before != after:
             self.version += 1
 
-    def note_failure(self, endpoint: ids.EndpointId) -> None:
-        """Notes that an endpoint could not be reached."""
+    def note_failure(self, endpoint: ids.EndpointId, at: float) -> None:
+        """Notes that an endpoint could not be reached at a time."""
         known = self._endpoints.get(endpoint)
         if known is None:
             return
+        known.failed_at = max(known.failed_at, at)
         known.failures += 1
         if not known.is_down:
             known.is_down = True
--- a/sardinewharf/endpoints/engines.py
+++ b/sardinewharf/endpoints/engines.py
@@ -13,6 +13,7 @@
 from sardinewharf import ids
 from sardinewharf.endpoints import failures
 from sardinewharf.endpoints import frames
+from sardinewharf.endpoints import openings
 from sardinewharf.endpoints import reports
 from sardinewharf.routing import prefixes
 
@@ -223,19 +224,13 @@
 
     async def resume(self, deadline: clocks.Deadline) -> None:
         self._response.close()
-        timeout = _make_timeout(deadline, self._deadline)
-        url = f"{self._url}?after={self._checker.sequence}"
-        try:
-            response = await self._session.get(url, timeout=timeout)
-        except failures.CLIENT_ERRORS as error:
-            raise failures.convert_client_error(error) from error
+        response = await _ask_again(
+            self._session,
+            f"{self._url}?after={self._checker.sequence}",
+            self._attempt,
+            _make_timeout(deadline, self._deadline),
+        )
         incarnation = response.headers.get("X-Incarnation", "")
-        attempt = response.headers.get("X-Attempt-Id", "")
-        if response.status != 200 or attempt != self._attempt:
-            response.close()
-            raise failures.EndpointError(
-                failures.FailureKind.NOT_RUN, f"status {response.status}"
-            )
         if incarnation != self.head.incarnation:
             response.close()
             raise failures.EndpointError(
@@ -255,6 +250,49 @@
         self._response.close()
 
 
+class _HttpOpening(openings.Opening):
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        request: EngineRequest,
+        deadline: clocks.Deadline,
+    ):
+        super().__init__()
+        self._session = session
+        self._address = address
+        self._request = request
+        self._deadline = deadline
+
+    async def send(self) -> aiohttp.ClientResponse:
+        request = self._request
+        headers = {
+            "X-Request-Id": request.request,
+            "X-Attempt-Id": request.attempt,
+            "Content-Type": "application/json",
+        }
+        try:
+            response = await self._session.post(
+                f"http://{self._address}{request.path}",
+                data=request.encode(),
+                headers=headers,
+                timeout=_make_timeout(self._deadline, self._deadline),
+            )
+        except failures.CLIENT_ERRORS as error:
+            raise failures.convert_client_error(error) from error
+        _check_answer(response, request.attempt)
+        return response
+
+    async def ask(self) -> aiohttp.ClientResponse:
+        attempt = self._request.attempt
+        return await _ask_again(
+            self._session,
+            f"http://{self._address}/v1/streams/{attempt}?after=0",
+            attempt,
+            _make_timeout(self._deadline, self._deadline),
+        )
+
+
 class HttpModelEngine(ModelEngine):
     """Model engines that speak HTTP, as in docs/PROTOCOLS.md.
 
@@ -276,21 +314,8 @@
     ) -> EngineStream:
         """Sends a request and returns its stream once it has begun."""
         session = self._get_session()
-        headers = {
-            "X-Request-Id": request.request,
-            "X-Attempt-Id": request.attempt,
-            "Content-Type": "application/json",
-        }
-        try:
-            response = await session.post(
-                f"http://{address}{request.path}",
-                data=request.encode(),
-                headers=headers,
-                timeout=_make_timeout(deadline, deadline),
-            )
-        except failures.CLIENT_ERRORS as error:
-            raise failures.convert_client_error(error) from error
-        _check_answer(response, request.attempt)
+        opening = _HttpOpening(session, address, request, deadline)
+        response = await opening.run()
         return _HttpEngineStream(
             session, address, request.attempt, response, deadline
         )
@@ -365,6 +390,26 @@
     return aiohttp.ClientTimeout(total=total, sock_connect=connect)
 
 
+async def _ask_again(
+    session: aiohttp.ClientSession,
+    url: str,
+    attempt: ids.AttemptId,
+    timeout: aiohttp.ClientTimeout,
+) -> aiohttp.ClientResponse:
+    """Asks for a stream that was begun, over another connection."""
+    try:
+        response = await session.get(url, timeout=timeout)
+    except failures.CLIENT_ERRORS as error:
+        raise failures.convert_client_error(error) from error
+    answered = response.headers.get("X-Attempt-Id")
+    if response.status != 200 or answered != attempt:
+        response.close()
+        raise failures.EndpointError(
+            failures.FailureKind.NOT_RUN, f"status {response.status}"
+        )
+    return response
+
+
 async def _cancel(
     session: aiohttp.ClientSession, address: str, attempt: ids.AttemptId
 ) -> None:
--- /dev/null
+++ b/sardinewharf/endpoints/tests/test_openings.py
@@ -0,0 +1,72 @@
+"""Checks how an answer that does not begin is asked for again."""
+
+import asyncio
+
+import pytest
+
+from sardinewharf import endpoints
+from sardinewharf.endpoints import openings
+
+
+class Held(openings.Opening):
+    """An attempt whose own connection holds everything back.
+
+    Args:
+        asked: What the other connections bring, one after another.
+    """
+
+    def __init__(self, *asked):
+        super().__init__(silence_s=0.01)
+        self.asked = list(asked)
+        self.sends_cancelled = 0
+
+    async def send(self):
+        try:
+            await asyncio.sleep(5.0)
+        except asyncio.CancelledError:
+            self.sends_cancelled += 1
+            raise
+
+    async def ask(self):
+        outcome = self.asked.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        if outcome is None:
+            await asyncio.sleep(5.0)
+        return outcome
+
+
+class Prompt(Held):
+    """An attempt that is answered on its own connection."""
+
+    async def send(self):
+        return "sent"
+
+
+def fail(kind):
+    return endpoints.EndpointError(kind, "as planned")
+
+
+async def test_another_connection_brings_an_answer_held_back():
+    """A caller waited out its deadline beside idle engines."""
+    opening = Held("asked")
+    assert await opening.run() == "asked"
+    await asyncio.sleep(0)
+    assert opening.sends_cancelled == 1
+
+
+async def test_an_attempt_that_never_came_is_lost_at_once():
+    """An unknown attempt may still be under way, so it is not 'not run'."""
+    opening = Held(fail(endpoints.FailureKind.NOT_RUN))
+    with pytest.raises(endpoints.EndpointError) as caught:
+        await opening.run()
+    assert caught.value.kind is endpoints.FailureKind.LOST
+
+
+async def test_asking_goes_on_when_it_fails_itself():
+    opening = Held(fail(endpoints.FailureKind.LOST), None, "asked")
+    assert await opening.run() == "asked"
+
+
+async def test_a_prompt_answer_is_not_asked_for_again():
+    assert await Prompt().run() == "sent"
--- a/sardinewharf/limits/slots.py
+++ b/sardinewharf/limits/slots.py
@@ -1,13 +1,15 @@
 """Lets suspect requests run one at a time on each engine, over all daemons.
 
 Two suspects on one engine that dies could not be told apart. A slot is a
-record under a lease in the key-value service; while that is out, the slots
-hold for this daemon only.
+record under a lease in the key-value service. While that is out of reach, the
+slots hold for this daemon only, and engines of its own failure domain come
+first: the others may be cut off, which looks like a death.
 """
 
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import enum
 
 import xxhash
 
@@ -21,6 +23,14 @@
 _FREE = b""
 
 
+class _Hold(enum.Enum):
+    """Tells how a slot is held."""
+
+    REFUSED = "refused"
+    HERE = "here"
+    EVERYWHERE = "everywhere"
+
+
 class SuspectSlots:
     """The slots of all engines, as one daemon takes them.
 
@@ -37,12 +47,14 @@
     async def enter(
         self,
         list_engines: Callable[[], Sequence[str]],
+        list_near: Callable[[], Sequence[str]],
         deadline: clocks.Deadline,
     ) -> str | None:
         """Returns an engine whose slot is now this daemon's.
 
         Args:
             list_engines: Returns the engines that may be used.
+            list_near: Returns those of them in this failure domain.
             deadline: When to stop waiting.
 
         Returns:
@@ -52,12 +64,39 @@
             engines = list_engines()
             if not engines:
                 return None
-            for engine in sorted(engines, key=self._rank):
-                if engine not in self._held and await self._take(engine):
-                    return engine
+            found = await self._take_one(engines, list_near)
+            if found is not None:
+                return found
             await asyncio.sleep(_PAUSE_S)
         return None
 
+    async def _take_one(
+        self,
+        engines: Sequence[str],
+        list_near: Callable[[], Sequence[str]],
+    ) -> str | None:
+        for engine in sorted(engines, key=self._rank):
+            if engine in self._held:
+                continue
+            hold = await self._take(engine)
+            if hold is _Hold.EVERYWHERE:
+                return engine
+            if hold is _Hold.HERE:
+                return self._prefer_near(engine, list_near())
+        return None
+
+    def _prefer_near(self, taken: str, near: Sequence[str]) -> str | None:
+        """Exchanges a slot held here only for one near at hand, if any is."""
+        if not near or taken in near:
+            return taken
+        del self._held[taken]
+        free = [engine for engine in near if engine not in self._held]
+        if not free:
+            return None
+        engine = min(free, key=self._rank)
+        self._held[engine] = None
+        return engine
+
     async def leave(self, engine: str) -> None:
         """Frees the slot of an engine."""
         revision = self._held.pop(engine, None)
@@ -73,30 +112,33 @@
         # Daemons begin with different engines, so that they seldom collide.
         return xxhash.xxh3_64_intdigest(f"{self._holder}/{engine}".encode())
 
-    async def _take(self, engine: str) -> bool:
+    async def _take(self, engine: str) -> _Hold:
         self._held[engine] = None
-        taken = False
+        hold = _Hold.REFUSED
         try:
-            taken = await self._write(engine)
+            hold = await self._write(engine)
         finally:
-            if not taken:
+            if hold is _Hold.REFUSED:
                 self._held.pop(engine, None)
-        return taken
+        return hold
 
-    async def _write(self, engine: str) -> bool:
+    async def _write(self, engine: str) -> _Hold:
         key = _KEY_PREFIX + engine
         deadline = clocks.Deadline.after(_CALL_S)
         read = await self._kv.read(key, deadline)
         if isinstance(read, keyvalue.Unavailable):
-            return True
+            return _Hold.HERE
         if isinstance(read, keyvalue.Record) and read.value != _FREE:
-            return False
+            return _Hold.REFUSED
         lease = await self._kv.grant_lease(_LEASE_S, deadline)
         if isinstance(lease, keyvalue.Unavailable):
-            return True
+            return _Hold.HERE
         written = await self._kv.write(
             key, self._holder.encode(), read.revision, deadline, lease.lease
         )
         if isinstance(written, keyvalue.Written):
             self._held[engine] = written.revision
-        return not isinstance(written, keyvalue.Conflict)
+            return _Hold.EVERYWHERE
+        if isinstance(written, keyvalue.Conflict):
+            return _Hold.REFUSED
+        return _Hold.HERE
--- a/sardinewharf/placement/placer.py
+++ b/sardinewharf/placement/placer.py
@@ -163,6 +163,7 @@
             return
         fence = (self._tenure.epoch << _VERSION_BITS) + version
         order = endpoints.Order(fence, dict(load.wanted))
+        asked_at = clocks.read_monotonic()
         try:
             report = await self._engines.order(
                 endpoint.vm.address, order, deadline
@@ -170,8 +171,7 @@
         except endpoints.EndpointError as error:
             _log.warning("Engine {} took no order: {}.", load.engine, error)
             return
-        now = clocks.read_monotonic()
-        self._directory.note_report(endpoint.endpoint, report, now)
+        self._directory.note_report(endpoint.endpoint, report, asked_at)
         limit = clocks.Deadline.after(self._settings.load_seconds)
         self._ordered.setdefault(load.engine, limit)
         _log.info(
--- a/sardinewharf/relay/access.py
+++ b/sardinewharf/relay/access.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from sardinewharf import endpoints
+from sardinewharf import ids
 from sardinewharf import limits
 from sardinewharf import routing
 from sardinewharf import tasks
@@ -19,10 +20,12 @@
     Attributes:
         retry_ratio: Retries allowed for each request.
         retry_reserve: Retries that may be saved up.
+        failure_domain: Where this daemon stands.
     """
 
     retry_ratio: float = 0.1
     retry_reserve: float = 20.0
+    failure_domain: ids.FailureDomainId = ids.FailureDomainId("")
 
 
 async def _ignore_death() -> None:
@@ -41,6 +44,7 @@
         settings: How requests are carried.
 
     Attributes:
+        failure_domain: Where this daemon stands.
         on_death: Called when an endpoint has died of a request.
     """
 
@@ -64,4 +68,5 @@
         self.budget = limits.RetryBudget(
             settings.retry_ratio, settings.retry_reserve
         )
+        self.failure_domain = settings.failure_domain
         self.on_death: Callable[[], Awaitable[None]] = _ignore_death
--- a/sardinewharf/relay/calls.py
+++ b/sardinewharf/relay/calls.py
@@ -161,7 +161,9 @@
             error,
         )
         if error.kind is endpoints.FailureKind.NOT_SENT:
-            self._directory.note_failure(server.endpoint)
+            self._directory.note_failure(
+                server.endpoint, clocks.read_monotonic()
+            )
 
 
 class _Claimed:
--- a/sardinewharf/relay/openers.py
+++ b/sardinewharf/relay/openers.py
@@ -15,7 +15,7 @@
 from sardinewharf.relay import streams
 
 _log = logs.get_logger("routing")
-_MAX_ATTEMPTS = 6
+_MAX_ATTEMPTS = 12
 _HASTY_ATTEMPTS = 3
 _RETRY_PAUSE_S = 0.3
 _RETRY_AFTER_S = 1.0
@@ -136,7 +136,7 @@
         if not relay.suspects.is_suspect(self._request.fingerprint, now):
             return pool
         self._slot = await relay.slots.enter(
-            self._list_engines, self._request.deadline
+            self._list_engines, self._list_near, self._request.deadline
         )
         self._check()
         return routing.Pool([self._slot] if self._slot else [])
@@ -157,6 +157,18 @@
         pool = self._relay.pools.get_pool(self._request.target)
         return [name for name in pool.engines if name not in self._excluded]
 
+    def _list_near(self) -> list[str]:
+        """Returns the engines that stand in this daemon's failure domain."""
+        relay = self._relay
+        found = []
+        for name in self._list_engines():
+            endpoint = relay.directory.find(ids.EndpointId(name))
+            if endpoint is None:
+                continue
+            if endpoint.vm.failure_domain == relay.failure_domain:
+                found.append(name)
+        return found
+
     def _leave_slot(self) -> None:
         slot, self._slot = self._slot, None
         if slot is not None:
@@ -299,7 +311,9 @@
         )
         self._exclude(engine)
         if error.kind is endpoints.FailureKind.NOT_SENT:
-            self._relay.directory.note_failure(ids.EndpointId(engine))
+            self._relay.directory.note_failure(
+                ids.EndpointId(engine), clocks.read_monotonic()
+            )
         if not error.proves_not_run:
             self._has_run = True
             await self._ask(engine, error.kind)
@@ -311,6 +325,7 @@
         if endpoint is None:
             return
         incarnation = endpoint.report.incarnation
+        asked_at = clocks.read_monotonic()
         try:
             report = await relay.engines.report(
                 endpoint.vm.address, clocks.Deadline.after(_PROBE_S)
@@ -324,8 +339,7 @@
             # death is withdrawn.
             await self._note_death(engine, incarnation)
             return
-        now = clocks.read_monotonic()
-        relay.directory.note_report(endpoint.endpoint, report, now)
+        relay.directory.note_report(endpoint.endpoint, report, asked_at)
         if report.incarnation != incarnation:
             await self._note_death(engine, incarnation)
             return
@@ -333,11 +347,11 @@
 
     async def _note_death(self, engine: str, incarnation: str) -> None:
         relay = self._relay
-        relay.directory.note_failure(ids.EndpointId(engine))
+        now = clocks.read_monotonic()
+        relay.directory.note_failure(ids.EndpointId(engine), now)
         relay.router.forget_engine(engine)
         if self._began_dead:
             return
-        now = clocks.read_monotonic()
         death = limits.Death(
             self._request.fingerprint,
             incarnation,
--- a/sardinewharf/standins/engine.py
+++ b/sardinewharf/standins/engine.py
@@ -59,6 +59,7 @@
 class _Stream:
     """A running answer, kept for a while so that it can be resumed."""
 
+    head: dict[str, str] = dataclasses.field(default_factory=dict)
     frames: list[bytes] = dataclasses.field(default_factory=list)
     done: bool = False
     cancelled: bool = False
@@ -153,7 +154,14 @@
         prompt = msgspec.json.encode(body.get("messages", body.get("prompt")))
         if self._crash_marker and self._crash_marker in prompt:
             os._exit(1)
-        matched, cached, computed = await self._compute(body)
+        stream = _Stream()
+        self._streams[attempt] = stream
+        try:
+            matched, cached, computed = await self._compute(body)
+        except asyncio.CancelledError:
+            # The caller left before its prompt was computed.
+            del self._streams[attempt]
+            raise
         start = body.get("continuation", {}).get("tokens", 0)
         end = max(start, body.get("max_tokens") or 16)
         self._record.append(
@@ -168,8 +176,11 @@
                 "cached_pieces": matched,
             }
         )
-        stream = _Stream()
-        self._streams[attempt] = stream
+        stream.head = {
+            "X-Cached-Tokens": str(cached),
+            "X-Weights-Version": weights,
+            "X-Computed-Tokens": str(computed),
+        }
         source = _Source(
             request.headers.get("X-Request-Id", ""), body["model"], attempt
         )
@@ -178,12 +189,7 @@
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        headers = {
-            "X-Cached-Tokens": str(cached),
-            "X-Weights-Version": weights,
-            "X-Computed-Tokens": str(computed),
-        }
-        return await self._send(request, attempt, stream, 0, headers)
+        return await self._send(request, attempt, stream, 0)
 
     async def _compute(self, body: dict) -> tuple[int, int, int]:
         pieces = [(name, tokens) for name, tokens in body["cache_pieces"]]
@@ -253,9 +259,11 @@
         attempt: str,
         stream: _Stream,
         position: int,
-        headers: dict[str, str],
     ) -> web.StreamResponse:
-        response = web.StreamResponse(headers=headers)
+        while not stream.head and not stream.done:
+            stream.grown.clear()
+            await stream.grown.wait()
+        response = web.StreamResponse(headers=stream.head)
         response.content_type = "text/event-stream"
         response.headers["X-Attempt-Id"] = attempt
         response.headers["X-Incarnation"] = self._incarnation
@@ -281,7 +289,7 @@
         if stream is None:
             return web.Response(status=404)
         position = int(request.query["after"])
-        return await self._send(request, attempt, stream, position, {})
+        return await self._send(request, attempt, stream, position)
 
     async def _cancel(self, request: web.Request) -> web.Response:
         stream = self._streams.get(request.match_info["attempt"])
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -18,7 +18,7 @@
     """Runs everything and prints ``N passed, N failed``."""
     checks_pass = _run_checks()
     passed: list[str] = []
-    failed: list[str] = []
+    failed: dict[str, str] = {}
     with tempfile.TemporaryDirectory() as folder:
         reports = pathlib.Path(folder)
         _run_pytest(reports / "pytest.xml")
@@ -26,12 +26,10 @@
         for report in sorted(reports.glob("*.xml")):
             _read_report(report, passed, failed)
     known = _read_known_red()
-    red = [name for name in failed if name in known]
+    for name, reason in failed.items():
+        verdict = "known red" if name in known else "FAILED"
+        print(f"{verdict}: {name}\n{reason}")
     failed = [name for name in failed if name not in known]
-    for name in red:
-        print(f"known red: {name}")
-    for name in failed:
-        print(f"FAILED: {name}")
     if not checks_pass:
         failed.append("formatter and linter")
     print(f"{len(passed)} passed, {len(failed)} failed")
@@ -59,16 +57,27 @@
 
 
 def _read_report(
-    report: pathlib.Path, passed: list[str], failed: list[str]
+    report: pathlib.Path, passed: list[str], failed: dict[str, str]
 ) -> None:
     for case in ElementTree.parse(report).iter("testcase"):
         name = f"{case.get('classname')}: {case.get('name')}"
         # A test that did not run counts as failed: none may be left out.
-        bad = any(case.find(tag) is not None for tag in _BAD_TAGS)
-        (failed if bad else passed).append(name)
+        bad = [case.find(tag) for tag in _BAD_TAGS]
+        found = next((tag for tag in bad if tag is not None), None)
+        if found is None:
+            passed.append(name)
+        else:
+            failed[name] = _read_reason(found)
 
 
 _BAD_TAGS = ("failure", "error", "skipped")
+_REASON_CHARACTERS = 1500
+
+
+def _read_reason(tag: ElementTree.Element) -> str:
+    parts = (tag.get("message"), tag.text)
+    text = "\n".join(part.strip() for part in parts if part)
+    return text[:_REASON_CHARACTERS]
 
 
 def _read_known_red() -> set[str]:
