Leave connections that give each call the answer to the one before

Change: short calls have connections of their own, all left when an answer is of the wrong kind. Ruled out: a poll task that ended (the daemon went on polling) and a death told by others (no death in any log). Measured: the new test fails before (one connection) and passes after.

--- a/sardinewharf/endpoints/engines.py
+++ b/sardinewharf/endpoints/engines.py
@@ -302,7 +302,9 @@
 
     def __init__(self, source_address: str = "") -> None:
         self._source = source_address
+        # Streams, and short calls.
         self._session: aiohttp.ClientSession | None = None
+        self._calls: aiohttp.ClientSession | None = None
         self._reports = msgspec.json.Decoder(reports.LoadReport)
         self._events = msgspec.json.Decoder(reports.CacheEvents)
 
@@ -329,14 +331,14 @@
     ) -> reports.LoadReport:
         """Returns an endpoint's load."""
         body = await self._get(f"http://{address}/v1/load", deadline)
-        return _decode(self._reports, body)
+        return await self._decode(self._reports, body)
 
     async def list_events(
         self, address: str, after: int, deadline: clocks.Deadline
     ) -> reports.CacheEvents:
         """Returns the cache events after a sequence number."""
         url = f"http://{address}/v1/events?after={after}"
-        return _decode(self._events, await self._get(url, deadline))
+        return await self._decode(self._events, await self._get(url, deadline))
 
     async def order(
         self, address: str, order: reports.Order, deadline: clocks.Deadline
@@ -346,7 +348,7 @@
         url = f"http://{address}/v1/orders"
         body = msgspec.json.encode(order)
         try:
-            async with self._get_session().post(
+            async with self._get_calls().post(
                 url, data=body, timeout=timeout
             ) as response:
                 if response.status == 409:
@@ -354,26 +356,44 @@
                         failures.FailureKind.NOT_RUN, "fence is old"
                     )
                 response.raise_for_status()
-                return _decode(self._reports, await response.read())
+                answer = await response.read()
         except failures.CLIENT_ERRORS as error:
             raise failures.convert_client_error(error) from error
+        return await self._decode(self._reports, answer)
 
     async def close(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._calls):
+            if session is not None:
+                await session.close()
 
     async def _get(self, url: str, deadline: clocks.Deadline) -> bytes:
         timeout = _make_timeout(deadline, deadline)
         try:
-            async with self._get_session().get(
-                url, timeout=timeout
-            ) as response:
+            async with self._get_calls().get(url, timeout=timeout) as response:
                 response.raise_for_status()
                 return await response.read()
         except failures.CLIENT_ERRORS as error:
             raise failures.convert_client_error(error) from error
 
+    async def _decode(self, decoder: msgspec.json.Decoder, body: bytes):
+        try:
+            return decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            # The answer belongs to another call. Its connection would go on
+            # giving each call the answer to the one before.
+            stale, self._calls = self._calls, None
+            if stale is not None:
+                await stale.close()
+            raise failures.EndpointError(
+                failures.FailureKind.MISMATCH, str(error)
+            ) from error
+
+    def _get_calls(self) -> aiohttp.ClientSession:
+        if self._calls is None:
+            self._calls = clients.make_session(self._source)
+        return self._calls
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = clients.make_session(
@@ -450,12 +470,3 @@
         running=int(running),
         queued_tokens=int(queued),
     )
-
-
-def _decode(decoder: msgspec.json.Decoder, body: bytes):
-    try:
-        return decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise failures.EndpointError(
-            failures.FailureKind.MISMATCH, str(error)
-        ) from error
--- /dev/null
+++ b/sardinewharf/endpoints/tests/test_engines.py
@@ -0,0 +1,62 @@
+"""Checks what becomes of connections that give wrong answers."""
+
+from aiohttp import web
+import pytest
+
+from sardinewharf import clocks
+from sardinewharf import endpoints
+
+_LOAD = '{"running": 3, "incarnation": "a"}'
+_EVENTS = '{"incarnation": "a", "events": []}'
+
+
+class _LateServer:
+    """Answers each call on a connection with the answer to the one before."""
+
+    def __init__(self):
+        self.connections = 0
+        self._before = {}
+
+    async def answer(self, request):
+        key = request.transport
+        own = _LOAD if request.path == "/v1/load" else _EVENTS
+        if key not in self._before:
+            self.connections += 1
+            # Only the first connection is out of step.
+            self._before[key] = _EVENTS if self.connections == 1 else None
+        before = self._before[key]
+        if before is None:
+            return web.Response(text=own)
+        self._before[key] = own
+        return web.Response(text=before)
+
+
+@pytest.fixture
+async def late_server():
+    server = _LateServer()
+    app = web.Application()
+    app.router.add_get("/v1/{call}", server.answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    server.address = f"127.0.0.1:{port}"
+    yield server
+    await runner.cleanup()
+
+
+async def test_a_connection_out_of_step_is_left(late_server):
+    """Load and events of an engine changed places for as long as it lived.
+
+    Each poll failed, so that the daemon took the engine for dead.
+    """
+    client = endpoints.HttpModelEngine()
+    deadline = clocks.Deadline.after(5.0)
+    with pytest.raises(endpoints.EndpointError) as caught:
+        await client.report(late_server.address, deadline)
+    assert caught.value.kind is endpoints.FailureKind.MISMATCH
+    report = await client.report(late_server.address, deadline)
+    assert report.running == 3
+    assert late_server.connections == 2
+    await client.close()
