Let a watch end by itself after one was given up for a newer one

Change: the watch after one that was given up is short and ends by itself; what it brings counts as made at the last proof, as after a failure. Ruled out: a frozen process (it refused requests all the while) and a store call without a limit (each has one, of 2.6 s).

--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -53,6 +53,8 @@
         self._log = log
         self._pause = _MIN_PAUSE_S
         self._has_failed = False
+        # Whether the last watch was given up for being behind other gateways.
+        self._was_hurried = False
         self._hurry = asyncio.Event()
         self._has_timer = False
 
@@ -102,11 +104,18 @@
 
     async def _watch(self) -> bool:
         sent = clocks.read_monotonic()
-        seconds = _SHORT_WATCH_S if self._has_failed else _WATCH_S
+        was_failing = self._has_failed or self._was_hurried
+        seconds = _SHORT_WATCH_S if was_failing else _WATCH_S
         until = clocks.Deadline(sent + seconds)
-        was_failing = self._has_failed
-        result = await self._watch_or_hurry(until)
+        if self._was_hurried:
+            # It ends by itself: given up again and again, none would ever
+            # bring anything from a store that is slow or silent.
+            self._was_hurried = False
+            result = await self._watch_store(until)
+        else:
+            result = await self._watch_or_hurry(until)
         if result is None:
+            self._was_hurried = True
             return True
         if isinstance(result, keyvalue.Unavailable):
             self._note_failure(result.detail)
@@ -136,14 +145,19 @@
         gateways = len(self._replica.members)
         return min(_MAX_GATHER_S, gateways * _GATHER_S_PER_GATEWAY)
 
+    async def _watch_store(
+        self, until: clocks.Deadline
+    ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable:
+        return await self._store.watch_prefix(
+            _ALL_KEYS, self._replica.revision, until
+        )
+
     async def _watch_or_hurry(
         self, until: clocks.Deadline
     ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable | None:
         """Watches; returns None if the watch was given up for a new one."""
         self._hurry.clear()
-        watch = asyncio.ensure_future(
-            self._store.watch_prefix(_ALL_KEYS, self._replica.revision, until)
-        )
+        watch = asyncio.ensure_future(self._watch_store(until))
         hurry = asyncio.ensure_future(self._hurry.wait())
         try:
             await asyncio.wait(
