--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -76,17 +76,21 @@
     async def run(self) -> None:
         """Reads and watches the store until cancelled."""
         while True:
-            if not self._replica.is_filled:
-                is_done = await self._list()
-            else:
-                is_done = await self._watch()
-            self._replica.drop_doubtful()
-            if is_done:
+            if await self.step():
                 self._pause = _MIN_PAUSE_S
                 continue
             await asyncio.sleep(self._pause * random.uniform(0.5, 1.0))
             self._pause = min(_MAX_PAUSE_S, 2 * self._pause)
 
+    async def step(self) -> bool:
+        """Calls the store once; returns whether it answered."""
+        if not self._replica.is_filled:
+            is_done = await self._list()
+        else:
+            is_done = await self._watch()
+        self._replica.drop_doubtful()
+        return is_done
+
     async def _list(self) -> bool:
         sent = clocks.read_monotonic()
         listing = await self._store.list_prefix(
