--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -133,12 +133,13 @@
         now: float,
     ) -> requests.Target | None:
         usable = self._list_current(endpoints, prompt.model, now)
-        views = [self._view(call, prompt, e, usable) for e in usable]
+        names = _PromptNames(call, prompt)
+        views = [self._view(prompt, names, e, usable, now) for e in usable]
         states = [
             balancing.EngineState(
                 view.endpoint.id,
                 view.endpoint.failure_domain,
-                self._loads.read(view.endpoint.id, now),
+                view.load,
                 self._health.read_failure_share(view.endpoint.incarnation),
                 shared=view.shared,
                 has_old_weights=view.weights
@@ -163,20 +164,21 @@
 
     def _view(
         self,
-        call: requests.Call,
         prompt: messages.Prompt,
+        names: "_PromptNames",
         endpoint: fleet.Endpoint,
         usable: list[fleet.Endpoint],
+        now: float,
     ) -> "_EngineView":
         """Returns what a request would find at an engine."""
         weights = self._replica.registry.find_weights(endpoint.id, prompt.model)
-        scope = make_cache_scope(call, prompt.model, weights)
-        key = prompts_lib.make_key(scope, prompt)
+        name = names.find(weights)
         others = [e.incarnation for e in usable if e is not endpoint]
         shared = self._prompts.locate(
-            key, scope, prompt, endpoint.incarnation, others
+            name.key, name.scope, prompt, endpoint.incarnation, others
         )
-        return _EngineView(endpoint, weights, scope, key, shared)
+        load = self._loads.read(endpoint.id, now)
+        return _EngineView(endpoint, weights, name, shared, load)
 
     def _make_target(
         self,
@@ -188,9 +190,9 @@
     ) -> requests.Target:
         is_reading = choice.shared is balancing.SharedPrompt.READ
         store = self._prompts.store
-        is_stored = self._prompts.is_stored(chosen.key, chosen.scope, prompt)
-        saves = bool(chosen.key) and store.is_alive and not is_stored
-        now = clocks.read_monotonic()
+        name = chosen.name
+        is_stored = self._prompts.is_stored(name.key, name.scope, prompt)
+        saves = bool(name.key) and store.is_alive and not is_stored
         read_tokens = prompt.tokens
         if not is_reading:
             read_tokens -= prompt.shared_tokens
@@ -198,13 +200,13 @@
         return requests.Target(
             chosen.endpoint,
             weights=chosen.weights,
-            cache_scope=chosen.scope,
+            cache_scope=name.scope,
             priority=balancing.rank_urgency(
                 call.admitted.priority, read_tokens
             ),
             fetch_from=self._find_source(prompt, chosen, usable),
             save_to=store.address if saves else "",
-            prompt_key=chosen.key,
+            prompt_key=name.key,
             shared_tokens=prompt.shared_tokens,
             shared=choice.shared,
             read_tokens=read_tokens,
@@ -213,7 +215,7 @@
             begin_by=self._find_begin_limit(prompt.model, chosen.weights),
             wait_s=(choice.wait_ms + own_ms) / 1000,
             candidates=len(usable),
-            load=self._loads.read(chosen.endpoint.id, now),
+            load=chosen.load,
         )
 
     def _find_begin_limit(
@@ -238,16 +240,17 @@
         for what it lacks.
         """
         store = self._prompts.store
-        if not chosen.key:
+        name = chosen.name
+        if not name.key:
             return ""
-        if self._prompts.is_stored(chosen.key, chosen.scope, prompt):
+        if self._prompts.is_stored(name.key, name.scope, prompt):
             return store.address
         others = {
             e.incarnation: e.address
             for e in usable
             if e.id != chosen.endpoint.id
         }
-        holder = self._prompts.find_holder(chosen.key, list(others))
+        holder = self._prompts.find_holder(name.key, list(others))
         return others[holder] if holder is not None else ""
 
     def _estimate_fetch(
@@ -275,6 +278,38 @@
         return staying or current
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PromptName:
+    """Names a request's shared prompt in the engines' caches.
+
+    Attributes:
+        scope: Who may share the cached prompt.
+        key: Names the shared prompt under the scope; 0 for a short one.
+    """
+
+    scope: str
+    key: int
+
+
+class _PromptNames:
+    """A shared prompt's names, each made once for a version of weights."""
+
+    def __init__(self, call: requests.Call, prompt: messages.Prompt):
+        self._call = call
+        self._prompt = prompt
+        self._found: dict[int, _PromptName] = {}
+
+    def find(self, weights: int) -> _PromptName:
+        """Returns the name under a version of weights."""
+        name = self._found.get(weights)
+        if name is None:
+            prompt = self._prompt
+            scope = make_cache_scope(self._call, prompt.model, weights)
+            name = _PromptName(scope, prompts_lib.make_key(scope, prompt))
+            self._found[weights] = name
+        return name
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _EngineView:
     """What a request would find at an engine.
@@ -282,16 +317,16 @@
     Attributes:
         endpoint: The engine.
         weights: Version of its weights.
-        scope: Who may share the cached prompt.
-        key: Names the shared prompt under the scope.
+        name: Names the request's shared prompt there.
         shared: Where the shared prompt would come from.
+        load: Work at it.
     """
 
     endpoint: fleet.Endpoint
     weights: int
-    scope: str
-    key: int
+    name: _PromptName
     shared: balancing.SharedPrompt
+    load: fleet.EndpointLoad
 
 
 def make_cache_scope(call: requests.Call, model: str, weights: int) -> str:
