Let a few gateways watch the store for all, and live by others in need

Change: of more than four gateways in a failure domain two watch; the others ask one of them each 0.25 s and get the changes with the age of their proof, which they date from their question. A gateway whose watch fails asks any other. What does not fit 1.1 KB is read from the store. Ruled out: pushing changes (a lost datagram would have to be missed first). Test: test_feeds.

--- a/sardinewharf/gateway/changes.py
+++ b/sardinewharf/gateway/changes.py
@@ -53,10 +53,12 @@
     Attributes:
         name: Name of its VM.
         address: ``IP:PORT`` for other gateways; empty if it is gone.
+        failure_domain: Where it stands.
     """
 
     name: str
     address: str
+    failure_domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -53,7 +53,43 @@
     age_ms: int
 
 
-class Digest(msgspec.Struct, array_like=True):
+class FeedEntry(msgspec.Struct, array_like=True):
+    """A change of the store."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class FeedCall(msgspec.Struct, array_like=True, tag=1):
+    """Asks for the changes of the store after a revision.
+
+    Attributes:
+        number: Names the call, for its answer.
+        revision: What the caller has seen.
+    """
+
+    number: int
+    revision: int
+
+
+class FeedAnswer(msgspec.Struct, array_like=True, tag=2):
+    """Tells of the store.
+
+    Attributes:
+        number: The call's.
+        revision: The store's revision that the sender has seen.
+        age_ms: Since when that may be out of date.
+        entries: All changes between; None if they do not fit or are not kept.
+    """
+
+    number: int
+    revision: int
+    age_ms: int
+    entries: list[FeedEntry] | None
+
+
+class Digest(msgspec.Struct, array_like=True, tag=0):
     """A gateway's news.
 
     Attributes:
@@ -86,3 +122,6 @@
     reads: list[ReadNews] = []
     uses: list[UseNews] = []
     store_age_ms: int | None = None
+
+
+Message = Digest | FeedCall | FeedAnswer
--- a/sardinewharf/gateway/members.py
+++ b/sardinewharf/gateway/members.py
@@ -13,19 +13,21 @@
 
     Attributes:
         address: ``IP:PORT`` for other gateways.
+        failure_domain: Where it stands.
     """
 
     address: str
+    failure_domain: str = ""
 
 
-def make_entry(name: str, address: str) -> keyvalue.Entry:
+def make_entry(name: str, address: str, failure_domain: str) -> keyvalue.Entry:
     """Returns a gateway's entry.
 
     Examples:
-        >>> read_member(make_entry("vm-1", "10.0.0.1:7000")).address
+        >>> read_member(make_entry("vm-1", "10.0.0.1:7000", "fd1")).address
         '10.0.0.1:7000'
     """
-    value = msgspec.json.encode(Registration(address))
+    value = msgspec.json.encode(Registration(address, failure_domain))
     return keyvalue.Entry(KEY_PREFIX + name, value, 0)
 
 
@@ -39,4 +41,4 @@
     except msgspec.MsgspecError:
         # A gateway that cannot be read is one that cannot be reached.
         return changes.MemberChange(name, "")
-    return changes.MemberChange(name, found.address)
+    return changes.MemberChange(name, found.address, found.failure_domain)
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -16,6 +16,7 @@
 from sardinewharf import limits
 from sardinewharf import logs
 from sardinewharf.gateway import digests
+from sardinewharf.gateway import feeds
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import rolls as rolls_lib
@@ -45,6 +46,7 @@
         rolls: Engines that are led away from.
         prompts: Where shared prompts are.
         crashes: Requests that endpoints died of.
+        feed: Changes of the store for those that do not watch it.
         hurry: Called when a peer has seen a newer revision of the store.
 
     Attributes:
@@ -59,6 +61,7 @@
         rolls: rolls_lib.RollTable,
         prompts: prompts_lib.PromptTable,
         crashes: limits.CrashTable,
+        feed: feeds.Feed,
         hurry: Callable[[int], None],
     ):
         self._settings = settings
@@ -67,6 +70,8 @@
         self._rolls = rolls
         self._prompts = prompts
         self._crashes = crashes
+        self._feed = feed
+        feed.send = self.send
         self._is_telling = False
         self._hurry = hurry
         self._transport: asyncio.DatagramTransport | None = None
@@ -155,10 +160,26 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes in a datagram."""
         try:
-            digest = msgspec.msgpack.decode(data, type=digests.Digest)
+            message = msgspec.msgpack.decode(data, type=digests.Message)
         except msgspec.MsgspecError as error:
             _log.warning("A digest of {} cannot be read: {}.", addr[0], error)
             return
+        if isinstance(message, digests.FeedCall):
+            self._feed.answer(message, f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, digests.FeedAnswer):
+            self._feed.take(message)
+        else:
+            self._take_digest(message)
+
+    def send(self, address: str, message: digests.Message) -> None:
+        """Sends a message to one gateway."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        host, _, port = address.rpartition(":")
+        datagram = msgspec.msgpack.encode(message)
+        self._transport.sendto(datagram, (host, int(port)))
+
+    def _take_digest(self, digest: digests.Digest) -> None:
         age = (digest.started, digest.number)
         if age > self._newest.get(digest.sender, (0, 0)):
             self._newest[digest.sender] = age
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -25,6 +25,7 @@
         registry: The endpoints.
         namings: Versions of weights that are wanted, and since when.
         members: Addresses of the gateways by name.
+        member_domains: Failure domains of the gateways by name.
         roll_holder: The gateway that orders engines; empty if none does.
         revision: The store's revision that all this is at.
         is_filled: Whether the store was read since the start.
@@ -36,6 +37,7 @@
         self.registry = fleet.Registry()
         self.namings = fleet.NamingTable()
         self.members: dict[str, str] = {}
+        self.member_domains: dict[str, str] = {}
         self.roll_holder = ""
         self.revision = 0
         self.is_filled = False
@@ -79,6 +81,7 @@
             self.roll_holder = change.holder
         elif change.address:
             self.members[change.name] = change.address
+            self.member_domains[change.name] = change.failure_domain
         else:
             self.members.pop(change.name, None)
 
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -18,6 +18,7 @@
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import dispatcher as dispatcher_lib
+from sardinewharf.gateway import feeds
 from sardinewharf.gateway import members
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
@@ -133,8 +134,9 @@
             log,
             self._metrics,
         )
+        feed = feeds.Feed(settings, self._replica)
         self._synchronizer = sync.Synchronizer(
-            platform.store, platform.reader, self._replica, log
+            platform.store, platform.reader, self._replica, feed, log
         )
         self._peers = peers_lib.Peers(
             settings,
@@ -143,6 +145,7 @@
             self._rolls,
             self._prompts,
             self._crashes,
+            feed,
             self._synchronizer.note_newer,
         )
         self._follower = caches.StoreFollower(
@@ -272,7 +275,9 @@
     async def _register(self) -> None:
         """Writes this gateway's entry, so that others find it."""
         entry = members.make_entry(
-            self._settings.name, self._settings.peer_listen
+            self._settings.name,
+            self._settings.peer_listen,
+            self._settings.failure_domain,
         )
         while True:
             deadline = clocks.Deadline.after(_CALL_S)
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -1,12 +1,17 @@
-"""Keeps a replica current with one watch of the platform's store."""
+"""Keeps a replica current with one watch of the platform's store.
+
+Where others of the failure domain watch it, they are asked instead.
+"""
 
 import asyncio
+from collections.abc import Iterable
 import random
 
 from sardinewharf import clocks
 from sardinewharf import keyvalue
 from sardinewharf import records
 from sardinewharf.gateway import changes
+from sardinewharf.gateway import feeds
 from sardinewharf.gateway import replica as replica_lib
 
 # A watch without changes proves that the copy is current at its end, and a
@@ -28,6 +33,12 @@
 # A change reaches a watch within this time, in seconds.
 _WATCH_LAG_S = 0.2
 _ALL_KEYS = ""
+# Time between two questions to a gateway that watches, in seconds.
+_ASK_S = 0.25
+# News that was current this long ago is too old to live by, in seconds.
+_OLD_NEWS_S = 2.5
+# A gateway whom nobody near tells watches the store itself for this long.
+_OWN_WATCH_S = 3.0
 
 
 class Synchronizer:
@@ -37,6 +48,7 @@
         store: The platform's store.
         reader: Translates its entries.
         replica: The copy that is kept current.
+        feed: Asks other gateways.
         log: Where lost and regained contact is written.
     """
 
@@ -45,8 +57,13 @@
         store: keyvalue.PrefixStore,
         reader: changes.ChangeReader,
         replica: replica_lib.Replica,
+        feed: feeds.Feed,
         log: records.RecordSink,
     ):
+        self._feed = feed
+        # Whether the last step was told what is new by another gateway.
+        self._is_told = False
+        self._watches_until = clocks.Deadline(float("-inf"))
         self._store = store
         self._reader = reader
         self._replica = replica
@@ -76,21 +93,66 @@
     async def run(self) -> None:
         """Reads and watches the store until cancelled."""
         while True:
-            if await self.step():
+            is_done = await self.step()
+            if is_done and self._is_told:
+                await asyncio.sleep(_ASK_S * random.uniform(0.8, 1.2))
+            if is_done:
                 self._pause = _MIN_PAUSE_S
                 continue
             await asyncio.sleep(self._pause * random.uniform(0.5, 1.0))
             self._pause = min(_MAX_PAUSE_S, 2 * self._pause)
 
     async def step(self) -> bool:
-        """Calls the store once; returns whether it answered."""
+        """Calls the store or a gateway once; returns whether it answered."""
+        self._is_told = False
         if not self._replica.is_filled:
             is_done = await self._list()
+        elif self._feed.is_follower() and self._watches_until.is_past():
+            is_done = await self._follow()
         else:
             is_done = await self._watch()
+            if not is_done:
+                self._take(await self._feed.ask_anybody())
         self._replica.drop_doubtful()
         return is_done
 
+    async def _follow(self) -> bool:
+        """Asks a gateway that watches the store."""
+        news = await self._feed.ask_watchers()
+        if news is not None and news.entries is None:
+            # There is more than fits an answer.
+            return await self._watch()
+        self._is_told = self._take(news)
+        if not self._is_told:
+            self._watches_until = clocks.Deadline.after(_OWN_WATCH_S)
+        return True
+
+    def _take(self, news: feeds.News | None) -> bool:
+        """Takes in what another gateway told; returns whether it is of use."""
+        if news is None or news.entries is None:
+            return False
+        if clocks.read_monotonic() - news.proved_at > _OLD_NEWS_S:
+            return False
+        self._apply(news.entries, news.revision, self._replica.proved_at)
+        self._replica.prove(news.proved_at)
+        return True
+
+    def _apply(
+        self,
+        entries: Iterable[keyvalue.Entry],
+        revision: int,
+        since: float,
+    ) -> None:
+        """Takes in changes that were made at a time or later."""
+        newer = [e for e in entries if e.revision > self._replica.revision]
+        for entry in newer:
+            change = self._reader.read_change(entry)
+            if change is not None:
+                self._replica.apply(change, since)
+        if revision > self._replica.revision:
+            self._feed.log.add(newer, revision)
+            self._replica.revision = revision
+
     async def _list(self) -> bool:
         sent = clocks.read_monotonic()
         listing = await self._store.list_prefix(
@@ -103,6 +165,7 @@
         found = [self._reader.read_change(e) for e in listing.entries]
         self._replica.replace([c for c in found if c is not None])
         self._replica.revision = listing.revision
+        self._feed.log.restart(listing.revision)
         self._replica.prove(sent)
         return True
 
@@ -133,11 +196,7 @@
         since = self._replica.proved_at
         if not was_failing:
             since = clocks.read_monotonic() - _WATCH_LAG_S
-        for entry in result.entries:
-            change = self._reader.read_change(entry)
-            if change is not None:
-                self._replica.apply(change, since)
-        self._replica.revision = max(self._replica.revision, result.revision)
+        self._apply(result.entries, result.revision, since)
         is_whole_wait = not result.entries and until.is_past()
         self._replica.prove(until.at if is_whole_wait else sent)
         if result.entries:
--- /dev/null
+++ b/sardinewharf/gateway/tests/test_feeds.py
@@ -0,0 +1,230 @@
+"""Checks how gateways pass on the store's changes.
+
+The load pattern: 85 gateways each watch the store, and every change makes all
+of them call again.
+"""
+
+import asyncio
+import contextlib
+
+import pytest_asyncio
+
+from sardinewharf import catalog
+from sardinewharf import clocks
+from sardinewharf import keyvalue
+from sardinewharf import records
+from sardinewharf.gateway import changes
+from sardinewharf.gateway import digests
+from sardinewharf.gateway import feeds
+from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import sync
+
+_DOMAIN = "fd1"
+_GATEWAYS = 6
+
+
+class Truth:
+    """What the store holds."""
+
+    def __init__(self):
+        self.entries = []
+        self._changed = asyncio.Event()
+
+    @property
+    def revision(self):
+        return len(self.entries)
+
+    def put(self, key, value):
+        entry = keyvalue.Entry(key, value, self.revision + 1)
+        self.entries.append(entry)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait(self, seconds):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+
+
+class FakeStore(keyvalue.PrefixStore):
+    """One gateway's way to the store."""
+
+    def __init__(self, truth):
+        self._truth = truth
+        self.calls = 0
+        self.is_out = False
+
+    async def list_prefix(self, prefix, deadline):
+        self.calls += 1
+        truth = self._truth
+        return keyvalue.Listing(tuple(truth.entries), truth.revision)
+
+    async def watch_prefix(self, prefix, revision, until):
+        self.calls += 1
+        if self.is_out:
+            return keyvalue.Unavailable("out")
+        if self._truth.revision <= revision:
+            await self._truth.wait(until.remaining())
+        if self.is_out:
+            return keyvalue.Unavailable("out")
+        newer = tuple(e for e in self._truth.entries if e.revision > revision)
+        return keyvalue.Changes(newer, self._truth.revision)
+
+    async def delete(self, *arguments):
+        raise NotImplementedError
+
+    read = write = watch = grant_lease = renew_lease = delete
+
+    async def close(self):
+        """Does nothing."""
+
+
+class FakeReader(changes.ChangeReader):
+    """Reads registrations of gateways, and configurations."""
+
+    def read_change(self, entry):
+        if entry.key.startswith("member/"):
+            name = entry.key.removeprefix("member/")
+            return changes.MemberChange(name, name, _DOMAIN)
+        return changes.ConfigurationChange(
+            catalog.Configuration(version=entry.revision)
+        )
+
+
+class Gateway:
+    """What one gateway believes, and how it learns."""
+
+    def __init__(self, name, truth, network):
+        log = records.RecordSink(-1, name, records.SinkSettings())
+        settings = settings_lib.GatewaySettings(name, _DOMAIN, *[""] * 5)
+        self.name = name
+        self.network = network
+        self.store = FakeStore(truth)
+        self.replica = replica_lib.Replica(log)
+        self.feed = feeds.Feed(settings, self.replica)
+        self.feed.send = self._send
+        self.synchronizer = sync.Synchronizer(
+            self.store, FakeReader(), self.replica, self.feed, log
+        )
+        self.task = None
+
+    def _send(self, address, message):
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.network[address].hear, message, self.name)
+
+    def hear(self, message, sender):
+        if self.task is None:
+            return
+        if isinstance(message, digests.FeedCall):
+            self.feed.answer(message, sender)
+        else:
+            self.feed.take(message)
+
+    def start(self):
+        self.task = asyncio.create_task(self.synchronizer.run())
+
+    async def stop(self):
+        task, self.task = self.task, None
+        if task is not None:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+@pytest_asyncio.fixture
+async def fleet():
+    truth = Truth()
+    network = {}
+    for number in range(_GATEWAYS):
+        name = f"vm-{number}"
+        truth.put(f"member/{name}", b"")
+        network[name] = Gateway(name, truth, network)
+    found = list(network.values())
+    for gateway in found:
+        gateway.truth = truth
+        gateway.start()
+    await asyncio.sleep(0.1)
+    yield found
+    for gateway in found:
+        await gateway.stop()
+
+
+def split(fleet):
+    """Returns the gateways that watch, and the others."""
+    followers = [g for g in fleet if g.feed.is_follower()]
+    return [g for g in fleet if g not in followers], followers
+
+
+async def see(gateways, version, seconds):
+    """Waits until gateways have a version of the configuration."""
+    async with asyncio.timeout(seconds):
+        while any(g.replica.configuration.version < version for g in gateways):
+            await asyncio.sleep(0.01)
+
+
+async def test_few_gateways_watch_for_all(fleet):
+    watchers, followers = split(fleet)
+    assert len(watchers) == 2
+    calls = [g.store.calls for g in followers]
+    for _ in range(5):
+        fleet[0].truth.put("config", b"c")
+        await see(fleet, fleet[0].truth.revision, seconds=0.8)
+    assert [g.store.calls for g in followers] == calls
+    assert all(g.replica.count_age() < 3.0 for g in followers)
+
+
+async def test_followers_watch_when_nobody_does(fleet):
+    """Watchers may die at any moment, both at once."""
+    watchers, followers = split(fleet)
+    for gateway in watchers:
+        await gateway.stop()
+    fleet[0].truth.put("config", b"c")
+    await see(followers, fleet[0].truth.revision, seconds=1.5)
+
+
+async def test_followers_leave_watchers_that_are_behind(fleet):
+    watchers, followers = split(fleet)
+    for gateway in watchers:
+        gateway.store.is_out = True
+    await asyncio.sleep(2.6)
+    fleet[0].truth.put("config", b"c")
+    await see(fleet, fleet[0].truth.revision, seconds=2.0)
+    assert followers
+
+
+async def test_a_gateway_without_the_store_lives_by_others(fleet):
+    """The store turned three gateways away, and they refused all callers."""
+    watchers, _ = split(fleet)
+    watchers[0].store.is_out = True
+    await asyncio.sleep(2.5)
+    fleet[0].truth.put("config", b"c")
+    await see(watchers, fleet[0].truth.revision, seconds=2.0)
+    assert watchers[0].replica.count_age() < 3.0
+
+
+async def test_a_change_that_fits_no_answer_is_read_from_the_store(fleet):
+    _, followers = split(fleet)
+    fleet[0].truth.put("config", b"c" * 5_000)
+    await see(fleet, fleet[0].truth.revision, seconds=1.0)
+    assert all(g.replica.count_age() < 3.0 for g in followers)
+
+
+async def test_a_slow_answer_is_dated_from_its_question(fleet):
+    """Else news would look newer by as long as they were on the way."""
+    _, followers = split(fleet)
+    asker = followers[0]
+    await asker.stop()
+    asker.task = asyncio.current_task()
+    asker.network[asker.name] = asker
+    deliver = asker.hear
+
+    def deliver_late(message, sender):
+        asyncio.get_running_loop().call_later(0.1, deliver, message, sender)
+
+    asker.hear = deliver_late
+    asked_at = clocks.read_monotonic()
+    news = await asker.feed.ask_watchers()
+    asker.task = None
+    assert clocks.read_monotonic() - asked_at > 0.09
+    assert news.proved_at <= asked_at
--- a/sardinewharf/gateway/tests/test_freshness_fuzz.py
+++ b/sardinewharf/gateway/tests/test_freshness_fuzz.py
@@ -1,5 +1,7 @@
 """Fuzzes what a gateway admits while its store is slow, late or out of reach.
 
+In the store's place it asks, at times, another gateway that may be behind.
+
 The oracle knows when each configuration was in force. A key passes only if it
 was in force at some time within the bound for keys that are taken away; a key
 is called unknown only if a recent configuration lacks it; and configurations
@@ -23,6 +25,7 @@
 from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import changes
+from sardinewharf.gateway import feeds
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import replica as replica_lib
@@ -100,6 +103,9 @@
         change_s: When the operator changes the keys, in seconds from its
             sending.
         keys: The keys of that change; None for no change.
+        follows: Whether another gateway is asked in the store's place.
+        peer_lag_s: How long ago that one's copy was current; None if it does
+            not answer.
     """
 
     fails: bool
@@ -109,6 +115,43 @@
     repeats: bool
     change_s: float
     keys: frozenset[str] | None
+    follows: bool
+    peer_lag_s: float | None
+
+
+class FakePeers(feeds.Feed):
+    """Another gateway that follows the store, late by as much as fate says."""
+
+    def __init__(self, truth, settings, replica):
+        super().__init__(settings, replica)
+        self._truth = truth
+        self._replica = replica
+        self.fate = None
+
+    def is_follower(self):
+        return self.fate.follows
+
+    async def ask_watchers(self):
+        truth, fate = self._truth, self.fate
+        revision = self._replica.revision
+        sent = truth.now
+        truth.wait(fate.out_s)
+        lag = fate.peer_lag_s
+        if lag is None:
+            return None
+        proved = truth.now - lag
+        told = [h for h in truth.history if h.since <= proved][-1:]
+        version = told[0].version if told else 0
+        entries = tuple(
+            _make_entry(h)
+            for h in truth.history
+            if revision < h.version <= version
+        )
+        truth.wait(fate.back_s)
+        return feeds.News(version, sent - lag, entries)
+
+    async def ask_anybody(self):
+        return await self.ask_watchers()
 
 
 class FakeStore(keyvalue.PrefixStore):
@@ -199,6 +242,8 @@
     repeats=st.sampled_from([False, False, True]),
     change_s=st.sampled_from([0.0, 0.2, 1.0, 1.9, 2.2, 5.0]),
     keys=keys_strategy,
+    follows=st.booleans(),
+    peer_lag_s=st.sampled_from([None, 0.0, 0.2, 1.0, 2.4, 4.0]),
 )
 steps = st.tuples(fates, keys_strategy, seconds)
 
@@ -218,16 +263,22 @@
         self._truth = truth
         self._store = FakeStore(truth)
         self._replica = replica_lib.Replica(log)
+        promises = settings_lib.Promises(revoke_ms=int(_REVOKE_S * 1000))
+        settings = settings_lib.GatewaySettings("vm-1", "fd1", *[""] * 5)
+        self._peers = FakePeers(truth, settings, self._replica)
         self._follower = sync.Synchronizer(
-            self._store, FakeReader(self._check_version), self._replica, log
+            self._store,
+            FakeReader(self._check_version),
+            self._replica,
+            self._peers,
+            log,
         )
-        promises = settings_lib.Promises(revoke_ms=int(_REVOKE_S * 1000))
         self._gatekeeper = admission.Gatekeeper(self._replica, promises)
         self._version = 0
 
     async def run(self, history):
         for fate, keys, pause_s in history:
-            self._store.fate = fate
+            self._store.fate = self._peers.fate = fate
             if fate.keys is not None:
                 self._truth.planned = (
                     self._truth.now + fate.change_s,
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -9,7 +9,9 @@
 from sardinewharf import keyvalue
 from sardinewharf import records
 from sardinewharf.gateway import changes
+from sardinewharf.gateway import feeds
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
 
 
@@ -70,7 +72,9 @@
 async def _follow(store, log, seconds):
     """Follows a store while other gateways tell of a newer revision."""
     replica = replica_lib.Replica(log)
-    follower = sync.Synchronizer(store, FakeReader(), replica, log)
+    settings = settings_lib.GatewaySettings("vm-1", "fd1", *[""] * 5)
+    feed = feeds.Feed(settings, replica)
+    follower = sync.Synchronizer(store, FakeReader(), replica, feed, log)
     running = asyncio.create_task(follower.run())
     until = clocks.Deadline.after(seconds)
     while not until.is_past() and not replica.members:
