Tell followers until when lapsed registrations may come back

(Only fleets with more than four gateways in a failure domain have followers.) Change: a watcher's answer carries how long returns are still expected. Ruled out: judging by the age of the follower's own proof, which is up to 2.3 s in calm times.

--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -81,12 +81,15 @@
         revision: The store's revision that the sender has seen.
         age_ms: Since when that may be out of date.
         entries: All changes between; None if they do not fit or are not kept.
+        doubt_ms: How long registrations that lapsed in an outage of the store
+            may still come back.
     """
 
     number: int
     revision: int
     age_ms: int
     entries: list[FeedEntry] | None
+    doubt_ms: int = 0
 
 
 class Digest(msgspec.Struct, array_like=True, tag=0):
--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -89,11 +89,14 @@
         revision: The revision that it has seen.
         proved_at: When that was known to be current, on this gateway's clock.
         entries: The changes up to it; None if they must be read elsewhere.
+        returns_until: Until when registrations that lapsed in an outage of the
+            store may come back.
     """
 
     revision: int
     proved_at: float
     entries: tuple[keyvalue.Entry, ...] | None
+    returns_until: clocks.Deadline = clocks.Deadline(float("-inf"))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +171,7 @@
                 digests.FeedEntry(entry.key, entry.value, entry.revision)
                 for entry in entries
             ],
+            doubt_ms=int(self._replica.returns_until.remaining() * 1000),
         )
         self.send(address, answer)
 
@@ -183,7 +187,10 @@
                 for entry in answer.entries
             )
         proved_at = question.sent_at - answer.age_ms / 1000
-        question.answer.set_result(News(answer.revision, proved_at, entries))
+        returns_until = clocks.Deadline.after(answer.doubt_ms / 1000)
+        question.answer.set_result(
+            News(answer.revision, proved_at, entries, returns_until)
+        )
 
     def _list_watchers(self) -> list[str]:
         """Returns who watches for this failure domain; none if all do."""
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -58,9 +58,21 @@
         """Returns the seconds since the copy was known to be current."""
         return clocks.read_monotonic() - self._proved_at
 
-    def expect_returns(self) -> None:
-        """Notes that the store is back after an outage."""
-        self._doubt_until = clocks.Deadline.after(_RETURN_S)
+    @property
+    def returns_until(self) -> clocks.Deadline:
+        """Until when lapsed registrations may come back."""
+        return self._doubt_until
+
+    def expect_returns(self, until: clocks.Deadline | None = None) -> None:
+        """Notes that the store is back after an outage.
+
+        Args:
+            until: When what has not come back is gone; None for the time that
+                an outage ending now allows.
+        """
+        if until is None:
+            until = clocks.Deadline.after(_RETURN_S)
+        self._doubt_until = max(self._doubt_until, until)
 
     def apply(self, change: changes.Change, now: float | None) -> None:
         """Takes in a change.
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -133,6 +133,7 @@
             return False
         if clocks.read_monotonic() - news.proved_at > _OLD_NEWS_S:
             return False
+        self._replica.expect_returns(news.returns_until)
         self._apply(news.entries, news.revision, self._replica.proved_at)
         self._replica.prove(news.proved_at)
         return True
--- a/sardinewharf/gateway/tests/test_feeds.py
+++ b/sardinewharf/gateway/tests/test_feeds.py
@@ -228,3 +228,17 @@
     asker.task = None
     assert clocks.read_monotonic() - asked_at > 0.09
     assert news.proved_at <= asked_at
+
+
+async def test_followers_keep_what_may_come_back_after_an_outage(fleet):
+    """Registrations that lapse in an outage are gone when it ends.
+
+    Followers did not know of the outage and dropped every endpoint at once.
+    """
+    watchers, followers = split(fleet)
+    for gateway in watchers:
+        gateway.replica.expect_returns()
+    fleet[0].truth.put("config", b"c")
+    await see(followers, fleet[0].truth.revision, seconds=0.8)
+    for gateway in followers:
+        assert gateway.replica.returns_until.remaining() > 1.0
