Keep a gateway that was out of touch from making a naming older

Traced from the logs of all gateways: one that had been cut off read the naming with 'not before my last proof', 7 s too early, told its peers, and all of them kept the oldest time that they heard of. Change: a naming's time has a slack, how much later it may have been.

--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -21,11 +21,19 @@
 
 
 class NamingNews(msgspec.Struct, array_like=True):
-    """Since when a version of a model's weights is wanted."""
+    """Since when a version of a model's weights is wanted.
+
+    Attributes:
+        model: Name of the model.
+        version: The version.
+        age_ms: Since when, at the longest.
+        slack_ms: How much shorter it may be.
+    """
 
     model: str
     version: int
     age_ms: int
+    slack_ms: int = 0
 
 
 class ReadNews(msgspec.Struct, array_like=True):
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -217,8 +217,13 @@
                 for (endpoint_id, model), (version, _) in self._shown.items()
             ],
             namings=[
-                digests.NamingNews(model, version, int((now - at) * 1000))
-                for model, version, at in self._replica.namings.list_known()
+                digests.NamingNews(
+                    naming.model,
+                    naming.version,
+                    int((now - naming.at) * 1000),
+                    int(naming.slack * 1000),
+                )
+                for naming in self._replica.namings.list_known()
             ],
             deaths=[
                 digests.DeathNews(
@@ -270,7 +275,10 @@
                 )
         for naming in digest.namings:
             self._replica.namings.note_age(
-                naming.model, naming.version, now - naming.age_ms / 1000
+                naming.model,
+                naming.version,
+                now - naming.age_ms / 1000,
+                naming.slack_ms / 1000,
             )
         store = self._prompts.store
         if digest.store_age_ms is not None and not store.is_followed:
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -126,7 +126,8 @@
     def _note_naming(
         self, change: changes.WeightsNamed, now: float | None
     ) -> None:
-        if not self.namings.note(change.model, change.version, now):
+        slack = 0.0 if now is None else clocks.read_monotonic() - now
+        if not self.namings.note(change.model, change.version, now, slack):
             return
         self._log.write(
             records.events.WeightsNamed(
