Bound urgent news and retries with the token bucket that was there

Cause: read again as a whole, the change had two token buckets of its own beside limits.TokenBucket: UrgentPace, and the time that a retry budget earns by. Change: TokenBucket takes several tokens and can be added to; UrgentPace is gone, RetryBudget keeps its ratio and a bucket.

--- a/sardinewharf/bench/simulation.py
+++ b/sardinewharf/bench/simulation.py
@@ -134,7 +134,9 @@
             make_router(self._engines, seed)
             for seed in range(deployment.daemons)
         ]
-        self._paces = [routing.UrgentPace() for _ in self._routers]
+        self._paces = [
+            routing.make_urgent_bucket(now=0.0) for _ in self._routers
+        ]
         self._later: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
         self._chance = random.Random(1)
@@ -213,7 +215,7 @@
         due = (now // period + 1) * period
         others = len(self._routers) - 1
         pace = self._paces[self._routers.index(router)]
-        if news.tokens >= routing.URGENT_TOKENS and pace.take(others, now):
+        if news.tokens >= routing.URGENT_TOKENS and not pace.take(now, others):
             due = now
 
         def tell(at: float) -> None:
--- a/sardinewharf/daemons/news.py
+++ b/sardinewharf/daemons/news.py
@@ -58,7 +58,7 @@
     def __init__(self, gossip: gossip_lib.Gossip, board: NewsBoard):
         self._gossip = gossip
         self._board = board
-        self._pace = routing.UrgentPace()
+        self._pace = routing.make_urgent_bucket(clocks.read_monotonic())
         self._tasks = tasks.TaskGroup()
 
     def start(self) -> None:
@@ -111,7 +111,7 @@
                 await asyncio.sleep(_GATHER_S)
         left = until.remaining()
         now = clocks.read_monotonic()
-        if left and not self._pace.take(peers, now):
+        if left and self._pace.take(now, peers):
             await asyncio.sleep(left)
 
     async def _tell(self, address: str, news: ttypes.News) -> None:
--- a/sardinewharf/limits/buckets.py
+++ b/sardinewharf/limits/buckets.py
@@ -24,13 +24,17 @@
         self._tokens = burst
         self._at = now
 
-    def take(self, now: float) -> float:
-        """Takes a token; returns 0, or the seconds until there is one."""
+    def take(self, now: float, tokens: float = 1.0) -> float:
+        """Takes tokens; returns 0, or the seconds until there are enough."""
         self._tokens = min(
             self._burst, self._tokens + (now - self._at) * self.rate
         )
         self._at = now
-        if self._tokens >= 1.0:
-            self._tokens -= 1.0
+        if self._tokens >= tokens:
+            self._tokens -= tokens
             return 0.0
-        return (1.0 - self._tokens) / self.rate
+        return (tokens - self._tokens) / self.rate
+
+    def add(self, tokens: float) -> None:
+        """Adds tokens that were earned otherwise than by time."""
+        self._tokens = min(self._burst, self._tokens + tokens)
--- a/sardinewharf/limits/retries.py
+++ b/sardinewharf/limits/retries.py
@@ -1,7 +1,7 @@
 """Keeps retries to a share of the requests, so that they cannot storm.
 
 Examples:
-    >>> budget = RetryBudget(ratio=0.5, reserve=1.0, floor=0.1)
+    >>> budget = RetryBudget(ratio=0.5, reserve=1.0, floor=0.1, now=0.0)
     >>> budget.take(now=0.0), budget.take(now=0.0)
     (True, False)
     >>> budget.earn(); budget.earn()
@@ -12,6 +12,7 @@
 """
 
 from sardinewharf import clocks
+from sardinewharf.limits import buckets
 
 _FLOOR_PER_S = 2.0
 
@@ -26,6 +27,7 @@
         ratio: Retries earned by each request.
         reserve: Most retries kept, and those available at the start.
         floor: Retries earned by each second.
+        now: Current time in seconds; None reads the clock.
     """
 
     def __init__(
@@ -33,16 +35,14 @@
         ratio: float = 0.1,
         reserve: float = 20.0,
         floor: float = _FLOOR_PER_S,
+        now: float | None = None,
     ):
         self._ratio = ratio
-        self._reserve = reserve
-        self._floor = floor
-        self._left = reserve
-        self._earned_at: float | None = None
+        self._bucket = buckets.TokenBucket(floor, reserve, _read_clock(now))
 
     def earn(self) -> None:
         """Counts a request."""
-        self._add(self._ratio)
+        self._bucket.add(self._ratio)
 
     def take(self, now: float | None = None) -> bool:
         """Takes one retry; returns whether there was one.
@@ -50,14 +50,8 @@
         Args:
             now: Current time in seconds; None reads the clock.
         """
-        at = clocks.read_monotonic() if now is None else now
-        if self._earned_at is not None:
-            self._add(self._floor * (at - self._earned_at))
-        self._earned_at = at
-        if self._left < 1.0:
-            return False
-        self._left -= 1.0
-        return True
-
-    def _add(self, retries: float) -> None:
-        self._left = min(self._reserve, self._left + retries)
+        return not self._bucket.take(_read_clock(now))
+
+
+def _read_clock(now: float | None) -> float:
+    return clocks.read_monotonic() if now is None else now
--- a/sardinewharf/routing/__init__.py
+++ b/sardinewharf/routing/__init__.py
@@ -23,7 +23,7 @@
 from sardinewharf.routing.router import Router
 from sardinewharf.routing.router import make_news
 from sardinewharf.routing.urgency import URGENT_TOKENS
-from sardinewharf.routing.urgency import UrgentPace
+from sardinewharf.routing.urgency import make_urgent_bucket
 from sardinewharf.routing.views import EngineView
 
 __all__ = [
@@ -48,8 +48,8 @@
     "RoundRobinPolicy",
     "RouteRequest",
     "Router",
-    "UrgentPace",
     "build_chain",
     "make_news",
     "make_salt",
+    "make_urgent_bucket",
 ]
--- a/sardinewharf/routing/urgency.py
+++ b/sardinewharf/routing/urgency.py
@@ -5,13 +5,13 @@
 digest is long enough for three to meet at one engine.
 
 Examples:
-    >>> pace = UrgentPace(burst=16.0, per_s=8.0)
-    >>> pace.take(messages=8, now=0.0), pace.take(messages=8, now=0.0)
-    (True, True)
-    >>> pace.take(messages=8, now=0.5), pace.take(messages=8, now=1.0)
-    (False, True)
+    >>> bucket = make_urgent_bucket(now=0.0)
+    >>> [bucket.take(now=0.0, tokens=200) for _ in range(3)]
+    [0.0, 0.0, 10.0]
 """
 
+from sardinewharf import limits
+
 # From this many tokens on, a prompt keeps an engine busy for long.
 URGENT_TOKENS = 4_096
 # Messages beside the regular ones, saved up and earned, to all peers together.
@@ -19,28 +19,6 @@
 _MESSAGES_PER_S = 20.0
 
 
-class UrgentPace:
-    """Bounds the messages that do not wait for the next digest.
-
-    Args:
-        burst: Most messages saved up, and those available at the start.
-        per_s: Messages earned by each second.
-    """
-
-    def __init__(
-        self, burst: float = _BURST_MESSAGES, per_s: float = _MESSAGES_PER_S
-    ):
-        self._burst = burst
-        self._per_s = per_s
-        self._left = burst
-        self._earned_at = 0.0
-
-    def take(self, messages: int, now: float) -> bool:
-        """Takes a number of messages; returns whether they were left."""
-        earned = self._per_s * max(0.0, now - self._earned_at)
-        self._left = min(self._burst, self._left + earned)
-        self._earned_at = now
-        if self._left < messages:
-            return False
-        self._left -= messages
-        return True
+def make_urgent_bucket(now: float) -> limits.TokenBucket:
+    """Returns what bounds the messages that do not wait for a digest."""
+    return limits.TokenBucket(_MESSAGES_PER_S, _BURST_MESSAGES, now)
