Share what tests of the gateway set up alike

Cause: three tests stood in for the store's unused half each in its own words, and three aged a naming with the same lines. Change: stores.FollowedStore and make_settings, stop_rolls and make_older. No assertion changed.

--- a/sardinewharf/gateway/tests/test_feeds.py
+++ b/sardinewharf/gateway/tests/test_feeds.py
@@ -17,8 +17,8 @@
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import feeds
 from sardinewharf.gateway import replica as replica_lib
-from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
+from sardinewharf.gateway.tests import stores
 
 _DOMAIN = "fd1"
 _GATEWAYS = 6
@@ -47,7 +47,7 @@
                 await self._changed.wait()
 
 
-class FakeStore(keyvalue.PrefixStore):
+class FakeStore(stores.FollowedStore):
     """One gateway's way to the store."""
 
     def __init__(self, truth):
@@ -71,14 +71,6 @@
         newer = tuple(e for e in self._truth.entries if e.revision > revision)
         return keyvalue.Changes(newer, self._truth.revision)
 
-    async def delete(self, *arguments):
-        raise NotImplementedError
-
-    read = write = watch = grant_lease = renew_lease = delete
-
-    async def close(self):
-        """Does nothing."""
-
 
 class FakeReader(changes.ChangeReader):
     """Reads registrations of gateways, and configurations."""
@@ -97,7 +89,7 @@
 
     def __init__(self, name, truth, network):
         log = records.RecordSink(-1, name, records.SinkSettings())
-        settings = settings_lib.GatewaySettings(name, _DOMAIN, *[""] * 5)
+        settings = stores.make_settings(name, _DOMAIN)
         self.name = name
         self.network = network
         self.store = FakeStore(truth)
--- a/sardinewharf/gateway/tests/test_freshness_fuzz.py
+++ b/sardinewharf/gateway/tests/test_freshness_fuzz.py
@@ -31,6 +31,7 @@
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
+from sardinewharf.gateway.tests import stores
 
 _IS_LONG = os.environ.get("SARDINEWHARF_FUZZ") == "long"
 _KEYS = ("k0", "k1", "k2")
@@ -154,7 +155,7 @@
         return await self.ask_watchers()
 
 
-class FakeStore(keyvalue.PrefixStore):
+class FakeStore(stores.FollowedStore):
     """Answers from the truth, as late as its fate says."""
 
     def __init__(self, truth):
@@ -186,14 +187,6 @@
             return keyvalue.HistoryLost()
         return keyvalue.Changes(seen, newest)
 
-    async def delete(self, *arguments):
-        raise NotImplementedError
-
-    read = write = watch = grant_lease = renew_lease = delete
-
-    async def close(self):
-        """Does nothing."""
-
 
 def _make_entry(found):
     return keyvalue.Entry(
@@ -264,7 +257,7 @@
         self._store = FakeStore(truth)
         self._replica = replica_lib.Replica(log)
         promises = settings_lib.Promises(revoke_ms=int(_REVOKE_S * 1000))
-        settings = settings_lib.GatewaySettings("vm-1", "fd1", *[""] * 5)
+        settings = stores.make_settings("vm-1")
         self._peers = FakePeers(truth, settings, self._replica)
         self._follower = sync.Synchronizer(
             self._store,
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -11,11 +11,11 @@
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import feeds
 from sardinewharf.gateway import replica as replica_lib
-from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
+from sardinewharf.gateway.tests import stores
 
 
-class FakeStore(keyvalue.PrefixStore):
+class FakeStore(stores.FollowedStore):
     """A store whose watches bring one change, late, or nothing at all.
 
     Args:
@@ -37,14 +37,6 @@
         entry = keyvalue.Entry("members/vm-2", b"", 7)
         return keyvalue.Changes((entry,), 7)
 
-    async def delete(self, *arguments):
-        raise NotImplementedError
-
-    read = write = watch = grant_lease = renew_lease = delete
-
-    async def close(self):
-        """Does nothing."""
-
 
 class FakeReader(changes.ChangeReader):
     """Takes every entry for a gateway's registration."""
@@ -72,7 +64,7 @@
 async def _follow(store, log, seconds):
     """Follows a store while other gateways tell of a newer revision."""
     replica = replica_lib.Replica(log)
-    settings = settings_lib.GatewaySettings("vm-1", "fd1", *[""] * 5)
+    settings = stores.make_settings("vm-1")
     feed = feeds.Feed(settings, replica)
     follower = sync.Synchronizer(store, FakeReader(), replica, feed, log)
     running = asyncio.create_task(follower.run())
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -24,6 +24,21 @@
     return any(g._roller._tenure.find_deadline() for g in rig.gateways)
 
 
+def stop_rolls(rig):
+    for gateway in rig.gateways:
+        gateway._roller._is_stopping = True
+
+
+def make_older(rig, version, seconds):
+    """Lets a version have been named long ago; returns the time."""
+    now = clocks.read_monotonic()
+    for gateway in rig.gateways:
+        gateway._replica.namings.note_age(
+            platform_rig.MODEL, version, now - seconds
+        )
+    return now
+
+
 async def name_version(rig, version: int) -> None:
     await rig.store.put(
         f"op/version/{platform_rig.MODEL}",
@@ -94,13 +109,10 @@
 
 async def test_a_restarted_gateway_does_not_take_old_weights_for_new(rig):
     """A restart made requests begin on weights replaced long ago."""
-    for gateway in rig.gateways:
-        gateway._roller._is_stopping = True
+    stop_rolls(rig)
     await name_version(rig, 2)
     await asyncio.sleep(0.3)
-    now = clocks.read_monotonic()
-    for gateway in rig.gateways:
-        gateway._replica.namings.note_age(platform_rig.MODEL, 2, now - 3.0)
+    make_older(rig, 2, 3.0)
     late = await rig.start_gateway("vm-late")
     late._roller._is_stopping = True
     await asyncio.sleep(0.5)
@@ -129,13 +141,10 @@
 
 async def test_a_newer_naming_does_not_excuse_older_weights(rig):
     """Requests began on version 2 10 s after 3, since 4 had just been named."""
-    for gateway in rig.gateways:
-        gateway._roller._is_stopping = True
+    stop_rolls(rig)
     await name_version(rig, 2)
     await asyncio.sleep(0.2)
-    now = clocks.read_monotonic()
-    for gateway in rig.gateways:
-        gateway._replica.namings.note_age(platform_rig.MODEL, 2, now - 3.0)
+    make_older(rig, 2, 3.0)
     await name_version(rig, 3)
     await asyncio.sleep(0.2)
     answer = await rig.ask("/chat/1", body=b"p")
@@ -145,15 +154,12 @@
 
 async def test_a_request_that_waits_at_old_weights_is_taken_back(rig):
     """Requests sent in time waited 2 s in line and began too late."""
-    for gateway in rig.gateways:
-        gateway._roller._is_stopping = True
+    stop_rolls(rig)
     for engine in rig.engines:
         engine.delay_s = 5.0
     await name_version(rig, 2)
     await asyncio.sleep(0.2)
-    now = clocks.read_monotonic()
-    for gateway in rig.gateways:
-        gateway._replica.namings.note_age(platform_rig.MODEL, 2, now - 2.0)
+    now = make_older(rig, 2, 2.0)
     answer = await rig.ask("/chat/1", body=b"p")
     assert answer.status in (502, 504)
     assert clocks.read_monotonic() - now < 2.0
