Say once what the gateway said two or three times

For each engine of a choice it built the list of the others anew, and asked up to three times whether the store holds the prompt. Change: one piece each; the list is built once a choice (an engine that holds a prompt is found before it would be asked for as a source) and the store asked once a version of weights.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -6,7 +6,6 @@
 from sardinewharf.balancing.applications import ServerState
 from sardinewharf.balancing.applications import choose_server
 from sardinewharf.balancing.cold_prompts import ReadTable
-from sardinewharf.balancing.engines import READ_TOKENS_PER_MS
 from sardinewharf.balancing.engines import Choice
 from sardinewharf.balancing.engines import EngineState
 from sardinewharf.balancing.engines import PromptSize
@@ -25,7 +24,6 @@
     "EngineState",
     "Holdings",
     "PromptSize",
-    "READ_TOKENS_PER_MS",
     "ReadTable",
     "RollPace",
     "RollState",
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -16,8 +16,6 @@
 from sardinewharf import fleet
 from sardinewharf.balancing import homes
 
-# Prompt tokens that an engine reads in a millisecond.
-READ_TOKENS_PER_MS = 50.0
 # Time that each running request adds to the steps of an engine, in ms.
 _MS_PER_RUNNING = 1.5
 # Weight of a millisecond of reading a shared prompt again: it delays others
@@ -243,11 +241,11 @@
     misplacement_ms: float,
 ) -> Choice:
     load = engine.load
-    wait = load.prompt_tokens / READ_TOKENS_PER_MS
+    wait = load.prompt_tokens / fleet.READ_TOKENS_PER_MS
     cost = wait + load.running * _MS_PER_RUNNING + misplacement_ms
     cost += max(0, load.running + 1 - sheet.slots) * _MS_PER_WAITING
     if engine.shared is SharedPrompt.READ:
-        reading = size.shared_tokens / READ_TOKENS_PER_MS
+        reading = size.shared_tokens / fleet.READ_TOKENS_PER_MS
         cost += _REREAD_WEIGHT * reading
     elif engine.shared is SharedPrompt.FETCHED:
         cost += size.fetch_ms + _FETCH_MS
--- a/sardinewharf/fleet/__init__.py
+++ b/sardinewharf/fleet/__init__.py
@@ -3,6 +3,7 @@
 from sardinewharf.fleet.endpoints import Endpoint
 from sardinewharf.fleet.endpoints import EndpointState
 from sardinewharf.fleet.health import HealthTable
+from sardinewharf.fleet.loads import READ_TOKENS_PER_MS
 from sardinewharf.fleet.loads import EndpointLoad
 from sardinewharf.fleet.loads import LoadTable
 from sardinewharf.fleet.loads import Work
@@ -10,6 +11,7 @@
 from sardinewharf.fleet.registry import Registry
 
 __all__ = [
+    "READ_TOKENS_PER_MS",
     "Endpoint",
     "EndpointLoad",
     "EndpointState",
--- a/sardinewharf/fleet/health.py
+++ b/sardinewharf/fleet/health.py
@@ -109,10 +109,6 @@
         health = self._known.setdefault(incarnation, _Health())
         health.closed_until = max(health.closed_until, until)
 
-    def forget(self, incarnation: str) -> None:
-        """Forgets an endpoint that is gone or began anew."""
-        self._known.pop(incarnation, None)
-
     def _open(self, incarnation: str, health: _Health, now: float) -> None:
         pause = min(_MAX_PAUSE_S, _PAUSE_S * 2**health.opens)
         health.opens += 1
--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -20,9 +20,9 @@
 
 # What a peer said of its work counts for this long, in seconds.
 _PEER_S = 1.0
-# Prompt tokens of a peer's requests that an engine has read since the peer
-# told of them, each second.
-_READ_TOKENS_PER_S = 50_000
+# Prompt tokens that an engine reads in a millisecond.
+READ_TOKENS_PER_MS = 50.0
+_READ_TOKENS_PER_S = 1000 * READ_TOKENS_PER_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +111,7 @@
         for at, loads in self._peers.values():
             load = loads.get(endpoint_id)
             if load is not None and now - at <= _PEER_S:
+                # The engine has read on since the peer told of them.
                 read = int((now - at) * _READ_TOKENS_PER_S)
                 running += load.running
                 prompt += max(0, load.prompt_tokens - read)
--- a/sardinewharf/gateway/admission.py
+++ b/sardinewharf/gateway/admission.py
@@ -71,10 +71,8 @@
         if route is None:
             if age > _ROUTE_AGE_S + _PROOF_MARGIN_S:
                 raise _refuse_stale("the route may be newer")
-            raise refusals.RefusedError(
-                refusals.Refusal(
-                    refusals.Reason.NO_ROUTE, "no route begins this path"
-                )
+            raise refusals.refuse(
+                refusals.Reason.NO_ROUTE, "no route begins this path"
             )
         if route.is_public or not configuration.organisations:
             return Admitted(route, None)
@@ -86,10 +84,8 @@
         if organisation is None:
             if age > _ROUTE_AGE_S + _PROOF_MARGIN_S:
                 raise _refuse_stale("the key may be newer")
-            raise refusals.RefusedError(
-                refusals.Refusal(
-                    refusals.Reason.UNKNOWN_KEY, "send a key in force"
-                )
+            raise refusals.refuse(
+                refusals.Reason.UNKNOWN_KEY, "send a key in force"
             )
         return Admitted(route, organisation)
 
@@ -104,6 +100,4 @@
 
 
 def _refuse_stale(detail: str) -> refusals.RefusedError:
-    return refusals.RefusedError(
-        refusals.Refusal(refusals.Reason.NOT_CURRENT, detail, _RETRY_S)
-    )
+    return refusals.refuse(refusals.Reason.NOT_CURRENT, detail, _RETRY_S)
--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -170,16 +170,10 @@
                 waited_ms=int((now - visit.arrived) * 1000),
                 left_ms=int(left * 1000),
                 configuration=self._replica.configuration.version,
-                age_s=self._read_age(),
+                age_s=self._replica.tell_age(),
             )
         )
 
-    def _read_age(self) -> float:
-        """Returns the age of the configuration in seconds; -1 if unknown."""
-        if not self._replica.is_filled:
-            return -1.0
-        return round(self._replica.count_age(), 3)
-
     def _log_leaving(
         self, visit: "_Visit", responder: responder_lib.Responder
     ) -> None:
@@ -202,13 +196,15 @@
         limit = self._replica.configuration.limits.header_bytes
         headers = scope["headers"]
         if sum(len(n) + len(v) + 4 for n, v in headers) > limit:
-            raise _refuse(
+            raise refusals.refuse(
                 refusals.Reason.HEADERS_TOO_LARGE, f"send at most {limit} bytes"
             )
         try:
             return self._dialect.read_request(headers, arrived)
         except (messages.MalformedError, UnicodeDecodeError) as error:
-            raise _refuse(refusals.Reason.MALFORMED, str(error)) from error
+            raise refusals.refuse(
+                refusals.Reason.MALFORMED, str(error)
+            ) from error
 
     async def _read_body(self, receive: Receive) -> bytes:
         limit = self._replica.configuration.limits.body_bytes
@@ -221,7 +217,7 @@
             chunks.append(message["body"])
             size += len(message["body"])
             if size > limit:
-                raise _refuse(
+                raise refusals.refuse(
                     refusals.Reason.TOO_LARGE, f"send at most {limit} bytes"
                 )
             if not message["more_body"]:
@@ -235,12 +231,10 @@
         responder: responder_lib.Responder,
     ) -> None:
         if self.is_closed:
-            raise refusals.RefusedError(
-                refusals.Refusal(
-                    refusals.Reason.LEAVING,
-                    "this gateway shuts down; connect anew",
-                    _LEAVING_RETRY_S,
-                )
+            raise refusals.refuse(
+                refusals.Reason.LEAVING,
+                "this gateway shuts down; connect anew",
+                _LEAVING_RETRY_S,
             )
         admitted = self._gatekeeper.admit(request.headers, request.path)
         route = admitted.route
@@ -290,7 +284,3 @@
         arrived=arrived,
         fingerprint=limits.make_fingerprint(caller, body),
     )
-
-
-def _refuse(reason: refusals.Reason, detail: str) -> refusals.RefusedError:
-    return refusals.RefusedError(refusals.Refusal(reason, detail))
--- a/sardinewharf/gateway/attempt_log.py
+++ b/sardinewharf/gateway/attempt_log.py
@@ -56,7 +56,7 @@
                 resume_after=call.resume_after,
                 left_ms=int(call.deadline.remaining() * 1000),
                 configuration=self._replica.configuration.version,
-                age_s=round(self._replica.count_age(), 3),
+                age_s=self._replica.tell_age(),
             )
         )
 
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -410,9 +410,7 @@
         """Returns the refusal that tells the truth about the request."""
         detail = call.last_detail or reason.value
         if not call.may_have_run:
-            return refusals.RefusedError(
-                refusals.Refusal(reason, detail, _RETRY_S)
-            )
+            return refusals.refuse(reason, detail, _RETRY_S)
         is_late = call.deadline.is_past()
         lost = refusals.Reason.TIMED_OUT if is_late else refusals.Reason.LOST
-        return refusals.RefusedError(refusals.Refusal(lost, detail))
+        return refusals.refuse(lost, detail)
--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -177,7 +177,7 @@
 
     def take(self, answer: digests.FeedAnswer) -> None:
         """Takes in another gateway's answer."""
-        question = self._questions.pop(answer.number, None)
+        question = self._questions.get(answer.number)
         if question is None or question.answer.done():
             return
         entries = None
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import msgspec
@@ -120,7 +121,7 @@
     def _tell(self, count: int) -> None:
         """Sends a digest to some peers, or to all if they are few."""
         self._is_telling = False
-        if self._transport is None or self._transport.is_closing():
+        if not self._is_open:
             return
         datagram = msgspec.msgpack.encode(self._make_digest())
         if len(datagram) > _MAX_BYTES:
@@ -130,10 +131,19 @@
         others = [a for n, a in self._replica.members.items() if n != own]
         if len(others) > count:
             others = self._random.sample(others, count)
-        for address in others:
+        self._send_to(others, datagram)
+
+    def _send_to(self, addresses: Iterable[str], datagram: bytes) -> None:
+        if not self._is_open:
+            return
+        for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(datagram, (host, int(port)))
 
+    @property
+    def _is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     def count_younger(self) -> int:
         """Returns how many live gateways started after this one.
 
@@ -173,11 +183,7 @@
 
     def send(self, address: str, message: digests.Message) -> None:
         """Sends a message to one gateway."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        host, _, port = address.rpartition(":")
-        datagram = msgspec.msgpack.encode(message)
-        self._transport.sendto(datagram, (host, int(port)))
+        self._send_to([address], msgspec.msgpack.encode(message))
 
     def _take_digest(self, digest: digests.Digest) -> None:
         age = (digest.started, digest.number)
--- a/sardinewharf/gateway/prompts.py
+++ b/sardinewharf/gateway/prompts.py
@@ -147,19 +147,18 @@
     def locate(
         self,
         key: int,
-        scope: str,
-        prompt: messages.Prompt,
+        is_stored: bool,
         incarnation: str,
-        others: list[str],
+        incarnations: list[str],
     ) -> balancing.SharedPrompt:
         """Returns where an engine would take a shared prompt from.
 
         Args:
             key: The prompt under its scope.
-            scope: Who may share it.
-            prompt: Its description.
+            is_stored: Whether the store is believed to hold it.
             incarnation: The engine.
-            others: The engines that it could fetch from.
+            incarnations: The engines that it could fetch from; it may be one
+                of them.
         """
         if not key or self._holdings.holds(incarnation, key):
             return balancing.SharedPrompt.HELD
@@ -167,19 +166,19 @@
         if reader == incarnation:
             # What is read there now is held once this request's turn comes.
             return balancing.SharedPrompt.HELD
-        if self.is_stored(key, scope, prompt):
+        if is_stored:
             return balancing.SharedPrompt.FETCHED
-        if self._holdings.find_newest(key, others) is not None:
+        if self._holdings.find_newest(key, incarnations) is not None:
             return balancing.SharedPrompt.FETCHED
         return balancing.SharedPrompt.READ
 
     def is_stored(self, key: int, scope: str, prompt: messages.Prompt) -> bool:
-        """Returns whether the store is believed to hold a shared prompt.
+        """Returns whether the store is believed to hold a long shared prompt.
 
         A gateway that does not read the store's news goes by the uses that it
         has heard of: whoever read a prompt first had it saved.
         """
-        if not self.store.is_alive:
+        if not key or not self.store.is_alive:
             return False
         if self.store.is_followed:
             return self.store.holds(scope, prompt)
--- a/sardinewharf/gateway/refusals.py
+++ b/sardinewharf/gateway/refusals.py
@@ -15,12 +15,10 @@
     NOT_CURRENT = "not_current"
     NO_ENDPOINT = "no_endpoint"
     BUSY = "busy"
-    NOT_RUN = "not_run"
     QUARANTINED = "quarantined"
     NO_TIME = "no_time"
     LEAVING = "leaving"
     LOST = "lost"
-    BAD_ANSWER = "bad_answer"
     TIMED_OUT = "timed_out"
 
 
@@ -33,12 +31,10 @@
     Reason.NOT_CURRENT: 503,
     Reason.NO_ENDPOINT: 503,
     Reason.BUSY: 503,
-    Reason.NOT_RUN: 503,
     Reason.QUARANTINED: 503,
     Reason.NO_TIME: 503,
     Reason.LEAVING: 503,
     Reason.LOST: 502,
-    Reason.BAD_ANSWER: 502,
     Reason.TIMED_OUT: 504,
 }
 
@@ -73,3 +69,15 @@
     def __init__(self, refusal: Refusal):
         super().__init__(refusal.reason.value)
         self.refusal = refusal
+
+
+def refuse(
+    reason: Reason, detail: str, retry_after_s: float | None = None
+) -> RefusedError:
+    """Returns the exception that refuses a request.
+
+    Examples:
+        >>> refuse(Reason.TOO_LARGE, "send at most 9 bytes").refusal.status
+        413
+    """
+    return RefusedError(Refusal(reason, detail, retry_after_s))
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -63,6 +63,10 @@
         """Until when lapsed registrations may come back."""
         return self._doubt_until
 
+    def tell_age(self) -> float:
+        """Returns the age for a log line, in seconds; -1 if unknown."""
+        return round(self.count_age(), 3) if self.is_filled else -1.0
+
     def expect_returns(self, until: clocks.Deadline | None = None) -> None:
         """Notes that the store is back after an outage.
 
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -160,7 +160,7 @@
             self._loads.read(endpoint.id, now).prompt_tokens
             for endpoint in engines
         )
-        wait = tokens / len(engines) / balancing.READ_TOKENS_PER_MS
+        wait = tokens / len(engines) / fleet.READ_TOKENS_PER_MS
         named_at = self._replica.namings.find_time(model)
         if named_at is None:
             return balancing.RollPace(wait, time_used=1.0)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -133,8 +133,11 @@
         now: float,
     ) -> requests.Target | None:
         usable = self._list_current(endpoints, prompt.model, now)
-        names = _PromptNames(call, prompt)
-        views = [self._view(prompt, names, e, usable, now) for e in usable]
+        names = _PromptNames(call, prompt, self._prompts)
+        incarnations = [e.incarnation for e in usable]
+        views = [
+            self._view(prompt, names, e, incarnations, now) for e in usable
+        ]
         states = [
             balancing.EngineState(
                 view.endpoint.id,
@@ -167,15 +170,14 @@
         prompt: messages.Prompt,
         names: "_PromptNames",
         endpoint: fleet.Endpoint,
-        usable: list[fleet.Endpoint],
+        incarnations: list[str],
         now: float,
     ) -> "_EngineView":
         """Returns what a request would find at an engine."""
         weights = self._replica.registry.find_weights(endpoint.id, prompt.model)
         name = names.find(weights)
-        others = [e.incarnation for e in usable if e is not endpoint]
         shared = self._prompts.locate(
-            name.key, name.scope, prompt, endpoint.incarnation, others
+            name.key, name.is_stored, endpoint.incarnation, incarnations
         )
         load = self._loads.read(endpoint.id, now)
         return _EngineView(endpoint, weights, name, shared, load)
@@ -191,12 +193,11 @@
         is_reading = choice.shared is balancing.SharedPrompt.READ
         store = self._prompts.store
         name = chosen.name
-        is_stored = self._prompts.is_stored(name.key, name.scope, prompt)
-        saves = bool(name.key) and store.is_alive and not is_stored
+        saves = bool(name.key) and store.is_alive and not name.is_stored
         read_tokens = prompt.tokens
         if not is_reading:
             read_tokens -= prompt.shared_tokens
-        own_ms = read_tokens / balancing.READ_TOKENS_PER_MS
+        own_ms = read_tokens / fleet.READ_TOKENS_PER_MS
         return requests.Target(
             chosen.endpoint,
             weights=chosen.weights,
@@ -204,7 +205,7 @@
             priority=balancing.rank_urgency(
                 call.admitted.priority, read_tokens
             ),
-            fetch_from=self._find_source(prompt, chosen, usable),
+            fetch_from=self._find_source(chosen, usable),
             save_to=store.address if saves else "",
             prompt_key=name.key,
             shared_tokens=prompt.shared_tokens,
@@ -230,7 +231,6 @@
 
     def _find_source(
         self,
-        prompt: messages.Prompt,
         chosen: "_EngineView",
         usable: list[fleet.Endpoint],
     ) -> str:
@@ -243,7 +243,7 @@
         name = chosen.name
         if not name.key:
             return ""
-        if self._prompts.is_stored(name.key, name.scope, prompt):
+        if name.is_stored:
             return store.address
         others = {
             e.incarnation: e.address
@@ -285,18 +285,26 @@
     Attributes:
         scope: Who may share the cached prompt.
         key: Names the shared prompt under the scope; 0 for a short one.
+        is_stored: Whether the store of kept cache is believed to hold it.
     """
 
     scope: str
     key: int
+    is_stored: bool
 
 
 class _PromptNames:
     """A shared prompt's names, each made once for a version of weights."""
 
-    def __init__(self, call: requests.Call, prompt: messages.Prompt):
+    def __init__(
+        self,
+        call: requests.Call,
+        prompt: messages.Prompt,
+        prompts: prompts_lib.PromptTable,
+    ):
         self._call = call
         self._prompt = prompt
+        self._prompts = prompts
         self._found: dict[int, _PromptName] = {}
 
     def find(self, weights: int) -> _PromptName:
@@ -305,7 +313,9 @@
         if name is None:
             prompt = self._prompt
             scope = make_cache_scope(self._call, prompt.model, weights)
-            name = _PromptName(scope, prompts_lib.make_key(scope, prompt))
+            key = prompts_lib.make_key(scope, prompt)
+            is_stored = self._prompts.is_stored(key, scope, prompt)
+            name = _PromptName(scope, key, is_stored)
             self._found[weights] = name
         return name
 
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -7,6 +7,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import fleet
+from sardinewharf import http1
 from sardinewharf import keyvalue
 from sardinewharf import leases
 from sardinewharf import limits
@@ -323,37 +324,41 @@
 
 
 def _make_page(render: Callable[[], bytes]) -> Callable[..., object]:
+    """Returns an application that answers with a text."""
+    kind = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+
     async def page(
         scope: Mapping[str, object],
         receive: app_lib.Receive,
         send: responder_lib.Send,
     ) -> None:
-        body = render()
-        headers = [
-            (b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),
-            (b"content-length", b"%d" % len(body)),
-        ]
-        await send(
-            {"type": "http.response.start", "status": 200, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": body})
+        await _answer(send, 200, render(), (kind,))
 
     return page
 
 
 def _make_probe(is_ready: Callable[[], bool]) -> Callable[..., object]:
+    """Returns an application that answers with a status alone."""
+
     async def probe(
         scope: Mapping[str, object],
         receive: app_lib.Receive,
         send: responder_lib.Send,
     ) -> None:
-        await send(
-            {
-                "type": "http.response.start",
-                "status": 200 if is_ready() else 503,
-                "headers": [(b"content-length", b"0")],
-            }
-        )
-        await send({"type": "http.response.body", "body": b""})
+        await _answer(send, 200 if is_ready() else 503)
 
     return probe
+
+
+async def _answer(
+    send: responder_lib.Send,
+    status: int,
+    body: bytes = b"",
+    headers: http1.Headers = (),
+) -> None:
+    length = (b"content-length", b"%d" % len(body))
+    sent = [*headers, length]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": sent}
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -240,19 +240,13 @@
                     "store",
                     detail,
                     self._replica.revision,
-                    self._read_age(),
+                    self._replica.tell_age(),
                 )
             )
 
-    def _read_age(self) -> float:
-        """Returns the seconds since the last proof; -1 if there was none."""
-        if not self._replica.is_filled:
-            return -1.0
-        return round(self._replica.count_age(), 3)
-
     def _note_contact(self) -> None:
         if self._has_failed:
-            age = self._read_age()
+            age = self._replica.tell_age()
             self._log.write(
                 records.events.DependencyRegained(
                     "store", self._replica.revision, age
--- a/sardinewharf/gateway/tests/test_prompts.py
+++ b/sardinewharf/gateway/tests/test_prompts.py
@@ -28,7 +28,8 @@
 
 
 def locate(table, engine="e1@1", others=("e2@1",)):
-    return table.locate(KEY, SCOPE, PROMPT, engine, list(others))
+    is_stored = table.is_stored(KEY, SCOPE, PROMPT)
+    return table.locate(KEY, is_stored, engine, list(others))
 
 
 async def test_a_prompt_is_read_then_held_and_fetched_by_others():
--- a/sardinewharf/platform/store.py
+++ b/sardinewharf/platform/store.py
@@ -98,7 +98,7 @@
                 {"prefix": prefix} | ({"after": after} if after else {})
             )
             try:
-                page = await self._fetch(
+                page = await self._get(
                     f"/-/kv-range?{query}", wire.Range, deadline
                 )
             except calls.CallError as error:
@@ -188,13 +188,10 @@
             return keyvalue.Rejected(f"status {status}")
         return keyvalue.WriteUnknown(f"status {status}")
 
-    async def _fetch(
+    async def _get(
         self, path: str, kind: type[_Body], deadline: clocks.Deadline
     ) -> _Body:
-        status, body = await self._call(b"GET", path, None, deadline)
-        if status != 200:
-            raise calls.CallError(f"status {status}", was_sent=False)
-        return calls.decode(body, kind)
+        return await self._exchange(b"GET", path, None, kind, deadline)
 
     async def _post(
         self,
@@ -203,8 +200,23 @@
         kind: type[_Body],
         deadline: clocks.Deadline,
     ) -> _Body:
-        sent = msgspec.json.encode(message) if message is not None else b""
-        status, body = await self._call(b"POST", path, sent, deadline)
+        sent = None if message is None else msgspec.json.encode(message)
+        return await self._exchange(b"POST", path, sent, kind, deadline)
+
+    async def _exchange(
+        self,
+        method: bytes,
+        path: str,
+        sent: bytes | None,
+        kind: type[_Body],
+        deadline: clocks.Deadline,
+    ) -> _Body:
+        """Returns the body of an answer of 200.
+
+        Raises:
+            CallError: If there is none.
+        """
+        status, body = await self._call(method, path, sent, deadline)
         if status != 200:
             raise calls.CallError(f"status {status}", was_sent=False)
         return calls.decode(body, kind)
--- a/sardinewharf/standins/platform_store.py
+++ b/sardinewharf/standins/platform_store.py
@@ -182,13 +182,6 @@
         self._leases[lease] = (time.monotonic() + ttl, ttl)
         return _answer({"ttl_ms": int(ttl * 1000)})
 
-    def end_lease_of(self, key: str) -> None:
-        """Ends the lease of a key at once, as when its holder died."""
-        lease = self.items[key]["lease"]
-        _, ttl = self._leases[lease]
-        self._leases[lease] = (0.0, ttl)
-        self._end_leases()
-
     def _end_leases(self) -> None:
         now = time.monotonic()
         for lease, (end, _) in list(self._leases.items()):
