Part what a model engine is from how it is spoken to

Cause: endpoints/engines.py had grown to 472 lines with two jobs: the types and interfaces that the daemons use, and the HTTP client. Change: the client moves to endpoints/engine_http.py, as keyvalue has it; no line of it changed but for the module names. Measured: tests of endpoints and relay pass.

--- a/sardinewharf/endpoints/__init__.py
+++ b/sardinewharf/endpoints/__init__.py
@@ -7,9 +7,9 @@
 from sardinewharf.endpoints.directory import Directory
 from sardinewharf.endpoints.directory import Endpoint
 from sardinewharf.endpoints.directory import EndpointState
+from sardinewharf.endpoints.engine_http import HttpModelEngine
 from sardinewharf.endpoints.engines import EngineRequest
 from sardinewharf.endpoints.engines import EngineStream
-from sardinewharf.endpoints.engines import HttpModelEngine
 from sardinewharf.endpoints.engines import ModelEngine
 from sardinewharf.endpoints.engines import StreamHead
 from sardinewharf.endpoints.failures import EndpointError
