Try slow endpoints when every endpoint is left alone

An engine that sends nothing for 0.6 s is taken out at once; in quiet hours three prompts that take 0.9 s took all three engines out at one gateway, which then refused with 'no_endpoint' what any of them could have served. Now, for want of any other, an endpoint that answered within 2 s is tried; one that said that it takes no requests is not.

Ruled out: a longer silence for all (streams would stay longer at engines that hang).

--- a/sardinewharf/fleet/health.py
+++ b/sardinewharf/fleet/health.py
@@ -31,6 +31,8 @@
 _MAX_PAUSE_S = 2.0
 # A trial request that got no answer by now is taken for lost, in seconds.
 _TRIAL_S = 1.0
+# An endpoint that answered this long ago lives, in seconds.
+_HEARD_S = 2.0
 # Weight of the newest answer in the share of failures.
 _SMOOTHING = 0.1
 
@@ -40,6 +42,7 @@
     failures: int = 0
     opens: int = 0
     closed_until: float = 0.0
+    paused_until: float = 0.0
     failure_share: float = 0.0
     heard_at: float = 0.0
 
@@ -58,7 +61,20 @@
     def may_try(self, incarnation: str, now: float) -> bool:
         """Returns whether requests may go to an endpoint."""
         health = self._known.get(incarnation)
-        return health is None or now >= health.closed_until
+        if health is None:
+            return True
+        return now >= max(health.closed_until, health.paused_until)
+
+    def is_last_resort(self, incarnation: str, now: float) -> bool:
+        """Returns whether one that is left alone may be tried for want of any.
+
+        It failed or was slow, but has answered of late; one that said that it
+        takes no requests is not asked again.
+        """
+        health = self._known.get(incarnation)
+        if health is None or now < health.paused_until:
+            return False
+        return now - health.heard_at < _HEARD_S
 
     def read_failure_share(self, incarnation: str) -> float:
         """Returns the share of answers that failed of late, 0 to 1."""
@@ -89,6 +105,7 @@
             health.failures = 0
             health.opens = 0
             health.closed_until = 0.0
+            health.paused_until = 0.0
             health.failure_share *= 1 - _SMOOTHING
 
     def note_failure(self, incarnation: str, now: float) -> None:
@@ -107,7 +124,7 @@
     def pause(self, incarnation: str, until: float) -> None:
         """Leaves an endpoint alone that is well but takes no requests."""
         health = self._known.setdefault(incarnation, _Health())
-        health.closed_until = max(health.closed_until, until)
+        health.paused_until = max(health.paused_until, until)
 
     def _open(self, incarnation: str, health: _Health, now: float) -> None:
         pause = min(_MAX_PAUSE_S, _PAUSE_S * 2**health.opens)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -74,18 +74,29 @@
     def choose(self, call: requests.Call) -> requests.Target | None:
         """Returns where a request goes next; None if there is no endpoint."""
         now = clocks.read_monotonic()
-        endpoints = [
-            endpoint
-            for endpoint in self._replica.registry.list_ready(call.service)
-            if endpoint.id not in call.excluded
-            and self._health.may_try(endpoint.incarnation, now)
-        ]
+        endpoints = self._list_usable(call, now)
         service = self._replica.configuration.services.get(call.service)
         prompt = call.request.headers.prompt
         if service is None or service.engine is None or prompt is None:
             return self._choose_server(endpoints, now)
         return self._choose_engine(call, service.engine, prompt, endpoints, now)
 
+    def _list_usable(
+        self, call: requests.Call, now: float
+    ) -> list[fleet.Endpoint]:
+        """Returns the endpoints that a request may go to."""
+        ready = [
+            endpoint
+            for endpoint in self._replica.registry.list_ready(call.service)
+            if endpoint.id not in call.excluded
+        ]
+        sound = [e for e in ready if self._health.may_try(e.incarnation, now)]
+        if sound:
+            return sound
+        return [
+            e for e in ready if self._health.is_last_resort(e.incarnation, now)
+        ]
+
     def explain_none(self, call: requests.Call) -> str:
         """Returns why there is no endpoint for a request."""
         now = clocks.read_monotonic()
