Keep the stand-in of the store answering after a watch is cancelled

On Python 3.11 a condition's wait under wait_for may be cancelled without its lock, and every later call of the stand-in then hung: the gateways never heard from the store again. Watches now wait for an event that is replaced at each change. The stand-ins also get hooks for what they run, and the proxy can hold one way of a link.

Ruled out: the gateway (its calls timed out against a live port).

--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -91,11 +91,11 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
-    async def start(self, port: int = 0) -> None:
+    async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
         """Listens on loopback."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", port
+            lambda: _Connection(self), host, port
         )
         host, found = self._server.sockets[0].getsockname()
         self.address = f"{host}:{found}"
@@ -118,13 +118,26 @@
         if faults.refuse:
             connection.reply(503, [("x-sardinewharf-not-run", "1")])
             return
-        self.ran.append(ran)
+        self.record(ran)
         try:
             await asyncio.sleep(self.delay_s)
             await self.run(connection, ran)
         except asyncio.CancelledError:
             ran.ended = "left"
             raise
+        finally:
+            self.record_end(ran)
+
+    def record(self, ran: Ran) -> None:
+        """Notes that a request begins to run."""
+        self.ran.append(ran)
+
+    def record_end(self, ran: Ran) -> None:
+        """Notes that a request runs no more; nothing to do here."""
+
+    def make_body(self, ran: Ran) -> bytes:
+        """Returns the body of the answer to a request."""
+        return self.body
 
     async def run(self, connection: "_Connection", ran: Ran) -> None:
         """Answers a request that runs."""
@@ -138,17 +151,18 @@
             connection.transport.write(b"\x00\x01 this is no answer\r\n\r\n")
             return
         headers = self.sign(ran)
+        body = self.make_body(ran)
         if faults.short_body:
-            connection.write_head(200, headers, len(self.body))
-            connection.transport.write(self.body[:-2])
+            connection.write_head(200, headers, len(body))
+            connection.transport.write(body[:-2])
             connection.transport.close()
             return
         if faults.unframed:
             connection.write_head(200, headers, None)
-            connection.transport.write(self.body)
+            connection.transport.write(body)
             connection.transport.close()
         else:
-            connection.reply(faults.status or 200, headers, self.body)
+            connection.reply(faults.status or 200, headers, body)
         ran.ended = "whole"
         if faults.extra:
             connection.reply(200, self.sign(ran), b"an extra answer")
@@ -225,7 +239,7 @@
         connection.write_head(200, headers, None, is_chunked=True)
         first = int(ran.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            event = b"id: %d\ndata: word %d\n\n" % (number, number)
+            event = self.make_event(ran, number)
             if faults.cut_after and number > faults.cut_after:
                 connection.write_chunk(event[:7])
                 await asyncio.sleep(self.pause_s)
@@ -237,6 +251,10 @@
         connection.write_chunk(b"")
         ran.ended = "whole"
 
+    def make_event(self, ran: Ran, number: int) -> bytes:
+        """Returns one event of a stream; events count from 1."""
+        return b"id: %d\ndata: word %d\n\n" % (number, number)
+
     def _report(self) -> dict[str, object]:
         return {
             "models": [{"name": self.model, "version": self.version}],
@@ -247,9 +265,13 @@
     def _is_busy(self) -> bool:
         return time.monotonic() < self._busy_until
 
+    def record_order(self, order: dict[str, object]) -> None:
+        """Notes an order as it arrives; nothing to do here."""
+
     def _take_order(
         self, connection: "_Connection", order: dict[str, object]
     ) -> None:
+        self.record_order(order)
         if order["fence"] < self._highest_fence:
             connection.reply(412, [])
         elif self._is_busy() or order["expected"] != len(self.orders):
--- a/sardinewharf/standins/platform_store.py
+++ b/sardinewharf/standins/platform_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import itertools
 import time
@@ -50,8 +51,8 @@
         self._revision = 1
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_ids = itertools.count(100)
-        self._changed = asyncio.Condition()
-        self._waiting: set[asyncio.Task[object]] = set()
+        # Set at the next change, and then replaced.
+        self._changed = asyncio.Event()
 
     def make_app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -68,19 +69,19 @@
         """Writes a key as the operator or a server does; JSON-encodes it."""
         raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
         self._write(key, base64.b64encode(raw).decode(), 0)
-        await self._tell()
+        self._tell()
         return self._revision
 
     async def remove(self, key: str) -> None:
         """Removes a key."""
         self._remove(key)
-        await self._tell()
+        self._tell()
 
     async def compact(self) -> None:
         """Drops the history."""
         self._dropped = self._revision
         self._history.clear()
-        await self._tell()
+        self._tell()
 
     def decode(self, key: str) -> bytes | None:
         """Returns a key's value."""
@@ -126,24 +127,22 @@
         after = int(request.query["after"])
         wait_s = int(request.query["wait_ms"]) / 1000
         end = time.monotonic() + wait_s
-        async with self._changed:
-            while True:
-                if after < self._dropped:
-                    return web.Response(status=410)
-                if self.faults.status:
-                    return web.Response(status=self.faults.status)
-                events = [
-                    event
-                    for event in self._history
-                    if event["rev"] > after and event["key"].startswith(prefix)
-                ]
-                left = end - time.monotonic()
-                if events or left <= 0:
-                    break
-                try:
-                    await asyncio.wait_for(self._changed.wait(), left)
-                except TimeoutError:
-                    continue
+        while True:
+            if after < self._dropped:
+                return web.Response(status=410)
+            if self.faults.status:
+                return web.Response(status=self.faults.status)
+            events = [
+                event
+                for event in self._history
+                if event["rev"] > after and event["key"].startswith(prefix)
+            ]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                break
+            # The wait may end early; the loop sees whether time is left.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), left)
         if self.faults.is_silent:
             await asyncio.sleep(_MAX_WAIT_S)
         return _answer({"events": events, "store_revision": self._revision})
@@ -162,7 +161,7 @@
             self._write(row["key"], row["value"], row.get("lease", 0))
         for key in txn.get("remove", []):
             self._remove(key)
-        await self._tell()
+        self._tell()
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             request.transport.abort()
@@ -191,7 +190,7 @@
             for key, item in list(self.items.items()):
                 if item["lease"] == lease:
                     self._remove(key)
-                    self._tell_soon()
+                    self._tell()
 
     def _write(self, key: str, value: str, lease: int) -> None:
         self._revision += 1
@@ -214,14 +213,10 @@
                 {"key": key, "rev": self._revision, "deleted": True}
             )
 
-    async def _tell(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
-
-    def _tell_soon(self) -> None:
-        task = asyncio.ensure_future(self._tell())
-        self._waiting.add(task)
-        task.add_done_callback(self._waiting.discard)
+    def _tell(self) -> None:
+        """Wakes the watches."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
 
 def _answer(body: object) -> web.Response:
--- a/sardinewharf/standins/proxy.py
+++ b/sardinewharf/standins/proxy.py
@@ -22,6 +22,8 @@
         cut: Connections are refused and open ones reset.
         cut_sources: The same for clients whose IP begins with one of these.
         half_open: Nothing is forwarded, and nothing is closed.
+        hold_requests: The same for what clients send; answers go on.
+        hold_answers: The same for what the target sends.
         delay_ms: Added to each read, both ways.
         lose_answers: Number of answers lost by a reset at their first byte.
         lose_posts: Number of answers to POST requests that are lost; polls,
@@ -37,6 +39,8 @@
     cut: bool = False
     cut_sources: tuple[str, ...] = ()
     half_open: bool = False
+    hold_requests: bool = False
+    hold_answers: bool = False
     delay_ms: float = 0.0
     lose_answers: int = 0
     lose_posts: int = 0
@@ -46,6 +50,11 @@
     swap_chunk: int = 0
     cross_answers: int = 0
 
+    def holds(self, is_request: bool) -> bool:
+        """Returns whether one way of the link forwards nothing for now."""
+        one_way = self.hold_requests if is_request else self.hold_answers
+        return self.half_open or one_way
+
     @property
     def edits_chunks(self) -> bool:
         """Whether answers are taken apart into HTTP chunks."""
@@ -210,8 +219,8 @@
         self._unpaired = None
         return self._unpaired_reader
 
-    async def _wait(self) -> None:
-        while self.faults.half_open:
+    async def _wait(self, is_request: bool) -> None:
+        while self.faults.holds(is_request):
             await asyncio.sleep(0.02)
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1000)
@@ -225,7 +234,7 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(_READ_BYTES):
                 exchange.see(data)
-                await self._wait()
+                await self._wait(is_request=True)
                 writer.write(data)
                 await writer.drain()
 
@@ -239,7 +248,7 @@
         sent = 0
         with contextlib.suppress(OSError):
             while data := await reader.read(_READ_BYTES):
-                await self._wait()
+                await self._wait(is_request=False)
                 if self.faults.lose_answers > 0:
                     self.faults.lose_answers -= 1
                     return
