Soak gateways as processes under faults from outside

Four gateways, three engines, three servers, the store and the proxy run as processes of their own; faults drawn from a seed pause, kill, restart and reload them, harm links and servers, and take the store away, in series and overlapping, beside changes by the operator. Callers keep their connections. Servers note each request in a file that outlasts them; the oracle compares these with what callers got, each second and at the end. Each check has a history that it must find.

Ruled out: faults of the clock, which take rights that the soak has not, and UDP between gateways, whose addresses they register themselves; pauses silence them. Both are left to the users' bench.

--- /dev/null
+++ b/sardinewharf/soak/field.py
@@ -0,0 +1,315 @@
+"""Starts and stops the processes of a soak, all on loopback."""
+
+import contextlib
+import dataclasses
+import http.client
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import msgspec
+
+from sardinewharf import clocks
+from sardinewharf.testbed import bed
+from sardinewharf.testbed import http as http_lib
+from sardinewharf.testbed import platform_rig
+
+_FRONT_PORT = 8_782
+_READY_PORT = 8_789
+_PEER_PORTS = [7_340, 7_355]
+_STORE_PORT = 9_001
+_CONTROL_PORT = 9_002
+_FIRST_SERVER_PORT = 9_100
+_FIRST_LINK_PORT = 9_200
+_START_S = 15.0
+_POLL_S = 0.02
+_CALL_S = 2.0
+_STOP_S = 12.0
+_MODULES = "sardinewharf"
+# Bounds that the users' pages give for the deployments of this size.
+_BOUNDS = {
+    "retry_budget_ratio": 0.2,
+    "budget_extra": 54,
+    "revoke_fail_closed": True,
+    "revoke_ms": 5_000,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What a soak starts.
+
+    Attributes:
+        gateways: Number of gateways.
+        engines: Number of engines.
+        servers: Number of application servers.
+    """
+
+    gateways: int = 4
+    engines: int = 3
+    servers: int = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Member:
+    """A planned process.
+
+    Attributes:
+        module: Program that it runs.
+        flags: Its flags.
+        env: Environment variables besides the usual.
+        starts: How often it was started.
+        is_wanted: Whether it is to run now.
+    """
+
+    module: str
+    flags: list[str]
+    env: dict[str, str]
+    starts: int = 0
+    is_wanted: bool = False
+
+
+class Field:
+    """The processes of a soak.
+
+    Args:
+        folder: Where logs, journals and settings go.
+        plan: What to start.
+    """
+
+    def __init__(self, folder: pathlib.Path, plan: Plan):
+        self.folder = folder
+        self.gateways = [f"g{i}" for i in range(plan.gateways)]
+        self.engines = [f"e{i}" for i in range(plan.engines)]
+        self.servers = [f"s{i}" for i in range(plan.servers)]
+        self.processes: dict[str, bed.Process] = {}
+        self._network = _choose_network()
+        self._members: dict[str, _Member] = {}
+        self._links: dict[str, tuple[int, str]] = {}
+        self._host = self._address(1)
+        self.store = f"{self._host}:{_STORE_PORT}"
+        self._plan_members()
+
+    def start(self) -> None:
+        """Starts everything, and waits until the gateways are ready."""
+        self.start_process("store")
+        self.start_process("proxy")
+        self.wait(lambda: self._answers(self.store), "store")
+        control = f"{self._host}:{_CONTROL_PORT}"
+        self.wait(lambda: self._answers(control), "proxy")
+        self.put("op/config", platform_rig.make_manifest())
+        for name in [*self.engines, *self.servers, *self.gateways]:
+            self.start_process(name)
+        for name in self.gateways:
+            self.wait(lambda name=name: self.is_ready(name), name)
+
+    def start_process(self, name: str) -> None:
+        """Starts a process; a server's next start has an id of its own."""
+        member = self._members[name]
+        member.starts += 1
+        member.is_wanted = True
+        flags = [
+            flag.replace("@START", str(member.starts)) for flag in member.flags
+        ]
+        arguments = [sys.executable, "-m", member.module, *flags]
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            popen = subprocess.Popen(
+                arguments,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env=os.environ | member.env,
+            )
+        self.processes[name] = bed.Process(name, "", popen, log, arguments)
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        self._members[name].is_wanted = False
+        self.processes[name].kill()
+
+    def terminate(self, name: str) -> None:
+        """Tells a process to leave."""
+        self._members[name].is_wanted = False
+        self.processes[name].popen.terminate()
+
+    def has_left(self, name: str) -> bool:
+        """Returns whether a process that was told to leave has ended."""
+        return not self.processes[name].is_live
+
+    def reload(self, name: str) -> None:
+        """Lays a gateway's settings anew and says so."""
+        self._write_settings(name, self.gateways.index(name))
+        self.processes[name].popen.send_signal(signal.SIGHUP)
+
+    def list_ended(self) -> list[str]:
+        """Returns the processes that ended though nobody ended them."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if self._members[name].is_wanted and not process.is_live
+        ]
+
+    def put(self, key: str, value: object) -> bool:
+        """Writes a key as the operator does; returns whether it stands."""
+        body = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        return self._post(self.store, f"/soak/put?key={key}", body)
+
+    def set_store(self, **faults: object) -> bool:
+        """Sets the faults of the store."""
+        body = msgspec.json.encode(faults)
+        return self._post(self.store, "/soak/faults", body)
+
+    def compact_store(self) -> bool:
+        """Drops the store's history."""
+        return self._post(self.store, "/soak/compact", b"")
+
+    def set_link(self, link: str, **faults: object) -> bool:
+        """Sets the faults of a link."""
+        control = f"{self._host}:{_CONTROL_PORT}"
+        body = msgspec.json.encode(faults)
+        return self._post(control, f"/links/{link}", body)
+
+    def set_server(self, name: str, **faults: object) -> bool:
+        """Sets the faults of a server or engine."""
+        body = msgspec.json.encode(faults)
+        return self._post(self._find_server(name), "/soak/faults", body)
+
+    def read_weights(self, engine: str) -> int:
+        """Returns the version on an engine, or 0 if it does not answer."""
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            answer = http_lib.call(
+                self._find_server(engine), "GET", "/-/report", seconds=_CALL_S
+            )
+            return answer.json()["models"][0]["version"]
+        return 0
+
+    def is_ready(self, gateway: str) -> bool:
+        """Returns whether a gateway says that it takes connections."""
+        host = self._find_host(gateway)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            answer = http_lib.call(
+                f"{host}:{_READY_PORT}", "GET", "/-/ready", seconds=_CALL_S
+            )
+            return answer.status == 200
+        return False
+
+    def find_front(self, gateway: str) -> str:
+        """Returns where callers reach a gateway, through the proxy."""
+        return f"{self._host}:{self._links[f'front-{gateway}'][0]}"
+
+    def find_journal(self, name: str) -> pathlib.Path:
+        """Returns a server's journal."""
+        return self.folder / f"{name}.jsonl"
+
+    def wait(self, check, name: str) -> None:
+        """Waits until a process does what it is to do.
+
+        Raises:
+            bed.BedError: If it does not in time, or has ended.
+        """
+        end = clocks.Deadline.after(_START_S)
+        while not check():
+            if name in self.list_ended() or end.is_past():
+                log = (self.folder / f"{name}.log").read_text()[-2000:]
+                raise bed.BedError(f"{name} did not come up: {log}")
+            os.sched_yield()
+
+    def close(self) -> None:
+        """Ends every process that was started."""
+        for process in self.processes.values():
+            if process.is_live:
+                process.thaw()
+                process.kill()
+
+    def _plan_members(self) -> None:
+        listen = ["--host", self._host, "--port"]
+        store = [*listen, str(_STORE_PORT)]
+        self._members["store"] = _Member(f"{_MODULES}.soak.store", store, {})
+        for index, name in enumerate([*self.engines, *self.servers]):
+            self._plan_server(name, f"fd-{index % 2}")
+        for index, name in enumerate(self.gateways):
+            self._link(f"store-{name}", self.store)
+            self._link(
+                f"front-{name}", f"{self._find_host(name)}:{_FRONT_PORT}"
+            )
+            path = self._write_settings(name, index)
+            self._members[name] = _Member(
+                f"{_MODULES}.platform.program",
+                [],
+                {"SARDINEWHARF_CONFIG": str(path)},
+            )
+        links = [f"--link={n}={p}:{t}" for n, (p, t) in self._links.items()]
+        self._members["proxy"] = _Member(
+            f"{_MODULES}.standins.proxy",
+            [*listen, str(_CONTROL_PORT), *links],
+            {},
+        )
+
+    def _plan_server(self, name: str, domain: str) -> None:
+        target = self._find_server(name)
+        flags = [
+            f"--id={name}.@START",
+            f"--listen={target}",
+            f"--address={self._link(name, target)}",
+            f"--store={self.store}",
+            f"--zone={domain}",
+            f"--journal={self.find_journal(name)}",
+        ]
+        if name in self.engines:
+            flags.append("--is-engine")
+        self._members[name] = _Member(f"{_MODULES}.soak.server", flags, {})
+
+    def _write_settings(self, name: str, index: int) -> pathlib.Path:
+        host = self._find_host(name)
+        settings = {
+            "node": name,
+            "zone": f"fd-{index % 2}",
+            "ip": host,
+            "listen": {
+                "front": f"{host}:{_FRONT_PORT}",
+                "ready": f"{host}:{_READY_PORT}",
+            },
+            "platform": {
+                "address": f"{self._host}:{self._links[f'store-{name}'][0]}"
+            },
+            "port_range": _PEER_PORTS,
+            "bounds": _BOUNDS,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+    def _link(self, name: str, target: str) -> str:
+        port = _FIRST_LINK_PORT + len(self._links)
+        self._links[name] = (port, target)
+        return f"{self._host}:{port}"
+
+    def _find_host(self, gateway: str) -> str:
+        return self._address(10 + self.gateways.index(gateway))
+
+    def _find_server(self, name: str) -> str:
+        index = [*self.engines, *self.servers].index(name)
+        return f"{self._host}:{_FIRST_SERVER_PORT + index}"
+
+    def _address(self, number: int) -> str:
+        return f"{self._network}.{number}"
+
+    def _answers(self, address: str) -> bool:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            http_lib.call(address, "GET", "/record", seconds=_CALL_S)
+            return True
+        return False
+
+    def _post(self, address: str, path: str, body: bytes) -> bool:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            answer = http_lib.call(address, "POST", path, body, seconds=_CALL_S)
+            return answer.status == 200
+        return False
+
+
+def _choose_network() -> str:
+    """Returns three bytes of loopback that are this process's own."""
+    pid = os.getpid()
+    return f"127.{1 + pid // 250 % 250}.{1 + pid % 250}"
--- /dev/null
+++ b/sardinewharf/soak/operators.py
@@ -0,0 +1,82 @@
+"""Writes to the store as the operator does, and remembers what it wrote."""
+
+import dataclasses
+
+from sardinewharf import clocks
+from sardinewharf.soak import field as field_lib
+from sardinewharf.testbed import platform_rig
+
+_FIRST_VERSION = 1
+_VERSION_STEP = 3
+SAFE_KEYS = (platform_rig.KEY,)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change that the store has acknowledged.
+
+    Attributes:
+        name: The route, key or version.
+        at: Monotonic time of the acknowledgement, in seconds.
+    """
+
+    name: str
+    at: float
+
+
+class Operator:
+    """Changes the configuration and names weights.
+
+    Args:
+        field: Where the store is.
+
+    Attributes:
+        routes: Routes that were added, oldest first.
+        revoked: Keys that were taken away.
+        keys: Keys that callers may hold, revoked or not.
+        weights: Versions that were named.
+    """
+
+    def __init__(self, field: field_lib.Field):
+        self._field = field
+        self._version = _FIRST_VERSION
+        self._extra: list[dict[str, object]] = []
+        self._live = ["key-a", "key-b", "key-c"]
+        self.keys = [*SAFE_KEYS, *self._live]
+        self.routes: list[Change] = []
+        self.revoked: dict[str, Change] = {}
+        self.weights: list[Change] = []
+
+    def write(self) -> bool:
+        """Writes the configuration in full, under its next version."""
+        self._version += _VERSION_STEP
+        manifest = platform_rig.make_manifest(self._version)
+        routes = manifest["routes"]
+        look = next(r for r in routes if r["name"] == "look")
+        routes += [look | row for row in self._extra]
+        manifest["tenants"][0]["api_keys"] = [*SAFE_KEYS, *self._live]
+        return self._field.put("op/config", manifest)
+
+    def add_route(self) -> None:
+        """Adds a route to the application."""
+        name = f"new-{len(self._extra)}"
+        self._extra.append({"name": name, "prefix": f"/{name}/"})
+        if self.write():
+            change = Change(f"/{name}/", clocks.read_monotonic())
+            self.routes.append(change)
+
+    def revoke_key(self) -> None:
+        """Takes a key away, if one is left."""
+        if not self._live:
+            return
+        key = self._live.pop()
+        if self.write():
+            self.revoked[key] = Change(key, clocks.read_monotonic())
+
+    def name_weights(self) -> None:
+        """Names the next version of the model's weights."""
+        version = 2 + len(self.weights)
+        row = {"model": platform_rig.MODEL, "version": version}
+        if self._field.put(f"op/version/{platform_rig.MODEL}", row):
+            change = Change(str(version), clocks.read_monotonic())
+            self.weights.append(change)
--- /dev/null
+++ b/sardinewharf/soak/server.py
@@ -0,0 +1,243 @@
+"""Runs one recorded server or engine that registers itself in the store."""
+
+import argparse
+import asyncio
+import base64
+import contextlib
+import pathlib
+import signal
+import time
+import urllib.parse
+
+import aiohttp
+import msgspec
+
+from sardinewharf import clocks
+from sardinewharf.soak import journals
+from sardinewharf.standins import platform_servers
+from sardinewharf.testbed import platform_rig
+
+_HEARTBEAT_S = 0.5
+_LEASE_MS = 1_500
+_CALL_S = 1.0
+# A leaving server serves this long after the store has its notice.
+_LEAVING_S = 2.5
+_EVENT_S = 0.02
+
+
+def make_answer(request: str) -> bytes:
+    """Returns the only right body of an answer.
+
+    Examples:
+        >>> make_answer("r1")
+        b'answer to r1'
+    """
+    return f"answer to {request}".encode()
+
+
+def make_event(request: str, number: int) -> bytes:
+    """Returns the only right event of a stream at its place."""
+    return f"id: {number}\ndata: {request} {number}\n\n".encode()
+
+
+class _Recording(platform_servers.PlatformServer):
+    """Notes what a server sees in a journal.
+
+    Attributes:
+        journal: Where it is noted.
+        service: The service that the server belongs to.
+    """
+
+    journal: journals.Journal
+    service: str
+    version = 0
+
+    async def answer(self, connection, ran) -> None:
+        """Takes a request, or new faults from the soak."""
+        if ran.target == "/soak/faults":
+            self.faults = msgspec.json.decode(ran.body, type=type(self.faults))
+            connection.reply(200, [])
+            return
+        if request := ran.headers.get("x-sardinewharf-request-id"):
+            now = clocks.read_monotonic()
+            self.journal.write(journals.Arrived(now, request, self.service))
+        await super().answer(connection, ran)
+
+    def record(self, ran) -> None:
+        """Notes that a request begins to run."""
+        headers = ran.headers
+        self.journal.write(
+            journals.Began(
+                at=clocks.read_monotonic(),
+                request=headers.get("x-sardinewharf-request-id", ""),
+                service=self.service,
+                server=self.id,
+                target=ran.target,
+                organisation=headers.get("x-sardinewharf-tenant", ""),
+                has_key="authorization" in headers,
+                salt=headers.get("x-sardinewharf-cache-salt", ""),
+                weights=self.version,
+                first_event=int(headers.get("last-event-id", "0")) + 1,
+            )
+        )
+
+    def record_end(self, ran) -> None:
+        """Notes that a request runs no more."""
+        request = ran.headers.get("x-sardinewharf-request-id", "")
+        note = journals.Ended(
+            clocks.read_monotonic(), request, self.id, ran.ended == "whole"
+        )
+        self.journal.write(note)
+
+    def make_body(self, ran) -> bytes:
+        """Returns the body of the answer to a request."""
+        return make_answer(ran.headers.get("x-sardinewharf-request-id", ""))
+
+    async def run(self, connection, ran) -> None:
+        """Takes the time that the request asks for, and answers."""
+        query = urllib.parse.urlsplit(ran.target).query
+        work_ms = urllib.parse.parse_qs(query).get("ms", ["0"])[0]
+        await asyncio.sleep(int(work_ms) / 1000)
+        await super().run(connection, ran)
+
+
+class RecordedServer(_Recording):
+    """An application server that notes what it sees."""
+
+
+class RecordedEngine(_Recording, platform_servers.PlatformEngine):
+    """An engine that notes what it sees."""
+
+    def make_event(self, ran, number: int) -> bytes:
+        """Returns one event of a stream."""
+        request = ran.headers.get("x-sardinewharf-request-id", "")
+        return make_event(request, number)
+
+    def record_order(self, order) -> None:
+        """Notes an order as it arrives."""
+        note = journals.Ordered(
+            clocks.read_monotonic(),
+            self.id,
+            order["holder"],
+            order["fence"],
+            order["version"],
+        )
+        self.journal.write(note)
+
+
+class Registrar:
+    """Keeps a server's entry in the store, under a lease.
+
+    Args:
+        server: The server.
+        store: ``HOST:PORT`` of the store.
+        entry: What the entry says besides state and weights.
+    """
+
+    def __init__(
+        self, server: _Recording, store: str, entry: dict[str, object]
+    ):
+        self._server = server
+        self._store = f"http://{store}/-"
+        self._entry = entry
+        self._lease = 0
+        self._written = b""
+        self.state = "ready"
+
+    async def run(self) -> None:
+        """Writes and renews the entry until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=_CALL_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                # The store is out at times; the next round tries again.
+                with contextlib.suppress(OSError, aiohttp.ClientError):
+                    await self._renew(session)
+                await asyncio.sleep(_HEARTBEAT_S)
+
+    async def _renew(self, session: aiohttp.ClientSession) -> None:
+        if self._lease:
+            path = f"{self._store}/kv-keep/{self._lease}"
+            async with session.post(path) as answer:
+                if answer.status == 404:
+                    self._lease, self._written = 0, b""
+        if not self._lease:
+            body = {"ttl_ms": _LEASE_MS}
+            async with session.post(
+                f"{self._store}/kv-lease", data=msgspec.json.encode(body)
+            ) as answer:
+                if answer.status != 200:
+                    return
+                self._lease = (await answer.json())["lease"]
+        value = msgspec.json.encode(self._describe())
+        if value != self._written:
+            await self._write(session, value)
+
+    async def _write(
+        self, session: aiohttp.ClientSession, value: bytes
+    ) -> None:
+        put = {
+            "key": f"servers/{self._server.id}",
+            "value": base64.b64encode(value).decode(),
+            "lease": self._lease,
+        }
+        body = msgspec.json.encode({"expected": [], "put": [put]})
+        async with session.post(f"{self._store}/kv-txn", data=body) as answer:
+            if answer.status == 200:
+                self._written = value
+
+    def _describe(self) -> dict[str, object]:
+        entry = self._entry | {"state": self.state}
+        if self._server.version:
+            entry["models"] = [
+                {"name": platform_rig.MODEL, "version": self._server.version}
+            ]
+        return entry
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Serves until the process is told to leave."""
+    if arguments.is_engine:
+        server = RecordedEngine(arguments.id, platform_rig.MODEL)
+        server.pause_s = _EVENT_S
+    else:
+        server = RecordedServer(arguments.id)
+    server.service = (
+        platform_rig.ENGINES if arguments.is_engine else platform_rig.ORDERS
+    )
+    server.journal = journals.Journal(arguments.journal)
+    host, port = arguments.listen.rsplit(":", 1)
+    await server.start(int(port), host)
+    entry = {
+        "service": server.service,
+        "address": arguments.address,
+        "zone": arguments.zone,
+        "slots": 8,
+        "born": int(time.time() * 1000),
+    }
+    registrar = Registrar(server, arguments.store, entry)
+    leaving = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
+    async with asyncio.TaskGroup() as group:
+        task = group.create_task(registrar.run())
+        await leaving.wait()
+        registrar.state = "draining"
+        await asyncio.sleep(_HEARTBEAT_S + _LEAVING_S)
+        task.cancel()
+    await server.stop()
+
+
+def main() -> None:
+    """Runs a server."""
+    parser = argparse.ArgumentParser(description="Recorded server.")
+    parser.add_argument("--id", required=True, help="its id in the store")
+    parser.add_argument("--listen", required=True, help="IP:PORT to bind")
+    parser.add_argument("--address", required=True, help="IP:PORT to register")
+    parser.add_argument("--store", required=True, help="IP:PORT of the store")
+    parser.add_argument("--zone", required=True, help="its failure domain")
+    parser.add_argument("--journal", required=True, type=pathlib.Path)
+    parser.add_argument("--is-engine", action="store_true")
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sardinewharf/soak/store.py
@@ -0,0 +1,58 @@
+"""Runs the platform's store in a process, and takes faults for it."""
+
+import dataclasses
+
+from aiohttp import web
+import msgspec
+
+from sardinewharf.standins import platform_store
+from sardinewharf.standins import program
+
+
+class StoreControl:
+    """Lets the soak write as the operator and set faults.
+
+    Args:
+        store: The store.
+    """
+
+    def __init__(self, store: platform_store.PlatformStore):
+        self._store = store
+
+    def add_to(self, app: web.Application) -> web.Application:
+        """Adds the routes of the control."""
+        app.router.add_post("/soak/put", self._put)
+        app.router.add_post("/soak/faults", self._set_faults)
+        app.router.add_post("/soak/compact", self._compact)
+        return app
+
+    async def _put(self, request: web.Request) -> web.Response:
+        revision = await self._store.put(
+            request.query["key"], await request.read()
+        )
+        return program.answer_json(revision)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        faults = msgspec.json.decode(
+            await request.read(), type=platform_store.Faults
+        )
+        self._store.faults = faults
+        return program.answer_json(dataclasses.asdict(faults))
+
+    async def _compact(self, request: web.Request) -> web.Response:
+        await self._store.compact()
+        return program.answer_json(None)
+
+
+def main() -> None:
+    """Runs the store."""
+    parser = program.make_parser("The platform's store.")
+    arguments = parser.parse_args()
+    store = platform_store.PlatformStore()
+    program.run_app(
+        lambda: StoreControl(store).add_to(store.make_app()), arguments
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sardinewharf/soak/tests/test_oracle.py
@@ -0,0 +1,197 @@
+"""Shows that each promise's check finds a history that breaks it."""
+
+import pytest
+
+from sardinewharf.soak import callers
+from sardinewharf.soak import faults
+from sardinewharf.soak import field as field_lib
+from sardinewharf.soak import journals
+from sardinewharf.soak import operators
+from sardinewharf.soak import oracle as oracle_lib
+from sardinewharf.soak import server
+
+KEY = operators.SAFE_KEYS[0]
+STARTED_AT = 100.0
+NOW = 150.0
+
+
+class History:
+    """Attempts and notes of a field whose processes were never started."""
+
+    def __init__(self, folder):
+        self.field = field_lib.Field(folder, field_lib.Plan(1, 2, 1))
+        self.operator = operators.Operator(self.field)
+        self.crowd = callers.Crowd(self.field, self.operator, seed=1)
+        self.faults = []
+
+    def send(self, request, path="/look/", **changes):
+        attempt = callers.Attempt(request, "g0", path, KEY, 110.0, 110.1)
+        attempt.status = 200
+        attempt.stamp = "s0.1.stamp"
+        attempt.body = server.make_answer(request)
+        attempt.is_whole = True
+        for name, value in changes.items():
+            setattr(attempt, name, value)
+        self.crowd.attempts.append(attempt)
+
+    def run(self, request, path="/look/", name="s0", **changes):
+        service = "engines" if name.startswith("e") else "orders"
+        note = {
+            "at": 110.0,
+            "request": request,
+            "service": service,
+            "server": f"{name}.1",
+            "target": f"{path}1?ms=0",
+            "organisation": "org-1",
+            "has_key": False,
+        }
+        self.note(name, journals.Began(**(note | changes)))
+
+    def note(self, name, note):
+        journals.Journal(self.field.find_journal(name)).write(note)
+
+    def find(self):
+        story = oracle_lib.Story(STARTED_AT, self.faults)
+        oracle = oracle_lib.Oracle(self.field, self.crowd, self.operator, story)
+        oracle.check_end(NOW)
+        return {finding.promise for finding in oracle.findings}
+
+
+@pytest.fixture
+def history(tmp_path):
+    made = History(tmp_path)
+    # One request that is served at the end shows that the field recovered.
+    made.send("late", sent_at=140.0, ended_at=140.1)
+    made.run("late")
+    return made
+
+
+def test_a_sound_history_has_no_finding(history):
+    history.send("r1")
+    history.run("r1")
+    assert history.find() == set()
+
+
+def test_two_runs_of_a_booking(history):
+    history.send("r1", "/book/")
+    history.run("r1", "/book/")
+    history.run("r1", "/book/")
+    assert history.find() == {oracle_lib.Promise.ONCE}
+
+
+def test_a_refusal_of_what_has_run(history):
+    history.send("r1", "/book/", status=503)
+    history.run("r1", "/book/")
+    assert history.find() == {oracle_lib.Promise.NOT_RUN}
+
+
+def test_an_answer_to_another_request(history):
+    history.send("r1", body=b"answer to r2")
+    history.run("r1")
+    assert history.find() == {oracle_lib.Promise.ANSWER}
+
+
+def test_an_answer_that_bears_another_server(history):
+    history.send("r1", stamp="s9.1.stamp")
+    history.run("r1")
+    assert history.find() == {oracle_lib.Promise.ANSWER}
+
+
+def test_a_stream_that_lacks_an_event(history):
+    events = [server.make_event("r1", number) for number in (1, 2, 4)]
+    history.send("r1", "/chat/", stamp="e0.1.stamp", body=b"".join(events))
+    history.run("r1", "/chat/", "e0")
+    assert history.find() == {oracle_lib.Promise.ORDER}
+
+
+def test_a_request_that_nobody_sent(history):
+    history.run("r1")
+    assert history.find() == {oracle_lib.Promise.KNOWN}
+
+
+def test_a_key_that_was_passed_on(history):
+    history.send("r1")
+    history.run("r1", has_key=True)
+    assert history.find() == {oracle_lib.Promise.KNOWN}
+
+
+def test_a_request_at_another_service(history):
+    history.send("r1", stamp="e0.1.stamp")
+    history.run("r1", name="e0")
+    assert history.find() == {oracle_lib.Promise.ROUTE}
+
+
+def test_a_key_that_was_revoked_long_ago(history):
+    history.operator.revoked[KEY] = operators.Change(KEY, 104.0)
+    history.send("r1")
+    history.run("r1")
+    assert oracle_lib.Promise.REVOKED in history.find()
+
+
+def test_a_new_route_that_is_not_served(history):
+    history.operator.routes.append(operators.Change("/new-0/", 104.0))
+    history.send("r1", "/new-0/", status=404)
+    assert history.find() == {oracle_lib.Promise.APPLIED}
+
+
+def test_refusals_of_what_is_allowed(history):
+    for number in range(7):
+        history.send(f"r{number}", status=401, stamp="", body=b"")
+    assert history.find() == {oracle_lib.Promise.DENIED}
+
+
+def test_too_many_retries(history):
+    history.send("r1")
+    history.run("r1")
+    for _ in range(60):
+        history.note("s0", journals.Arrived(110.0, "r1", "orders"))
+    assert history.find() == {oracle_lib.Promise.RETRIES}
+
+
+def test_a_request_that_a_restart_cost(history):
+    history.faults.append(faults.Restart(8.0, 11.0, "g0"))
+    history.send("r1", "/book/", status=0, is_whole=False, body=b"")
+    history.run("r1", "/book/")
+    assert history.find() == {oracle_lib.Promise.LOST}
+
+
+def test_a_request_that_a_kill_cost_is_no_finding(history):
+    history.faults.append(faults.Kill(8.0, 11.0, "g0"))
+    history.send("r1", "/book/", status=0, is_whole=False, body=b"")
+    history.run("r1", "/book/")
+    assert history.find() == set()
+
+
+def test_servers_that_go_on_for_nobody(history):
+    for number in range(6):
+        request = f"r{number}"
+        history.send(request, status=0, is_whole=False, body=b"", left_at=110.2)
+        history.run(request)
+        history.note("s0", journals.Ended(111.0, request, "s0.1", True))
+    assert history.find() == {oracle_lib.Promise.GONE}
+
+
+def test_two_holders_with_one_fence(history):
+    for holder in ("g0", "g1"):
+        history.note("e0", journals.Ordered(110.0, "e0.1", holder, 7, 2))
+    assert history.find() == {oracle_lib.Promise.HOLDER}
+
+
+def test_a_cache_that_two_versions_share(history):
+    for request, weights in (("r1", 1), ("r2", 2)):
+        events = [server.make_event(request, n) for n in range(1, 5)]
+        history.send(
+            request, "/ask/", stamp="e0.1.stamp", body=b"".join(events)
+        )
+        history.run(request, "/ask/", "e0", salt="m1/1", weights=weights)
+    assert history.find() == {oracle_lib.Promise.CACHE}
+
+
+def test_old_weights_at_the_end(history):
+    history.operator.weights.append(operators.Change("2", 104.0))
+    assert history.find() == {oracle_lib.Promise.WEIGHTS}
+
+
+def test_refusals_at_the_end(history):
+    history.send("r1", sent_at=141.0, ended_at=141.1, status=503)
+    assert history.find() == {oracle_lib.Promise.RECOVERY}
