Tell of orders that are given together in one datagram

The holder of the office led 15 engines away at once and told all 84 peers of each one by one: 1.3 MB on a link of 10 Mbit/s, a second of queue. Its calls to engines timed out, so did the renewal of its lease, and eleven successors did the same one after the other; from 10 s on every request for engines was refused.

Test: test_weights.py, red before.

--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -111,7 +111,7 @@
         """Gives no further order and leaves the office."""
         self._is_stopping = True
         self._peers.is_leaving = True
-        self._peers.tell()
+        self._peers.tell_soon()
         await self._tasks.close()
         await self._tenure.resign()
 
@@ -171,7 +171,7 @@
         """Brings one engine to the wanted version."""
         until = clocks.Deadline.after(_LOAD_LIMIT_S)
         self._rolls.lead_away(endpoint.id, until)
-        self._peers.tell()
+        self._peers.tell_soon()
         is_done = False
         began = clocks.read_monotonic()
         try:
@@ -179,7 +179,7 @@
             is_done = await self._order_and_wait(endpoint, model, until)
         finally:
             self._rolls.lead_back(endpoint.id)
-            self._peers.tell()
+            self._peers.tell_soon()
             self._log_end(endpoint, model, is_done, began)
             if not is_done:
                 await asyncio.sleep(_FAILURE_PAUSE_S)
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 
 import pytest_asyncio
 
@@ -66,6 +67,30 @@
     assert ran.headers["x-sardinewharf-cache-salt"] == "m1/2"
 
 
+async def test_orders_given_together_are_told_together(rig, monkeypatch):
+    """Fifteen orders told to 84 peers one by one filled the holder's link.
+
+    Its calls to engines and its lease then timed out, and so did those of
+    each gateway that followed in the office.
+    """
+    told = []
+    for gateway in rig.gateways:
+        peers = gateway._peers
+        send = peers._tell
+
+        def note(count, peers=peers, send=send):
+            if count > 8:
+                told.append((peers, clocks.read_monotonic()))
+            send(count)
+
+        monkeypatch.setattr(peers, "_tell", note)
+    await name_version(rig, 2)
+    await platform_rig.wait_for(lambda: has_version(rig, 2))
+    assert told
+    for (peers, at), (others, next_at) in itertools.pairwise(told):
+        assert peers is not others or next_at - at > 0.004
+
+
 async def test_requests_are_led_away_from_engines_that_load(rig):
     for engine in rig.engines:
         engine.load_s = 0.6
