Wait longer for engines that a gateway seldom hears

Each cost the engine its work, a repeat elsewhere, and 0.5 to 2 s without that engine at the gateway. With two requests or fewer at the engine the patience is now 1.2 s; the aim of the request is missed either way.

Ruled out: 1.2 s for all, which sends more into engines that are gone in small fleets.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -18,6 +18,7 @@
 from sardinewharf.balancing.rolls import RollPace
 from sardinewharf.balancing.rolls import RollState
 from sardinewharf.balancing.rolls import choose_rolls
+from sardinewharf.balancing.silence import find_patience
 
 __all__ = [
     "Choice",
@@ -32,6 +33,7 @@
     "choose_engine",
     "choose_rolls",
     "choose_server",
+    "find_patience",
     "is_hopeless",
     "rank_homes",
     "rank_urgency",
--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -96,6 +96,10 @@
             for endpoint_id, counts in self._own.items()
         }
 
+    def count_own(self, endpoint_id: ids.EndpointId) -> int:
+        """Returns how many requests of this gateway run at an endpoint."""
+        return self._own.get(endpoint_id, (0, 0, 0))[0]
+
     def merge_peer(
         self,
         peer: str,
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -32,9 +32,6 @@
 # its time.
 _FIRST_ATTEMPT_SHARE = 0.45
 _RETRY_S = 0.3
-# An endpoint that sends nothing to anybody for this long beyond the time of
-# reading its prompts in line may be silent, in seconds.
-_SILENCE_S = 0.6
 _Read = TypeVar("_Read")
 # Longest wait for another request that reads the same prompt, in seconds and
 # as a share of the time left.
@@ -170,8 +167,10 @@
             result = await read()
             health.note_heard(incarnation, clocks.read_monotonic())
             return result
-        patience = _SILENCE_S + attempt.target.wait_s
+        endpoint_id = attempt.target.endpoint.id
         while True:
+            own = self._parts.loads.count_own(endpoint_id)
+            patience = balancing.find_patience(own) + attempt.target.wait_s
             began = clocks.read_monotonic()
             try:
                 async with asyncio.timeout(patience):
