Let the prompts that peers told of shrink as the whole line does

A gateway let each peer's prompts shrink at the full speed of the engine, as if it read for that peer alone, and forgot peers after 1 s that are heard every 2 s. Twenty peers with a prompt each were taken for an idle engine after 0.34 s of 6.8 s of work. The line now shrinks as a whole, and peers count for 3 s; the table is kept by endpoint, so that a choice looks only at peers with work there.

Ruled out: wrong figures from peers (the sums at the time of telling agree).

--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -18,8 +18,9 @@
 
 from sardinewharf import ids
 
-# What a peer said of its work counts for this long, in seconds.
-_PEER_S = 1.0
+# What a peer said of its work counts for this long, in seconds. In a large
+# fleet each is heard about every two seconds.
+_PEER_S = 3.0
 # Prompt tokens that an engine reads in a millisecond.
 READ_TOKENS_PER_MS = 50.0
 _READ_TOKENS_PER_S = 1000 * READ_TOKENS_PER_MS
@@ -71,14 +72,21 @@
             self._table._add(self._endpoint_id, -1, 0, -self._held_tokens)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerLoad:
+    """A peer's work at an endpoint, and when the peer told of it."""
+
+    at: float
+    load: EndpointLoad
+
+
 class LoadTable:
     """Work at all endpoints."""
 
     def __init__(self) -> None:
         self._own: dict[ids.EndpointId, list[int]] = {}
-        self._peers: dict[
-            str, tuple[float, Mapping[ids.EndpointId, EndpointLoad]]
-        ] = {}
+        self._peers: dict[ids.EndpointId, dict[str, _PeerLoad]] = {}
+        self._told: dict[str, list[ids.EndpointId]] = {}
 
     def begin(
         self,
@@ -107,19 +115,33 @@
         now: float,
     ) -> None:
         """Takes in a peer's work."""
-        self._peers[peer] = (now, loads)
+        for endpoint_id in self._told.get(peer, ()):
+            self._peers[endpoint_id].pop(peer, None)
+        self._told[peer] = list(loads)
+        for endpoint_id, load in loads.items():
+            found = self._peers.setdefault(endpoint_id, {})
+            found[peer] = _PeerLoad(now, load)
 
     def read(self, endpoint_id: ids.EndpointId, now: float) -> EndpointLoad:
-        """Returns the work at an endpoint."""
+        """Returns the work at an endpoint.
+
+        What peers told of is less by what the endpoint has read since. It
+        reads for all of them together, so that the prompts of each shrink as
+        the whole line does.
+        """
         running, prompt, held = self._own.get(endpoint_id, (0, 0, 0))
-        for at, loads in self._peers.values():
-            load = loads.get(endpoint_id)
-            if load is not None and now - at <= _PEER_S:
-                # The engine has read on since the peer told of them.
-                read = int((now - at) * _READ_TOKENS_PER_S)
-                running += load.running
-                prompt += max(0, load.prompt_tokens - read)
-                held += load.held_tokens
+        told = [
+            peer
+            for peer in self._peers.get(endpoint_id, {}).values()
+            if now - peer.at <= _PEER_S
+        ]
+        line = prompt + sum(peer.load.prompt_tokens for peer in told)
+        for peer in told:
+            running += peer.load.running
+            held += peer.load.held_tokens
+            if line:
+                read = (now - peer.at) * _READ_TOKENS_PER_S / line
+                prompt += int(peer.load.prompt_tokens * max(0.0, 1.0 - read))
         return EndpointLoad(running, prompt, held)
 
     def _add(
