Let the soak change things while a gateway cannot hear of it

No gateway was away for longer than a revoked key may live while callers asked with that key. Each seed now freezes one for 9.5 s and revokes a key, adds a route or names weights meanwhile, and callers try revoked keys more often. Of a target, a restart is also kept apart from what was drawn before it.

Ruled out: 7 s (callers ask every 4 s, so none asked between 5 s and the end).

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -22,6 +22,7 @@
 _LEAVE_SHARE = 0.03
 _LEAVE_S = 0.15
 _NEW_ROUTE_SHARE = 0.05
+_REVOKED_SHARE = 0.25
 # Beyond its time, a caller still listens this long.
 _LISTEN_S = 1.0
 _EVENTS = 4
@@ -108,12 +109,19 @@
             request=f"r{next(self._ids)}",
             gateway=gateway,
             path=path,
-            key=self._rng.choice(self._operator.keys),
+            key=self._choose_key(),
             sent_at=clocks.read_monotonic(),
         )
         self.attempts.append(attempt)
         return attempt
 
+    def _choose_key(self) -> str:
+        """Returns a key; revoked ones are tried more often than others."""
+        revoked = list(self._operator.revoked)
+        if revoked and self._rng.random() < _REVOKED_SHARE:
+            return self._rng.choice(revoked)
+        return self._rng.choice(self._operator.keys)
+
     async def _send(
         self, session: aiohttp.ClientSession, attempt: Attempt
     ) -> None:
--- a/sardinewharf/soak/schedules.py
+++ b/sardinewharf/soak/schedules.py
@@ -6,6 +6,20 @@
 from sardinewharf.soak import field as field_lib
 
 _QUIET_START_S = 1.0
+# A restart may take as long as the grace of a process and its start.
+_RESTART_S = 10.0
+# What has no length of its own takes this long at most.
+_CHANGE_S = 0.2
+# A gateway is away for this long while a change comes: a revoked key may live
+# for five seconds, and callers give up and ask again every four.
+_MEETING_S = 9.5
+_MEETING_LEAD_S = 0.3
+_MEETING_CHANGES = (
+    faults.RevokeKey,
+    faults.RevokeKey,
+    faults.AddRoute,
+    faults.NameWeights,
+)
 _PAUSES_S = (0.1, 0.5, 1.5, 3.0, 6.0)
 _LINK_HARMS = (
     ("cut", True),
@@ -53,23 +67,50 @@
     """
     rng = random.Random(seed)
     count = rng.randint(2, max(3, int(seconds)))
-    drawn: list[faults.Fault] = []
-    taken: dict[str, list[tuple[float, float]]] = {}
+    schedule = _Schedule()
     for _ in range(count):
         at = rng.uniform(_QUIET_START_S, seconds - _QUIET_START_S)
         until = min(at + rng.choice(_PAUSES_S), seconds)
-        fault = _draw(rng, field, at, until)
+        schedule.add(_draw(rng, field, at, until))
+    if seconds > _MEETING_S + 2 * _QUIET_START_S:
+        for fault in _draw_meeting(rng, field, seconds):
+            schedule.add(fault)
+    return sorted(schedule.faults, key=lambda fault: fault.at)
+
+
+class _Schedule:
+    """Faults, one at a time for each target."""
+
+    def __init__(self) -> None:
+        self.faults: list[faults.Fault] = []
+        self._taken: dict[str, list[tuple[float, float]]] = {}
+
+    def add(self, fault: faults.Fault) -> None:
+        """Adds a fault unless its target has another at the time."""
         target = getattr(fault, "name", type(fault).__name__)
-        # A restart may take as long as the grace of a process.
-        spans = taken.setdefault(target, [])
-        if all(until < begin or at > end for begin, end in spans):
-            spans.append((at, max(until, at + _hold_s(fault))))
-            drawn.append(fault)
-    return sorted(drawn, key=lambda fault: fault.at)
+        end = max(fault.until, fault.at + _hold_s(fault))
+        spans = self._taken.setdefault(target, [])
+        if all(end < begin or fault.at > until for begin, until in spans):
+            spans.append((fault.at, end))
+            self.faults.append(fault)
+
+
+def _draw_meeting(
+    rng: random.Random, field: field_lib.Field, seconds: float
+) -> list[faults.Fault]:
+    """Returns a change that comes while a gateway cannot hear of it.
+
+    The gateway is away for longer than a revoked key may live.
+    """
+    at = rng.uniform(_QUIET_START_S, seconds - _MEETING_S - _QUIET_START_S)
+    change_at = at + _MEETING_LEAD_S
+    pause = faults.Pause(at, at + _MEETING_S, rng.choice(field.gateways))
+    change = rng.choice(_MEETING_CHANGES)
+    return [pause, change(change_at, change_at)]
 
 
 def _hold_s(fault: faults.Fault) -> float:
-    return 10.0 if isinstance(fault, faults.Restart) else 0.2
+    return _RESTART_S if isinstance(fault, faults.Restart) else _CHANGE_S
 
 
 def _draw(
