Name the parts of the soak by what they are

Reading it as a newcomer: 'field', 'crowd', 'story', 'round' and 'meeting' are pictures of our own. They are now Deployment, CallerPool, Timeline, SoakSettings with a runner, and a missed change. No change of behaviour; ruled out was to keep the short names, which said nothing to a reader of the tests.

--- a/sardinewharf/soak/__init__.py
+++ b/sardinewharf/soak/__init__.py
@@ -3,20 +3,20 @@
 ``python -m sardinewharf.soak.program soak --seed 7`` plays one seed.
 """
 
-from sardinewharf.soak.field import Field
-from sardinewharf.soak.field import Plan
+from sardinewharf.soak.deployment import Deployment
+from sardinewharf.soak.deployment import Plan
 from sardinewharf.soak.oracle import Finding
 from sardinewharf.soak.oracle import Promise
-from sardinewharf.soak.rounds import Outcome
-from sardinewharf.soak.rounds import Round
-from sardinewharf.soak.rounds import play
+from sardinewharf.soak.runner import Outcome
+from sardinewharf.soak.runner import SoakSettings
+from sardinewharf.soak.runner import play
 
 __all__ = [
-    "Field",
+    "Deployment",
     "Finding",
     "Outcome",
     "Plan",
     "Promise",
-    "Round",
+    "SoakSettings",
     "play",
 ]
--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from sardinewharf import clocks
-from sardinewharf.soak import field as field_lib
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import operators
 from sardinewharf.testbed import platform_rig
 
@@ -69,19 +69,22 @@
         return self.path in ("/chat/", "/ask/")
 
 
-class Crowd:
+class CallerPool:
     """Callers on connections that they keep open.
 
     Args:
-        field: Where the gateways are.
+        deployment: Where the gateways are.
         operator: Says which routes and keys there are.
         seed: Decides what callers ask for.
     """
 
     def __init__(
-        self, field: field_lib.Field, operator: operators.Operator, seed: int
+        self,
+        deployment: deployment_lib.Deployment,
+        operator: operators.Operator,
+        seed: int,
     ):
-        self._field = field
+        self._deployment = deployment
         self._operator = operator
         self._rng = random.Random(seed)
         self._ids = itertools.count(1)
@@ -90,7 +93,7 @@
     async def run(self) -> None:
         """Sends requests until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for gateway in self._field.gateways * _CALLERS:
+            for gateway in self._deployment.gateways * _CALLERS:
                 group.create_task(self._run_caller(gateway))
 
     async def _run_caller(self, gateway: str) -> None:
@@ -139,7 +142,7 @@
         self, session: aiohttp.ClientSession, attempt: Attempt, work_ms: int
     ) -> None:
         method = "POST" if attempt.path != "/look/" else "GET"
-        front = self._field.find_front(attempt.gateway)
+        front = self._deployment.find_front(attempt.gateway)
         url = f"http://{front}{attempt.path}1?ms={work_ms}"
         headers = _make_headers(attempt)
         body = b"a body" if method == "POST" else b""
--- a/sardinewharf/soak/field.py
+++ b/sardinewharf/soak/deployment.py
@@ -53,7 +53,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Member:
+class _ProcessPlan:
     """A planned process.
 
     Attributes:
@@ -71,7 +71,7 @@
     is_wanted: bool = False
 
 
-class Field:
+class Deployment:
     """The processes of a soak.
 
     Args:
@@ -86,11 +86,11 @@
         self.servers = [f"s{i}" for i in range(plan.servers)]
         self.processes: dict[str, bed.Process] = {}
         self._network = _choose_network()
-        self._members: dict[str, _Member] = {}
+        self._plans: dict[str, _ProcessPlan] = {}
         self._links: dict[str, tuple[int, str]] = {}
         self._host = self._address(1)
         self.store = f"{self._host}:{_STORE_PORT}"
-        self._plan_members()
+        self._plan_processes()
 
     def start(self) -> None:
         """Starts everything, and waits until the gateways are ready."""
@@ -107,31 +107,31 @@
 
     def start_process(self, name: str) -> None:
         """Starts a process; a server's next start has an id of its own."""
-        member = self._members[name]
-        member.starts += 1
-        member.is_wanted = True
+        plan = self._plans[name]
+        plan.starts += 1
+        plan.is_wanted = True
         flags = [
-            flag.replace("@START", str(member.starts)) for flag in member.flags
+            flag.replace("@START", str(plan.starts)) for flag in plan.flags
         ]
-        arguments = [sys.executable, "-m", member.module, *flags]
+        arguments = [sys.executable, "-m", plan.module, *flags]
         log = self.folder / f"{name}.log"
         with log.open("ab") as output:
             popen = subprocess.Popen(
                 arguments,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env=os.environ | member.env,
+                env=os.environ | plan.env,
             )
         self.processes[name] = bed.Process(name, "", popen, log, arguments)
 
     def kill(self, name: str) -> None:
         """Ends a process at once."""
-        self._members[name].is_wanted = False
+        self._plans[name].is_wanted = False
         self.processes[name].kill()
 
     def terminate(self, name: str) -> None:
         """Tells a process to leave."""
-        self._members[name].is_wanted = False
+        self._plans[name].is_wanted = False
         self.processes[name].popen.terminate()
 
     def has_left(self, name: str) -> bool:
@@ -148,7 +148,7 @@
         return [
             name
             for name, process in self.processes.items()
-            if self._members[name].is_wanted and not process.is_live
+            if self._plans[name].is_wanted and not process.is_live
         ]
 
     def put(self, key: str, value: object) -> bool:
@@ -223,10 +223,10 @@
                 process.thaw()
                 process.kill()
 
-    def _plan_members(self) -> None:
+    def _plan_processes(self) -> None:
         listen = ["--host", self._host, "--port"]
         store = [*listen, str(_STORE_PORT)]
-        self._members["store"] = _Member(f"{_MODULES}.soak.store", store, {})
+        self._plans["store"] = _ProcessPlan(f"{_MODULES}.soak.store", store, {})
         for index, name in enumerate([*self.engines, *self.servers]):
             self._plan_server(name, f"fd-{index % 2}")
         for index, name in enumerate(self.gateways):
@@ -235,13 +235,13 @@
                 f"front-{name}", f"{self._find_host(name)}:{_FRONT_PORT}"
             )
             path = self._write_settings(name, index)
-            self._members[name] = _Member(
+            self._plans[name] = _ProcessPlan(
                 f"{_MODULES}.platform.program",
                 [],
                 {"SARDINEWHARF_CONFIG": str(path)},
             )
         links = [f"--link={n}={p}:{t}" for n, (p, t) in self._links.items()]
-        self._members["proxy"] = _Member(
+        self._plans["proxy"] = _ProcessPlan(
             f"{_MODULES}.standins.proxy",
             [*listen, str(_CONTROL_PORT), *links],
             {},
@@ -259,7 +259,7 @@
         ]
         if name in self.engines:
             flags.append("--is-engine")
-        self._members[name] = _Member(f"{_MODULES}.soak.server", flags, {})
+        self._plans[name] = _ProcessPlan(f"{_MODULES}.soak.server", flags, {})
 
     def _write_settings(self, name: str, index: int) -> pathlib.Path:
         host = self._find_host(name)
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -1,4 +1,4 @@
-"""Injects faults into a field, each for a span of time.
+"""Injects faults into a deployment, each for a span of time.
 
 A fault of this family says what it does at its start and at its end. Planned
 work, such as a restart by signal or a new configuration, excuses nothing.
@@ -8,7 +8,7 @@
 import dataclasses
 
 from sardinewharf import clocks
-from sardinewharf.soak import field as field_lib
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import operators
 
 
@@ -26,14 +26,22 @@
     is_planned = False
 
     @abc.abstractmethod
-    def begin(self, field: field_lib.Field, operator: operators.Operator):
+    def begin(
+        self,
+        deployment: deployment_lib.Deployment,
+        operator: operators.Operator,
+    ):
         """Starts it."""
 
-    def end(self, field: field_lib.Field, operator: operators.Operator):
+    def end(
+        self,
+        deployment: deployment_lib.Deployment,
+        operator: operators.Operator,
+    ):
         """Ends it, unless it ends by itself."""
         return
 
-    def is_over(self, field: field_lib.Field) -> bool:
+    def is_over(self, deployment: deployment_lib.Deployment) -> bool:
         """Returns whether it may end now."""
         return True
 
@@ -48,13 +56,13 @@
 
     name: str
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Freezes it."""
-        field.processes[self.name].freeze()
+        deployment.processes[self.name].freeze()
 
-    def end(self, field, operator):
+    def end(self, deployment, operator):
         """Lets it go on."""
-        field.processes[self.name].thaw()
+        deployment.processes[self.name].thaw()
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,13 +75,13 @@
 
     name: str
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Kills it."""
-        field.kill(self.name)
+        deployment.kill(self.name)
 
-    def end(self, field, operator):
+    def end(self, deployment, operator):
         """Starts it again."""
-        field.start_process(self.name)
+        deployment.start_process(self.name)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,17 +95,17 @@
     name: str
     is_planned = True
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Tells it to leave."""
-        field.terminate(self.name)
+        deployment.terminate(self.name)
 
-    def is_over(self, field):
+    def is_over(self, deployment):
         """Returns whether the process has ended."""
-        return field.has_left(self.name)
+        return deployment.has_left(self.name)
 
-    def end(self, field, operator):
+    def end(self, deployment, operator):
         """Starts it again."""
-        field.start_process(self.name)
+        deployment.start_process(self.name)
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,9 +119,9 @@
     name: str
     is_planned = True
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Lays the settings anew."""
-        field.reload(self.name)
+        deployment.reload(self.name)
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,13 +138,13 @@
     harm: str
     value: object
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Harms the link."""
-        field.set_link(self.name, **{self.harm: self.value})
+        deployment.set_link(self.name, **{self.harm: self.value})
 
-    def end(self, field, operator):
+    def end(self, deployment, operator):
         """Heals the link."""
-        field.set_link(self.name)
+        deployment.set_link(self.name)
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,13 +161,13 @@
     harm: str
     value: object
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Makes the server err."""
-        field.set_server(self.name, **{self.harm: self.value})
+        deployment.set_server(self.name, **{self.harm: self.value})
 
-    def end(self, field, operator):
+    def end(self, deployment, operator):
         """Makes it sound again."""
-        field.set_server(self.name)
+        deployment.set_server(self.name)
 
 
 @dataclasses.dataclass(slots=True)
@@ -174,22 +182,22 @@
     harm: str
     value: object
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Harms the store."""
-        field.set_store(**{self.harm: self.value})
+        deployment.set_store(**{self.harm: self.value})
 
-    def end(self, field, operator):
+    def end(self, deployment, operator):
         """Heals the store."""
-        field.set_store()
+        deployment.set_store()
 
 
 @dataclasses.dataclass(slots=True)
 class Compact(Fault):
     """The store forgets its history."""
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Drops the history."""
-        field.compact_store()
+        deployment.compact_store()
 
 
 @dataclasses.dataclass(slots=True)
@@ -198,7 +206,7 @@
 
     is_planned = True
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Names them."""
         operator.name_weights()
 
@@ -209,7 +217,7 @@
 
     is_planned = True
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Writes it."""
         operator.add_route()
 
@@ -220,7 +228,7 @@
 
     is_planned = True
 
-    def begin(self, field, operator):
+    def begin(self, deployment, operator):
         """Writes a configuration without the key."""
         operator.revoke_key()
 
--- a/sardinewharf/soak/operators.py
+++ b/sardinewharf/soak/operators.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from sardinewharf import clocks
-from sardinewharf.soak import field as field_lib
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.testbed import platform_rig
 
 _FIRST_VERSION = 1
@@ -28,7 +28,7 @@
     """Changes the configuration and names weights.
 
     Args:
-        field: Where the store is.
+        deployment: Where the store is.
 
     Attributes:
         routes: Routes that were added, oldest first.
@@ -37,8 +37,8 @@
         weights: Versions that were named.
     """
 
-    def __init__(self, field: field_lib.Field):
-        self._field = field
+    def __init__(self, deployment: deployment_lib.Deployment):
+        self._deployment = deployment
         self._version = _FIRST_VERSION
         self._extra: list[dict[str, object]] = []
         self._live = ["key-a", "key-b", "key-c"]
@@ -55,7 +55,7 @@
         look = next(r for r in routes if r["name"] == "look")
         routes += [look | row for row in self._extra]
         manifest["tenants"][0]["api_keys"] = [*SAFE_KEYS, *self._live]
-        return self._field.put("op/config", manifest)
+        return self._deployment.put("op/config", manifest)
 
     def add_route(self) -> None:
         """Adds a route to the application."""
@@ -77,6 +77,6 @@
         """Names the next version of the model's weights."""
         version = 2 + len(self.weights)
         row = {"model": platform_rig.MODEL, "version": version}
-        if self._field.put(f"op/version/{platform_rig.MODEL}", row):
+        if self._deployment.put(f"op/version/{platform_rig.MODEL}", row):
             change = Change(str(version), clocks.read_monotonic())
             self.weights.append(change)
--- a/sardinewharf/soak/oracle.py
+++ b/sardinewharf/soak/oracle.py
@@ -6,8 +6,8 @@
 
 from sardinewharf import clocks
 from sardinewharf.soak import callers
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults as faults_lib
-from sardinewharf.soak import field as field_lib
 from sardinewharf.soak import journals
 from sardinewharf.soak import operators
 from sardinewharf.soak import server as server_lib
@@ -77,8 +77,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Story:
-    """What was done to a field, and by whom.
+class Timeline:
+    """What was done to a deployment, and by whom.
 
     Attributes:
         started_at: Monotonic time of the start, in seconds.
@@ -105,10 +105,10 @@
     """Reads journals and attempts, and collects findings.
 
     Args:
-        field: Whose servers keep journals.
-        crowd: Whose attempts are checked.
+        deployment: Whose servers keep journals.
+        pool: Whose attempts are checked.
         operator: Says what was changed, and when.
-        story: Says what was harmed, and when.
+        timeline: Says what was harmed, and when.
 
     Attributes:
         findings: Broken promises, each once.
@@ -116,18 +116,18 @@
 
     def __init__(
         self,
-        field: field_lib.Field,
-        crowd: callers.Crowd,
+        deployment: deployment_lib.Deployment,
+        pool: callers.CallerPool,
         operator: operators.Operator,
-        story: Story,
+        timeline: Timeline,
     ):
-        self._field = field
-        self._crowd = crowd
+        self._deployment = deployment
+        self._pool = pool
         self._operator = operator
-        self._story = story
+        self._timeline = timeline
         self._readers = [
-            journals.JournalReader(field.find_journal(name))
-            for name in [*field.engines, *field.servers]
+            journals.JournalReader(deployment.find_journal(name))
+            for name in [*deployment.engines, *deployment.servers]
         ]
         self._arrived: list[journals.Arrived] = []
         self._began: dict[str, list[journals.Began]] = collections.defaultdict(
@@ -141,14 +141,14 @@
     def check(self) -> None:
         """Reads what is new, and checks what holds at all times."""
         self._read()
-        sent = {attempt.request: attempt for attempt in self._crowd.attempts}
+        sent = {attempt.request: attempt for attempt in self._pool.attempts}
         for request, runs in self._began.items():
             attempt = sent.get(request)
             if attempt is None:
                 self._find(Promise.KNOWN, f"{request} was never sent")
                 continue
             self._check_runs(attempt, runs)
-        for attempt in self._crowd.attempts:
+        for attempt in self._pool.attempts:
             if attempt.ended_at:
                 self._check_answer(attempt)
         self._check_processes()
@@ -164,7 +164,7 @@
 
     def count_served(self) -> int:
         """Returns how many requests were served."""
-        return sum(a.status == 200 and a.is_whole for a in self._crowd.attempts)
+        return sum(a.status == 200 and a.is_whole for a in self._pool.attempts)
 
     def _find(self, promise: Promise, what: str) -> None:
         self.findings[Finding(promise, what)] = None
@@ -272,7 +272,7 @@
         since = added.get(attempt.path)
         if since is None or attempt.sent_at < since + _APPLY_S:
             return False
-        return self._story.is_calm(attempt.sent_at, attempt.sent_at)
+        return self._timeline.is_calm(attempt.sent_at, attempt.sent_at)
 
     def _is_lost(self, attempt: callers.Attempt) -> bool:
         if attempt.left_at:
@@ -280,22 +280,24 @@
         last_s = _GRACE_S * (1 - _GRACE_END)
         return (
             attempt.ended_at - attempt.sent_at < callers.BUDGET_MS / 1000
-            and self._story.is_calm(attempt.sent_at, attempt.ended_at + last_s)
+            and self._timeline.is_calm(
+                attempt.sent_at, attempt.ended_at + last_s
+            )
         )
 
     def _check_processes(self) -> None:
-        for name in self._field.list_ended():
-            code = self._field.processes[name].popen.returncode
+        for name in self._deployment.list_ended():
+            code = self._deployment.processes[name].popen.returncode
             self._find(Promise.PROCESS, f"{name} ended with {code}")
-        for name in self._field.gateways:
-            process = self._field.processes.get(name)
+        for name in self._deployment.gateways:
+            process = self._deployment.processes.get(name)
             if process is None or not process.is_live:
                 continue
             if process.read_memory() > _MEMORY_BYTES:
                 self._find(Promise.PROCESS, f"{name} has grown too large")
 
     def _check_denied(self) -> None:
-        attempts = self._crowd.attempts
+        attempts = self._pool.attempts
         allowed = [a for a in attempts if a.key in operators.SAFE_KEYS]
         old = [a for a in allowed if not a.path.startswith("/new-")]
         denied = [a for a in old if a.status in _OWN_REFUSALS and not a.stamp]
@@ -328,11 +330,11 @@
 
     def _check_gone(self) -> None:
         late, left = 0, 0
-        for attempt in self._crowd.attempts:
+        for attempt in self._pool.attempts:
             end = attempt.left_at + _GONE_S
             if not attempt.left_at or not attempt.may_repeat:
                 continue
-            if not self._story.is_calm(attempt.sent_at, end):
+            if not self._timeline.is_calm(attempt.sent_at, end):
                 continue
             left += 1
             late += any(
@@ -349,19 +351,19 @@
         wanted = int(self._operator.weights[-1].name)
         old = [
             name
-            for name in self._field.engines
-            if self._field.read_weights(name) != wanted
+            for name in self._deployment.engines
+            if self._deployment.read_weights(name) != wanted
         ]
         if old:
             self._find(Promise.WEIGHTS, f"{', '.join(old)} not on {wanted}")
 
     def _check_recovery(self, now: float) -> None:
-        last = max((f.until for f in self._story.faults), default=0.0)
-        since = self._story.started_at + last + _RECOVER_S
+        last = max((f.until for f in self._timeline.faults), default=0.0)
+        since = self._timeline.started_at + last + _RECOVER_S
         until = now - callers.BUDGET_MS / 1000
         late = [
             a
-            for a in self._crowd.attempts
+            for a in self._pool.attempts
             if since < a.sent_at < until
             and a.key in operators.SAFE_KEYS
             and not a.left_at
--- a/sardinewharf/soak/program.py
+++ b/sardinewharf/soak/program.py
@@ -10,7 +10,7 @@
 from cleo.commands import command
 from cleo.helpers import option
 
-from sardinewharf.soak import rounds
+from sardinewharf.soak import runner
 
 _KEPT = pathlib.Path("build/soak")
 _SEED_LIMIT = 1_000_000
@@ -37,10 +37,10 @@
         return min(broken, 100)
 
     def _play(self, seed: int) -> int:
-        settings = rounds.Round(seed, float(self.option("seconds")))
+        settings = runner.SoakSettings(seed, float(self.option("seconds")))
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             folder = pathlib.Path(name)
-            outcome = rounds.play(settings, folder)
+            outcome = runner.play(settings, folder)
             self.line(
                 f"seed {seed}: {len(outcome.faults)} faults,"
                 f" {outcome.served} of {outcome.requests} requests served,"
--- a/sardinewharf/soak/rounds.py
+++ b/sardinewharf/soak/runner.py
@@ -7,8 +7,8 @@
 
 from sardinewharf import clocks
 from sardinewharf.soak import callers
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults as faults_lib
-from sardinewharf.soak import field as field_lib
 from sardinewharf.soak import operators
 from sardinewharf.soak import oracle as oracle_lib
 from sardinewharf.soak import schedules
@@ -21,7 +21,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Round:
+class SoakSettings:
     """What a seed is played with.
 
     Attributes:
@@ -32,7 +32,7 @@
 
     seed: int
     seconds: float = 20.0
-    plan: field_lib.Plan = field_lib.Plan()
+    plan: deployment_lib.Plan = deployment_lib.Plan()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,30 +52,32 @@
     findings: list[oracle_lib.Finding]
 
 
-def play(settings: Round, folder: pathlib.Path) -> Outcome:
+def play(settings: SoakSettings, folder: pathlib.Path) -> Outcome:
     """Plays a round, with its logs and journals in a folder."""
-    field = field_lib.Field(folder, settings.plan)
+    deployment = deployment_lib.Deployment(folder, settings.plan)
     try:
-        field.start()
-        return asyncio.run(_play(settings, field))
+        deployment.start()
+        return asyncio.run(_play(settings, deployment))
     finally:
-        field.close()
+        deployment.close()
 
 
-async def _play(settings: Round, field: field_lib.Field) -> Outcome:
-    operator = operators.Operator(field)
+async def _play(
+    settings: SoakSettings, deployment: deployment_lib.Deployment
+) -> Outcome:
+    operator = operators.Operator(deployment)
     await asyncio.to_thread(operator.write)
-    crowd = callers.Crowd(field, operator, settings.seed)
-    drawn = schedules.draw_faults(settings.seed, field, settings.seconds)
-    story = oracle_lib.Story(clocks.read_monotonic(), drawn)
-    oracle = oracle_lib.Oracle(field, crowd, operator, story)
-    sending = asyncio.create_task(crowd.run())
+    pool = callers.CallerPool(deployment, operator, settings.seed)
+    drawn = schedules.draw_faults(settings.seed, deployment, settings.seconds)
+    timeline = oracle_lib.Timeline(clocks.read_monotonic(), drawn)
+    oracle = oracle_lib.Oracle(deployment, pool, operator, timeline)
+    sending = asyncio.create_task(pool.run())
     checking = asyncio.create_task(_check(oracle))
     try:
         async with asyncio.TaskGroup() as group:
             for fault in drawn:
                 group.create_task(
-                    _inject(fault, story.started_at, field, operator)
+                    _inject(fault, timeline.started_at, deployment, operator)
                 )
         await asyncio.sleep(_TAIL_S)
     finally:
@@ -85,7 +87,7 @@
     oracle.check_end(clocks.read_monotonic())
     return Outcome(
         drawn,
-        len(crowd.attempts),
+        len(pool.attempts),
         oracle.count_served(),
         list(oracle.findings),
     )
@@ -99,22 +101,22 @@
 
 def _end(
     fault: faults_lib.Fault,
-    field: field_lib.Field,
+    deployment: deployment_lib.Deployment,
     operator: operators.Operator,
 ) -> None:
-    while not fault.is_over(field):
+    while not fault.is_over(deployment):
         time.sleep(_POLL_S)
-    fault.end(field, operator)
+    fault.end(deployment, operator)
 
 
 async def _inject(
     fault: faults_lib.Fault,
     started_at: float,
-    field: field_lib.Field,
+    deployment: deployment_lib.Deployment,
     operator: operators.Operator,
 ) -> None:
     await asyncio.sleep(fault.at + started_at - clocks.read_monotonic())
-    await asyncio.to_thread(fault.begin, field, operator)
+    await asyncio.to_thread(fault.begin, deployment, operator)
     await asyncio.sleep(fault.until + started_at - clocks.read_monotonic())
-    await asyncio.to_thread(_end, fault, field, operator)
+    await asyncio.to_thread(_end, fault, deployment, operator)
     fault.until = clocks.read_monotonic() - started_at
--- a/sardinewharf/soak/schedules.py
+++ b/sardinewharf/soak/schedules.py
@@ -2,8 +2,8 @@
 
 import random
 
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
-from sardinewharf.soak import field as field_lib
 
 _QUIET_START_S = 1.0
 # A restart may take as long as the grace of a process and its start.
@@ -12,9 +12,9 @@
 _CHANGE_S = 0.2
 # A gateway is away for this long while a change comes: a revoked key may live
 # for five seconds, and callers give up and ask again every four.
-_MEETING_S = 9.5
-_MEETING_LEAD_S = 0.3
-_MEETING_CHANGES = (
+_AWAY_S = 9.5
+_MISSED_LEAD_S = 0.3
+_MISSED_CHANGES = (
     faults.RevokeKey,
     faults.RevokeKey,
     faults.AddRoute,
@@ -54,7 +54,7 @@
 
 
 def draw_faults(
-    seed: int, field: field_lib.Field, seconds: float
+    seed: int, deployment: deployment_lib.Deployment, seconds: float
 ) -> list[faults.Fault]:
     """Returns the faults of a soak, in order of their start.
 
@@ -62,7 +62,7 @@
 
     Args:
         seed: Decides all of it.
-        field: Whose processes and links take the faults.
+        deployment: Whose processes and links take the faults.
         seconds: All faults have ended by then.
     """
     rng = random.Random(seed)
@@ -71,9 +71,9 @@
     for _ in range(count):
         at = rng.uniform(_QUIET_START_S, seconds - _QUIET_START_S)
         until = min(at + rng.choice(_PAUSES_S), seconds)
-        schedule.add(_draw(rng, field, at, until))
-    if seconds > _MEETING_S + 2 * _QUIET_START_S:
-        for fault in _draw_meeting(rng, field, seconds):
+        schedule.add(_draw(rng, deployment, at, until))
+    if seconds > _AWAY_S + 2 * _QUIET_START_S:
+        for fault in _draw_missed_change(rng, deployment, seconds):
             schedule.add(fault)
     return sorted(schedule.faults, key=lambda fault: fault.at)
 
@@ -95,17 +95,17 @@
             self.faults.append(fault)
 
 
-def _draw_meeting(
-    rng: random.Random, field: field_lib.Field, seconds: float
+def _draw_missed_change(
+    rng: random.Random, deployment: deployment_lib.Deployment, seconds: float
 ) -> list[faults.Fault]:
     """Returns a change that comes while a gateway cannot hear of it.
 
     The gateway is away for longer than a revoked key may live.
     """
-    at = rng.uniform(_QUIET_START_S, seconds - _MEETING_S - _QUIET_START_S)
-    change_at = at + _MEETING_LEAD_S
-    pause = faults.Pause(at, at + _MEETING_S, rng.choice(field.gateways))
-    change = rng.choice(_MEETING_CHANGES)
+    at = rng.uniform(_QUIET_START_S, seconds - _AWAY_S - _QUIET_START_S)
+    change_at = at + _MISSED_LEAD_S
+    pause = faults.Pause(at, at + _AWAY_S, rng.choice(deployment.gateways))
+    change = rng.choice(_MISSED_CHANGES)
     return [pause, change(change_at, change_at)]
 
 
@@ -114,23 +114,28 @@
 
 
 def _draw(
-    rng: random.Random, field: field_lib.Field, at: float, until: float
+    rng: random.Random,
+    deployment: deployment_lib.Deployment,
+    at: float,
+    until: float,
 ) -> faults.Fault:
-    backends = [*field.engines, *field.servers]
-    links = [f"store-{g}" for g in field.gateways]
-    links += [f"front-{g}" for g in field.gateways]
+    backends = [*deployment.engines, *deployment.servers]
+    links = [f"store-{g}" for g in deployment.gateways]
+    links += [f"front-{g}" for g in deployment.gateways]
     span = (at, until)
     makers = {
         "pause": lambda: faults.Pause(
-            *span, rng.choice([*field.gateways, *backends, "store"])
+            *span, rng.choice([*deployment.gateways, *backends, "store"])
         ),
         "kill": lambda: faults.Kill(
-            *span, rng.choice([*field.gateways, *backends])
+            *span, rng.choice([*deployment.gateways, *backends])
         ),
         "restart": lambda: faults.Restart(
-            *span, rng.choice([*field.gateways, *backends])
+            *span, rng.choice([*deployment.gateways, *backends])
+        ),
+        "reload": lambda: faults.Reload(
+            at, at, rng.choice(deployment.gateways)
         ),
-        "reload": lambda: faults.Reload(at, at, rng.choice(field.gateways)),
         "link": lambda: faults.HarmLink(
             *span, rng.choice([*links, *backends]), *rng.choice(_LINK_HARMS)
         ),
--- a/sardinewharf/soak/tests/test_oracle.py
+++ b/sardinewharf/soak/tests/test_oracle.py
@@ -3,8 +3,8 @@
 import pytest
 
 from sardinewharf.soak import callers
+from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
-from sardinewharf.soak import field as field_lib
 from sardinewharf.soak import journals
 from sardinewharf.soak import operators
 from sardinewharf.soak import oracle as oracle_lib
@@ -16,12 +16,14 @@
 
 
 class History:
-    """Attempts and notes of a field whose processes were never started."""
+    """Attempts and notes of a deployment whose processes were never started."""
 
     def __init__(self, folder):
-        self.field = field_lib.Field(folder, field_lib.Plan(1, 2, 1))
-        self.operator = operators.Operator(self.field)
-        self.crowd = callers.Crowd(self.field, self.operator, seed=1)
+        self.deployment = deployment_lib.Deployment(
+            folder, deployment_lib.Plan(1, 2, 1)
+        )
+        self.operator = operators.Operator(self.deployment)
+        self.pool = callers.CallerPool(self.deployment, self.operator, seed=1)
         self.faults = []
 
     def send(self, request, path="/look/", **changes):
@@ -32,7 +34,7 @@
         attempt.is_whole = True
         for name, value in changes.items():
             setattr(attempt, name, value)
-        self.crowd.attempts.append(attempt)
+        self.pool.attempts.append(attempt)
 
     def run(self, request, path="/look/", name="s0", **changes):
         service = "engines" if name.startswith("e") else "orders"
@@ -48,11 +50,13 @@
         self.note(name, journals.Began(**(note | changes)))
 
     def note(self, name, note):
-        journals.Journal(self.field.find_journal(name)).write(note)
+        journals.Journal(self.deployment.find_journal(name)).write(note)
 
     def find(self):
-        story = oracle_lib.Story(STARTED_AT, self.faults)
-        oracle = oracle_lib.Oracle(self.field, self.crowd, self.operator, story)
+        timeline = oracle_lib.Timeline(STARTED_AT, self.faults)
+        oracle = oracle_lib.Oracle(
+            self.deployment, self.pool, self.operator, timeline
+        )
         oracle.check_end(NOW)
         return {finding.promise for finding in oracle.findings}
 
@@ -60,7 +64,7 @@
 @pytest.fixture
 def history(tmp_path):
     made = History(tmp_path)
-    # One request that is served at the end shows that the field recovered.
+    # One request that is served at the end shows that the deployment recovered.
     made.send("late", sent_at=140.0, ended_at=140.1)
     made.run("late")
     return made
