Say what is wrong with the soak's flags, and drop constants nobody reads

Flags that are no numbers ended in a traceback; two constants were never read; the wait for processes spun. Ruled out: keeping the exit code as a count of seeds, which a shell cuts off at 255.

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -25,7 +25,6 @@
 _REVOKED_SHARE = 0.25
 # Beyond its time, a caller still listens this long.
 _LISTEN_S = 1.0
-_EVENTS = 4
 
 
 @dataclasses.dataclass(slots=True)
--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import msgspec
 
@@ -26,8 +27,7 @@
 _START_S = 15.0
 _POLL_S = 0.02
 _CALL_S = 2.0
-_STOP_S = 12.0
-_MODULES = "sardinewharf"
+_PACKAGE = "sardinewharf"
 # Bounds that the users' pages give for the deployments of this size.
 _BOUNDS = {
     "retry_budget_ratio": 0.2,
@@ -139,7 +139,7 @@
         return not self.processes[name].is_live
 
     def reload(self, name: str) -> None:
-        """Lays a gateway's settings anew and says so."""
+        """Writes a gateway's settings anew and sends SIGHUP."""
         self._write_settings(name, self.gateways.index(name))
         self.processes[name].popen.send_signal(signal.SIGHUP)
 
@@ -214,7 +214,7 @@
             if name in self.list_ended() or end.is_past():
                 log = (self.folder / f"{name}.log").read_text()[-2000:]
                 raise bed.BedError(f"{name} did not come up: {log}")
-            os.sched_yield()
+            time.sleep(_POLL_S)
 
     def close(self) -> None:
         """Ends every process that was started."""
@@ -226,7 +226,7 @@
     def _plan_processes(self) -> None:
         listen = ["--host", self._host, "--port"]
         store = [*listen, str(_STORE_PORT)]
-        self._plans["store"] = _ProcessPlan(f"{_MODULES}.soak.store", store, {})
+        self._plans["store"] = _ProcessPlan(f"{_PACKAGE}.soak.store", store, {})
         for index, name in enumerate([*self.engines, *self.servers]):
             self._plan_server(name, f"fd-{index % 2}")
         for index, name in enumerate(self.gateways):
@@ -236,13 +236,13 @@
             )
             path = self._write_settings(name, index)
             self._plans[name] = _ProcessPlan(
-                f"{_MODULES}.platform.program",
+                f"{_PACKAGE}.platform.program",
                 [],
                 {"SARDINEWHARF_CONFIG": str(path)},
             )
         links = [f"--link={n}={p}:{t}" for n, (p, t) in self._links.items()]
         self._plans["proxy"] = _ProcessPlan(
-            f"{_MODULES}.standins.proxy",
+            f"{_PACKAGE}.standins.proxy",
             [*listen, str(_CONTROL_PORT), *links],
             {},
         )
@@ -259,7 +259,7 @@
         ]
         if name in self.engines:
             flags.append("--is-engine")
-        self._plans[name] = _ProcessPlan(f"{_MODULES}.soak.server", flags, {})
+        self._plans[name] = _ProcessPlan(f"{_PACKAGE}.soak.server", flags, {})
 
     def _write_settings(self, name: str, index: int) -> pathlib.Path:
         host = self._find_host(name)
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -120,7 +120,7 @@
     is_planned = True
 
     def begin(self, deployment, operator):
-        """Lays the settings anew."""
+        """Writes the settings anew."""
         deployment.reload(self.name)
 
 
--- a/sardinewharf/soak/program.py
+++ b/sardinewharf/soak/program.py
@@ -14,6 +14,10 @@
 
 _KEPT = pathlib.Path("build/soak")
 _SEED_LIMIT = 1_000_000
+# Findings that are printed; the rest stand in the kept folder.
+_SHOWN = 10
+_BROKEN = 1
+_USAGE = 2
 
 
 class SoakCommand(command.Command):
@@ -28,16 +32,25 @@
     ]
 
     def handle(self) -> int:
-        """Runs the seeds; returns how many broke a promise."""
+        """Runs the seeds; returns whether one broke a promise."""
         given = self.option("seed")
-        first = int(given) if given else random.randrange(_SEED_LIMIT)
-        broken = 0
-        for seed in range(first, first + int(self.option("seeds"))):
-            broken += self._play(seed)
-        return min(broken, 100)
+        try:
+            first = int(given) if given else random.randrange(_SEED_LIMIT)
+            seeds = range(first, first + int(self.option("seeds")))
+            seconds = float(self.option("seconds"))
+        except ValueError as error:
+            self.line_error(f"{error}; --seed, --seeds, --seconds are numbers")
+            return _USAGE
+        broken = [
+            seed
+            for seed in seeds
+            if not self._keeps_promises(runner.SoakSettings(seed, seconds))
+        ]
+        return _BROKEN if broken else 0
 
-    def _play(self, seed: int) -> int:
-        settings = runner.SoakSettings(seed, float(self.option("seconds")))
+    def _keeps_promises(self, settings: runner.SoakSettings) -> bool:
+        """Plays a seed, and keeps its logs if a promise was broken."""
+        seed = settings.seed
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             folder = pathlib.Path(name)
             outcome = runner.play(settings, folder)
@@ -47,17 +60,17 @@
                 f" {len(outcome.findings)} findings"
             )
             if not outcome.findings:
-                return 0
+                return True
             report = [str(fault) for fault in outcome.faults]
             report += [str(finding) for finding in outcome.findings]
             (folder / "findings.txt").write_text("\n".join(report) + "\n")
             kept = _KEPT / str(seed)
             shutil.rmtree(kept, ignore_errors=True)
             shutil.copytree(folder, kept)
-        for finding in outcome.findings[:10]:
+        for finding in outcome.findings[:_SHOWN]:
             self.line(f"  {finding}")
         self.line(f"  logs: {kept}")
-        return 1
+        return False
 
 
 def main() -> None:
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
-    """What a round has shown.
+    """What a seed has shown.
 
     Attributes:
         faults: Faults that were played.
@@ -53,7 +53,7 @@
 
 
 def play(settings: SoakSettings, folder: pathlib.Path) -> Outcome:
-    """Plays a round, with its logs and journals in a folder."""
+    """Plays a seed, with its logs and journals in a folder."""
     deployment = deployment_lib.Deployment(folder, settings.plan)
     try:
         deployment.start()
