Register the soak's servers by a stand-in

Cause: the soak spoke the store's dialect itself, outside of what stands in for the platform. The registration of a server is now a stand-in of its own, beside the store that it writes to; a server without weights says so with version 0. Ruled out: a second client of the store in the platform package, which only the soak would use.

--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -2,24 +2,19 @@
 
 import argparse
 import asyncio
-import base64
-import contextlib
 import pathlib
 import signal
 import time
 import urllib.parse
 
-import aiohttp
 import msgspec
 
 from sardinewharf import clocks
 from sardinewharf.soak import journals
 from sardinewharf.standins import platform_servers
+from sardinewharf.standins import registrations
 from sardinewharf.testbed import platform_rig
 
-_HEARTBEAT_S = 0.5
-_LEASE_MS = 1_500
-_CALL_S = 1.0
 # A leaving server serves this long after the store has its notice.
 _LEAVING_S = 2.5
 _EVENT_S = 0.02
@@ -50,7 +45,6 @@
 
     journal: journals.Journal
     service: str
-    version = 0
 
     async def answer(self, connection, ran) -> None:
         """Takes a request, or new faults from the soak."""
@@ -125,75 +119,6 @@
         self.journal.write(note)
 
 
-class Registrar:
-    """Keeps a server's entry in the store, under a lease.
-
-    Args:
-        server: The server.
-        store: ``HOST:PORT`` of the store.
-        entry: What the entry says besides state and weights.
-    """
-
-    def __init__(
-        self, server: _Recording, store: str, entry: dict[str, object]
-    ):
-        self._server = server
-        self._store = f"http://{store}/-"
-        self._entry = entry
-        self._lease = 0
-        self._written = b""
-        self.state = "ready"
-
-    async def run(self) -> None:
-        """Writes and renews the entry until cancelled."""
-        timeout = aiohttp.ClientTimeout(total=_CALL_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
-            while True:
-                # The store is out at times; the next round tries again.
-                with contextlib.suppress(OSError, aiohttp.ClientError):
-                    await self._renew(session)
-                await asyncio.sleep(_HEARTBEAT_S)
-
-    async def _renew(self, session: aiohttp.ClientSession) -> None:
-        if self._lease:
-            path = f"{self._store}/kv-keep/{self._lease}"
-            async with session.post(path) as answer:
-                if answer.status == 404:
-                    self._lease, self._written = 0, b""
-        if not self._lease:
-            body = {"ttl_ms": _LEASE_MS}
-            async with session.post(
-                f"{self._store}/kv-lease", data=msgspec.json.encode(body)
-            ) as answer:
-                if answer.status != 200:
-                    return
-                self._lease = (await answer.json())["lease"]
-        value = msgspec.json.encode(self._describe())
-        if value != self._written:
-            await self._write(session, value)
-
-    async def _write(
-        self, session: aiohttp.ClientSession, value: bytes
-    ) -> None:
-        put = {
-            "key": f"servers/{self._server.id}",
-            "value": base64.b64encode(value).decode(),
-            "lease": self._lease,
-        }
-        body = msgspec.json.encode({"expected": [], "put": [put]})
-        async with session.post(f"{self._store}/kv-txn", data=body) as answer:
-            if answer.status == 200:
-                self._written = value
-
-    def _describe(self) -> dict[str, object]:
-        entry = self._entry | {"state": self.state}
-        if self._server.version:
-            entry["models"] = [
-                {"name": platform_rig.MODEL, "version": self._server.version}
-            ]
-        return entry
-
-
 async def serve(arguments: argparse.Namespace) -> None:
     """Serves until the process is told to leave."""
     if arguments.is_engine:
@@ -214,14 +139,16 @@
         "slots": 8,
         "born": int(time.time() * 1000),
     }
-    registrar = Registrar(server, arguments.store, entry)
+    registrar = registrations.Registrar(
+        server, platform_rig.MODEL, arguments.store, entry
+    )
     leaving = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
     async with asyncio.TaskGroup() as group:
         task = group.create_task(registrar.run())
         await leaving.wait()
         registrar.state = "draining"
-        await asyncio.sleep(_HEARTBEAT_S + _LEAVING_S)
+        await asyncio.sleep(registrations.HEARTBEAT_S + _LEAVING_S)
         task.cancel()
     await server.stop()
 
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -78,8 +78,11 @@
         ran: Requests that it ran.
         body: The body that it answers.
         delay_s: Time that a request takes, in seconds.
+        version: Version of its weights; 0 for none.
     """
 
+    version = 0
+
     def __init__(self, server_id: str):
         self.id = server_id
         self.faults = Faults()
--- /dev/null
+++ b/sardinewharf/standins/registrations.py
@@ -0,0 +1,90 @@
+"""Registers stand-ins of servers in the platform's store, as servers do."""
+
+import asyncio
+import base64
+import contextlib
+
+import aiohttp
+import msgspec
+
+from sardinewharf.standins import platform_servers
+
+# Time between renewals, and what an entry outlasts without one.
+HEARTBEAT_S = 0.5
+_LEASE_MS = 1_500
+_CALL_S = 1.0
+
+
+class Registrar:
+    """Keeps a server's entry in the store, under a lease.
+
+    Args:
+        server: The server.
+        model: Name of its model, if it is an engine.
+        store: ``HOST:PORT`` of the store.
+        entry: What the entry says besides state and weights.
+    """
+
+    def __init__(
+        self,
+        server: platform_servers.PlatformServer,
+        model: str,
+        store: str,
+        entry: dict[str, object],
+    ):
+        self._server = server
+        self._model = model
+        self._store = f"http://{store}/-"
+        self._entry = entry
+        self._lease = 0
+        self._written = b""
+        self.state = "ready"
+
+    async def run(self) -> None:
+        """Writes and renews the entry until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=_CALL_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                # The store is out at times; the next round tries again.
+                with contextlib.suppress(OSError, aiohttp.ClientError):
+                    await self._renew(session)
+                await asyncio.sleep(HEARTBEAT_S)
+
+    async def _renew(self, session: aiohttp.ClientSession) -> None:
+        if self._lease:
+            path = f"{self._store}/kv-keep/{self._lease}"
+            async with session.post(path) as answer:
+                if answer.status == 404:
+                    self._lease, self._written = 0, b""
+        if not self._lease:
+            body = {"ttl_ms": _LEASE_MS}
+            async with session.post(
+                f"{self._store}/kv-lease", data=msgspec.json.encode(body)
+            ) as answer:
+                if answer.status != 200:
+                    return
+                self._lease = (await answer.json())["lease"]
+        value = msgspec.json.encode(self._describe())
+        if value != self._written:
+            await self._write(session, value)
+
+    async def _write(
+        self, session: aiohttp.ClientSession, value: bytes
+    ) -> None:
+        put = {
+            "key": f"servers/{self._server.id}",
+            "value": base64.b64encode(value).decode(),
+            "lease": self._lease,
+        }
+        body = msgspec.json.encode({"expected": [], "put": [put]})
+        async with session.post(f"{self._store}/kv-txn", data=body) as answer:
+            if answer.status == 200:
+                self._written = value
+
+    def _describe(self) -> dict[str, object]:
+        entry = self._entry | {"state": self.state}
+        if self._server.version:
+            entry["models"] = [
+                {"name": self._model, "version": self._server.version}
+            ]
+        return entry
