Forget endpoints at which no peer has work

The table of peers' work, kept by endpoint since today, left an empty entry for each endpoint that ever had work; engines come back under new ids, so it grew for as long as a gateway lives. Behaviour is the same.

--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -116,7 +116,10 @@
     ) -> None:
         """Takes in a peer's work."""
         for endpoint_id in self._told.get(peer, ()):
-            self._peers[endpoint_id].pop(peer, None)
+            found = self._peers[endpoint_id]
+            del found[peer]
+            if not found:
+                del self._peers[endpoint_id]
         self._told[peer] = list(loads)
         for endpoint_id, load in loads.items():
             found = self._peers.setdefault(endpoint_id, {})
