Let the soak use what the test bed had, and say its parts once

Written twice were: starting a process with its log and asking whether a server answers (now in the test bed, for both), a caller's headers (platform_rig.make_headers), the id of a request (Ran.request_id), harms of links, servers and the store (one base, one hook), and the bounds, which settings and oracle each stated (deployment.PROMISES). Two fields of the journals were written and never read.

Ruled out: the platform's own client for registrations, since a stand-in that shares the client's faults would not find them.

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -143,7 +143,9 @@
         method = "POST" if attempt.path != "/look/" else "GET"
         front = self._deployment.find_front(attempt.gateway)
         url = f"http://{front}{attempt.path}1?ms={work_ms}"
-        headers = _make_headers(attempt)
+        headers = platform_rig.make_headers(
+            attempt.request, attempt.path, attempt.key, BUDGET_MS
+        )
         body = b"a body" if method == "POST" else b""
         with contextlib.suppress(OSError, aiohttp.ClientError):
             async with session.request(
@@ -156,17 +158,3 @@
                 async for chunk in answer.content.iter_any():
                     attempt.body += chunk
                 attempt.is_whole = True
-
-
-def _make_headers(attempt: Attempt) -> dict[str, str]:
-    headers = {
-        "host": platform_rig.HOST,
-        "x-sardinewharf-request-id": attempt.request,
-        "x-sardinewharf-deadline-ms": str(BUDGET_MS),
-        "authorization": f"Token {attempt.key}",
-    }
-    if attempt.is_stream:
-        headers["x-sardinewharf-model"] = platform_rig.MODEL
-        headers["x-sardinewharf-token-usage"] = "1500,20"
-        headers["x-sardinewharf-prompt-prefix"] = "aa:1000,bb:500"
-    return headers
--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -6,13 +6,13 @@
 import os
 import pathlib
 import signal
-import subprocess
 import sys
 import time
 
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.testbed import bed
 from sardinewharf.testbed import http as http_lib
 from sardinewharf.testbed import platform_rig
@@ -29,12 +29,9 @@
 _CALL_S = 2.0
 _PACKAGE = "sardinewharf"
 # Bounds that the users' pages give for the deployments of this size.
-_BOUNDS = {
-    "retry_budget_ratio": 0.2,
-    "budget_extra": 54,
-    "revoke_fail_closed": True,
-    "revoke_ms": 5_000,
-}
+PROMISES = settings_lib.Promises(
+    retry_ratio=0.2, retry_extra=54, revoke_ms=5_000
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,9 +93,9 @@
         """Starts everything, and waits until the gateways are ready."""
         self.start_process("store")
         self.start_process("proxy")
-        self.wait(lambda: self._answers(self.store), "store")
+        self.wait(lambda: http_lib.answers(self.store, _CALL_S), "store")
         control = f"{self._host}:{_CONTROL_PORT}"
-        self.wait(lambda: self._answers(control), "proxy")
+        self.wait(lambda: http_lib.answers(control, _CALL_S), "proxy")
         self.put("op/config", platform_rig.make_manifest())
         for name in [*self.engines, *self.servers, *self.gateways]:
             self.start_process(name)
@@ -114,15 +111,9 @@
             flag.replace("@START", str(plan.starts)) for flag in plan.flags
         ]
         arguments = [sys.executable, "-m", plan.module, *flags]
-        log = self.folder / f"{name}.log"
-        with log.open("ab") as output:
-            popen = subprocess.Popen(
-                arguments,
-                stdout=output,
-                stderr=subprocess.STDOUT,
-                env=os.environ | plan.env,
-            )
-        self.processes[name] = bed.Process(name, "", popen, log, arguments)
+        self.processes[name] = bed.start_process(
+            name, "", arguments, self.folder / f"{name}.log", **plan.env
+        )
 
     def kill(self, name: str) -> None:
         """Ends a process at once."""
@@ -187,13 +178,8 @@
 
     def is_ready(self, gateway: str) -> bool:
         """Returns whether a gateway says that it takes connections."""
-        host = self._find_host(gateway)
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            answer = http_lib.call(
-                f"{host}:{_READY_PORT}", "GET", "/-/ready", seconds=_CALL_S
-            )
-            return answer.status == 200
-        return False
+        address = f"{self._find_host(gateway)}:{_READY_PORT}"
+        return http_lib.succeeds(address, "GET", "/-/ready", seconds=_CALL_S)
 
     def find_front(self, gateway: str) -> str:
         """Returns where callers reach a gateway, through the proxy."""
@@ -275,7 +261,12 @@
                 "address": f"{self._host}:{self._links[f'store-{name}'][0]}"
             },
             "port_range": _PEER_PORTS,
-            "bounds": _BOUNDS,
+            "bounds": {
+                "retry_budget_ratio": PROMISES.retry_ratio,
+                "budget_extra": PROMISES.retry_extra,
+                "revoke_fail_closed": True,
+                "revoke_ms": PROMISES.revoke_ms,
+            },
         }
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -296,17 +287,8 @@
     def _address(self, number: int) -> str:
         return f"{self._network}.{number}"
 
-    def _answers(self, address: str) -> bool:
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            http_lib.call(address, "GET", "/record", seconds=_CALL_S)
-            return True
-        return False
-
     def _post(self, address: str, path: str, body: bytes) -> bool:
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            answer = http_lib.call(address, "POST", path, body, seconds=_CALL_S)
-            return answer.status == 200
-        return False
+        return http_lib.succeeds(address, "POST", path, body, _CALL_S)
 
 
 def _choose_network() -> str:
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -125,70 +125,67 @@
 
 
 @dataclasses.dataclass(slots=True)
-class HarmLink(Fault):
-    """A link is cut, held, delayed or loses answers.
+class Harm(Fault):
+    """Something errs, as one of its faults says, and is sound again.
 
     Attributes:
-        name: The link.
-        harm: Name of the proxy's fault.
+        harm: Name of the fault.
         value: Its strength.
     """
 
-    name: str
     harm: str
     value: object
 
+    @abc.abstractmethod
+    def set_faults(self, deployment, **faults: object):
+        """Sets all faults; those that are not named are none."""
+
     def begin(self, deployment, operator):
-        """Harms the link."""
-        deployment.set_link(self.name, **{self.harm: self.value})
+        """Makes it err."""
+        self.set_faults(deployment, **{self.harm: self.value})
 
     def end(self, deployment, operator):
-        """Heals the link."""
-        deployment.set_link(self.name)
+        """Makes it sound again."""
+        self.set_faults(deployment)
 
 
 @dataclasses.dataclass(slots=True)
-class HarmServer(Fault):
-    """A server answers wrongly.
+class HarmLink(Harm):
+    """A link is cut, held, delayed or loses answers.
 
     Attributes:
-        name: The server.
-        harm: Name of the server's fault.
-        value: Its strength.
+        name: The link.
     """
 
     name: str
-    harm: str
-    value: object
-
-    def begin(self, deployment, operator):
-        """Makes the server err."""
-        deployment.set_server(self.name, **{self.harm: self.value})
 
-    def end(self, deployment, operator):
-        """Makes it sound again."""
-        deployment.set_server(self.name)
+    def set_faults(self, deployment, **faults):
+        """Sets the faults of the link."""
+        deployment.set_link(self.name, **faults)
 
 
 @dataclasses.dataclass(slots=True)
-class HarmStore(Fault):
-    """The store is out, silent, or loses answers.
+class HarmServer(Harm):
+    """A server answers wrongly.
 
     Attributes:
-        harm: Name of the store's fault.
-        value: Its strength.
+        name: The server.
     """
 
-    harm: str
-    value: object
+    name: str
 
-    def begin(self, deployment, operator):
-        """Harms the store."""
-        deployment.set_store(**{self.harm: self.value})
+    def set_faults(self, deployment, **faults):
+        """Sets the faults of the server."""
+        deployment.set_server(self.name, **faults)
 
-    def end(self, deployment, operator):
-        """Heals the store."""
-        deployment.set_store()
+
+@dataclasses.dataclass(slots=True)
+class HarmStore(Harm):
+    """The store is out, silent, or loses answers."""
+
+    def set_faults(self, deployment, **faults):
+        """Sets the faults of the store."""
+        deployment.set_store(**faults)
 
 
 @dataclasses.dataclass(slots=True)
--- a/sardinewharf/soak/journals.py
+++ b/sardinewharf/soak/journals.py
@@ -40,7 +40,6 @@
         has_key: Whether the caller's key was passed on.
         salt: Name of the cache that the request shares.
         weights: Version of the weights that it runs on; 0 for none.
-        first_event: Event of a stream that the run begins with.
     """
 
     request: str
@@ -51,7 +50,6 @@
     has_key: bool
     salt: str = ""
     weights: int = 0
-    first_event: int = 1
 
 
 class Ended(Note, frozen=True):
@@ -60,12 +58,10 @@
     Attributes:
         request: Its id.
         server: The server.
-        is_whole: Whether the whole answer was sent.
     """
 
     request: str
     server: str
-    is_whole: bool
 
 
 class Ordered(Note, frozen=True):
--- a/sardinewharf/soak/oracle.py
+++ b/sardinewharf/soak/oracle.py
@@ -15,13 +15,12 @@
 
 _NOT_RUN = {408, 421, 429, 503}
 _OWN_REFUSALS = {400, 401, 403, 404, 413, 431}
-_CONTACT_S = 3.0
-_REVOKE_S = 5.0
-_APPLY_S = 2.0
+_PROMISES = deployment_lib.PROMISES
+_CONTACT_S = _PROMISES.contact_ms / 1000
+_REVOKE_S = _PROMISES.revoke_ms / 1000
+_APPLY_S = _PROMISES.apply_ms / 1000
 _RECOVER_S = 12.0
-_RETRY_RATIO = 0.2
-_RETRY_EXTRA = 54
-_RETRY_WINDOW_S = 10.0
+_RETRY_WINDOW_S = _PROMISES.retry_window_ms / 1000
 _MEMORY_BYTES = 128 << 20
 # A server stops this long after its caller has left, in seconds.
 _GONE_S = 0.5
@@ -33,7 +32,7 @@
 _DENIED_IN = 500
 # Share of the requests that is served once all faults are over.
 _SERVED_SHARE = 0.95
-_GRACE_S = 8.0
+_GRACE_S = _PROMISES.grace_ms / 1000
 _GRACE_END = 5 / 6
 _EVENTS = 4
 
@@ -320,7 +319,8 @@
                 seen.add(note.request)
                 _drop_before(again, note.at - _RETRY_WINDOW_S)
                 _drop_before(firsts, note.at - _RETRY_WINDOW_S)
-                if len(again) > _RETRY_RATIO * len(firsts) + _RETRY_EXTRA:
+                allowed = _PROMISES.retry_ratio * len(firsts)
+                if len(again) > allowed + _PROMISES.retry_extra:
                     self._find(
                         Promise.RETRIES,
                         f"{len(again)} retries beside {len(firsts)} requests"
--- a/sardinewharf/soak/schedules.py
+++ b/sardinewharf/soak/schedules.py
@@ -113,6 +113,13 @@
     return _RESTART_S if isinstance(fault, faults.Restart) else _CHANGE_S
 
 
+def _draw_harm(
+    rng: random.Random, harms: tuple[tuple[str, object], ...]
+) -> dict[str, object]:
+    harm, value = rng.choice(harms)
+    return {"harm": harm, "value": value}
+
+
 def _draw(
     rng: random.Random,
     deployment: deployment_lib.Deployment,
@@ -137,12 +144,18 @@
             at, at, rng.choice(deployment.gateways)
         ),
         "link": lambda: faults.HarmLink(
-            *span, rng.choice([*links, *backends]), *rng.choice(_LINK_HARMS)
+            *span,
+            name=rng.choice([*links, *backends]),
+            **_draw_harm(rng, _LINK_HARMS),
         ),
         "server": lambda: faults.HarmServer(
-            *span, rng.choice(backends), *rng.choice(_SERVER_HARMS)
+            *span,
+            name=rng.choice(backends),
+            **_draw_harm(rng, _SERVER_HARMS),
+        ),
+        "store": lambda: faults.HarmStore(
+            *span, **_draw_harm(rng, _STORE_HARMS)
         ),
-        "store": lambda: faults.HarmStore(*span, *rng.choice(_STORE_HARMS)),
         "compact": lambda: faults.Compact(at, at),
         "weights": lambda: faults.NameWeights(at, at),
         "route": lambda: faults.AddRoute(at, at),
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -52,9 +52,10 @@
             self.faults = msgspec.json.decode(ran.body, type=type(self.faults))
             connection.reply(200, [])
             return
-        if request := ran.headers.get("x-sardinewharf-request-id"):
+        if ran.request_id:
             now = clocks.read_monotonic()
-            self.journal.write(journals.Arrived(now, request, self.service))
+            note = journals.Arrived(now, ran.request_id, self.service)
+            self.journal.write(note)
         await super().answer(connection, ran)
 
     def record(self, ran) -> None:
@@ -63,7 +64,7 @@
         self.journal.write(
             journals.Began(
                 at=clocks.read_monotonic(),
-                request=headers.get("x-sardinewharf-request-id", ""),
+                request=ran.request_id,
                 service=self.service,
                 server=self.id,
                 target=ran.target,
@@ -71,21 +72,17 @@
                 has_key="authorization" in headers,
                 salt=headers.get("x-sardinewharf-cache-salt", ""),
                 weights=self.version,
-                first_event=int(headers.get("last-event-id", "0")) + 1,
             )
         )
 
     def record_end(self, ran) -> None:
         """Notes that a request runs no more."""
-        request = ran.headers.get("x-sardinewharf-request-id", "")
-        note = journals.Ended(
-            clocks.read_monotonic(), request, self.id, ran.ended == "whole"
-        )
-        self.journal.write(note)
+        now = clocks.read_monotonic()
+        self.journal.write(journals.Ended(now, ran.request_id, self.id))
 
     def make_body(self, ran) -> bytes:
         """Returns the body of the answer to a request."""
-        return make_answer(ran.headers.get("x-sardinewharf-request-id", ""))
+        return make_answer(ran.request_id)
 
     async def run(self, connection, ran) -> None:
         """Takes the time that the request asks for, and answers."""
@@ -104,8 +101,7 @@
 
     def make_event(self, ran, number: int) -> bytes:
         """Returns one event of a stream."""
-        request = ran.headers.get("x-sardinewharf-request-id", "")
-        return make_event(request, number)
+        return make_event(ran.request_id, number)
 
     def record_order(self, order) -> None:
         """Notes an order as it arrives."""
--- a/sardinewharf/soak/tests/test_oracle.py
+++ b/sardinewharf/soak/tests/test_oracle.py
@@ -171,7 +171,7 @@
         request = f"r{number}"
         history.send(request, status=0, is_whole=False, body=b"", left_at=110.2)
         history.run(request)
-        history.note("s0", journals.Ended(111.0, request, "s0.1", True))
+        history.note("s0", journals.Ended(111.0, request, "s0.1"))
     assert history.find() == {oracle_lib.Promise.GONE}
 
 
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -66,6 +66,11 @@
     body: bytes
     ended: str = ""
 
+    @property
+    def request_id(self) -> str:
+        """The caller's id of the request; empty if there is none."""
+        return self.headers.get("x-sardinewharf-request-id", "")
+
 
 class PlatformServer:
     """An application server.
@@ -172,9 +177,7 @@
 
     def sign(self, ran: Ran) -> list[tuple[str, str]]:
         """Returns the headers of an answer."""
-        request_id = ran.headers.get("x-sardinewharf-request-id", "")
-        if self.faults.wrong_id:
-            request_id = "another"
+        request_id = "another" if self.faults.wrong_id else ran.request_id
         headers = [
             ("x-sardinewharf-server-load", f"{len(self._connections)},0,6"),
             ("keep-alive", "timeout=10"),
--- a/sardinewharf/testbed/bed.py
+++ b/sardinewharf/testbed/bed.py
@@ -1,7 +1,6 @@
 """Starts and stops the processes of a small deployment on loopback."""
 
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import http.client
 import os
@@ -89,6 +88,24 @@
         return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def start_process(
+    name: str,
+    address: str,
+    arguments: list[str],
+    log: pathlib.Path,
+    **environment: str,
+) -> Process:
+    """Starts a process whose output is added to a file."""
+    with log.open("ab") as output:
+        popen = subprocess.Popen(
+            arguments,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            env=os.environ | environment,
+        )
+    return Process(name, address, popen, log, arguments)
+
+
 class Bed:
     """A small deployment, all on loopback.
 
@@ -242,7 +259,9 @@
         """Plans and confirms a document; returns its version."""
         name = daemon or self.daemons[0].name
         admin = self.processes[name].admin
-        self.wait(lambda: _answers(admin), f"{name} to answer operators")
+        self.wait(
+            lambda: http_lib.answers(admin), f"{name} to answer operators"
+        )
         headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
         plan = http_lib.call(
             admin, "POST", "/admin/v1/plan", document.encode(), headers
@@ -264,7 +283,9 @@
                 f"{daemon.name} to have version {version}",
             )
             self.wait(
-                lambda daemon=daemon: _is_ready(daemon.address),
+                lambda daemon=daemon: http_lib.succeeds(
+                    daemon.address, "GET", "/readyz"
+                ),
                 f"{daemon.name} to be ready",
             )
 
@@ -408,31 +429,14 @@
 
     def _spawn(self, name: str, address: str, arguments: list[str]) -> Process:
         log = pathlib.Path(self._folder.name) / f"{name}.log"
-        with log.open("ab") as output:
-            popen = subprocess.Popen(
-                arguments, stdout=output, stderr=subprocess.STDOUT
-            )
-        process = Process(name, address, popen, log, arguments)
+        process = start_process(name, address, arguments, log)
         self.processes[name] = process
         return process
 
     def _wait_for_http(self, process: Process) -> None:
         self.wait(
-            lambda: _answers(process.address) or not process.is_live,
+            lambda: http_lib.answers(process.address) or not process.is_live,
             f"{process.name} to answer",
         )
         if not process.is_live:
             raise BedError(process.log.read_text()[-2000:])
-
-
-def _answers(address: str) -> bool:
-    with contextlib.suppress(OSError, http.client.HTTPException):
-        http_lib.call(address, "GET", "/", seconds=1.0)
-        return True
-    return False
-
-
-def _is_ready(address: str) -> bool:
-    with contextlib.suppress(OSError, http.client.HTTPException):
-        return http_lib.call(address, "GET", "/readyz").status == 200
-    return False
--- a/sardinewharf/testbed/http.py
+++ b/sardinewharf/testbed/http.py
@@ -1,5 +1,6 @@
 """Makes plain blocking HTTP calls for tests and demos."""
 
+import contextlib
 import dataclasses
 import http.client
 
@@ -50,6 +51,27 @@
         connection.close()
 
 
+def answers(address: str, seconds: float = 1.0) -> bool:
+    """Returns whether a server answers at all."""
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        call(address, "GET", "/", seconds=seconds)
+        return True
+    return False
+
+
+def succeeds(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    seconds: float = 30.0,
+) -> bool:
+    """Returns whether a call is answered with status 200."""
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        return call(address, method, path, body, seconds=seconds).status == 200
+    return False
+
+
 def get_json(address: str, path: str):
     """Returns the decoded JSON of a path."""
     return call(address, "GET", path).json()
--- a/sardinewharf/testbed/platform_rig.py
+++ b/sardinewharf/testbed/platform_rig.py
@@ -87,6 +87,23 @@
     return route | changes
 
 
+def make_headers(
+    request_id: str, path: str, key: str = KEY, deadline_ms: int = 3_000
+) -> dict[str, str]:
+    """Returns the headers of a caller's request; engines get a prompt."""
+    headers = {
+        "host": HOST,
+        "x-sardinewharf-request-id": request_id,
+        "x-sardinewharf-deadline-ms": str(deadline_ms),
+        "authorization": f"Token {key}",
+    }
+    if path.startswith(("/chat", "/ask")):
+        headers["x-sardinewharf-model"] = MODEL
+        headers["x-sardinewharf-token-usage"] = "1500,20"
+        headers["x-sardinewharf-prompt-prefix"] = "aa:1000,bb:500"
+    return headers
+
+
 @dataclasses.dataclass
 class Answer:
     """What a caller got.
@@ -218,16 +235,7 @@
         **headers: str,
     ) -> Answer:
         """Sends a request; underscores of header names become dashes."""
-        sent = {
-            "host": HOST,
-            "x-sardinewharf-request-id": self.make_id(),
-            "x-sardinewharf-deadline-ms": "3000",
-            "authorization": f"Token {KEY}",
-        }
-        if path.startswith(("/chat", "/ask")):
-            sent["x-sardinewharf-model"] = MODEL
-            sent["x-sardinewharf-token-usage"] = "1500,20"
-            sent["x-sardinewharf-prompt-prefix"] = "aa:1000,bb:500"
+        sent = make_headers(self.make_id(), path)
         sent |= {name.replace("_", "-"): v for name, v in headers.items()}
         sent = {name: value for name, value in sent.items() if value}
         chunks = []
