Prefer updates of gateways that have contact to the store

Cause: a gateway without the store asked one other at a time and kept to the one that had responded last, and followers took updates of watchers that had theirs from followers. So gateways without contact lived by each other until all replicas were 2.5 s old: a change was late by as much, and one pair that was cut off heard nothing for 9 s.

Change: a response states whether its sender has contact to the store. Three gateways are asked at once, the best response is used, and only a responder with contact is asked again first. A follower takes no update without contact: it asks other gateways, then the store itself.

--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -151,6 +151,8 @@
             outage of the store to be renewed.
         chunk_index: Index of the chunk, from 0.
         chunk_count: Number of chunks of the response.
+        has_store_contact: Whether the sender's last update came from the store
+            itself, not from another gateway.
     """
 
     number: int
@@ -160,6 +162,7 @@
     reregistration_ms: int = 0
     chunk_index: int = 0
     chunk_count: int = 1
+    has_store_contact: bool = True
 
 
 class Digest(msgspec.Struct, array_like=True, tag=0):
--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -41,8 +41,8 @@
 # up to which all of them do.
 _WATCHERS_PER_DOMAIN = 2
 _MAX_ALL_WATCHING = 4
-# A request without a response by then is sent to another gateway, in seconds;
-# and the number of gateways that are tried.
+# How long responses are awaited, in seconds, and how many gateways are asked at
+# the same time.
 _RESPONSE_TIMEOUT_S = 0.15
 _MAX_QUERIES = 3
 # Largest size of the log of changes, of the changes in a response, and of those
@@ -116,12 +116,15 @@
             from the store.
         reregistration_deadline: When the time ends in which registrations
             that expired in an outage of the store may be renewed.
+        has_store_contact: Whether that gateway's last update came from the
+            store itself.
     """
 
     revision: int
     last_confirmed_at: float
     entries: tuple[keyvalue.Entry, ...] | None
     reregistration_deadline: clocks.Deadline = clocks.Deadline(float("-inf"))
+    has_store_contact: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +155,8 @@
     Attributes:
         log: The latest changes, for other gateways.
         send: Sends a message to another gateway's address.
+        has_store_contact: Whether this gateway's last update came from the
+            store itself, not from another gateway.
     """
 
     def __init__(
@@ -164,6 +169,7 @@
         self._number = 0
         self._pending: dict[int, _PendingRequest] = {}
         self._last_responder = ""
+        self.has_store_contact = False
         self.log = ChangeLog()
         self.send: Callable[[str, Message], None] = _discard_message
 
@@ -173,12 +179,24 @@
         return bool(watchers) and self._settings.name not in watchers
 
     async def query_watchers(self) -> FeedUpdate | None:
-        """Returns an update from a gateway that watches the store, if any."""
-        return await self._query_first(self._list_watchers())
+        """Returns an update from a gateway that has contact to the store.
+
+        It is one that watches for this failure domain, or else any other; None
+        if none of those that were asked has contact.
+        """
+        names = self._list_watchers()
+        if self._last_responder in names:
+            names = [self._last_responder]
+        update = await self._query_best(names)
+        if update is None or not update.has_store_contact:
+            update = await self._query_best(list(self._replica.members))
+        if update is None or not update.has_store_contact:
+            return None
+        return update
 
     async def query_any_peer(self) -> FeedUpdate | None:
-        """Returns an update from some other gateway, if any responds."""
-        return await self._query_first(list(self._replica.members))
+        """Returns the best update of some other gateways, if any responds."""
+        return await self._query_best(list(self._replica.members))
 
     def respond(self, request: digests.FeedRequest, address: str) -> None:
         """Sends another gateway the changes that it requests."""
@@ -202,6 +220,7 @@
                 ),
                 chunk_index=chunk_index,
                 chunk_count=len(chunks),
+                has_store_contact=self.has_store_contact,
             )
             self.send(address, response)
 
@@ -244,6 +263,7 @@
                 last_confirmed_at,
                 entries,
                 reregistration_deadline,
+                response.has_store_contact,
             )
         )
 
@@ -261,19 +281,32 @@
             :_WATCHERS_PER_DOMAIN
         ]
 
-    async def _query_first(self, names: list[str]) -> FeedUpdate | None:
-        """Queries gateways one by one until one responds."""
+    async def _query_best(self, names: list[str]) -> FeedUpdate | None:
+        """Queries some of the named gateways and returns the best update.
+
+        An update of a gateway that has contact to the store goes before all
+        others: gateways without contact may have their updates from each other.
+        Among equal ones, the last confirmed goes first.
+        """
         others = [name for name in names if name != self._settings.name]
         random.shuffle(others)
         # The gateway that responded last is likely to respond again.
         others.sort(key=lambda name: name != self._last_responder)
-        for name in others[:_MAX_QUERIES]:
-            update = await self._query(self._replica.members[name])
-            if update is not None:
-                self._last_responder = name
-                return update
-        self._last_responder = ""
-        return None
+        asked = others[:_MAX_QUERIES]
+        updates = await asyncio.gather(
+            *(self._query(self._replica.members[name]) for name in asked)
+        )
+        responses = [
+            (update.has_store_contact, update.last_confirmed_at, name, update)
+            for name, update in zip(asked, updates, strict=True)
+            if update is not None
+        ]
+        if not responses:
+            self._last_responder = ""
+            return None
+        has_contact, _, name, update = max(responses, key=lambda r: r[:3])
+        self._last_responder = name if has_contact else ""
+        return update
 
     async def _query(self, address: str) -> FeedUpdate | None:
         self._number += 1
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -126,12 +126,13 @@
         return is_done
 
     async def _follow(self) -> bool:
-        """Requests changes from a gateway that watches the store."""
+        """Requests changes from a gateway that has contact to the store."""
         update = await self._feed.query_watchers()
         if update is not None and update.entries is None:
             # The changes do not fit a response, or are no longer kept.
             return await self._watch()
         self._is_updated_by_peer = self._apply_update(update)
+        self._feed.has_store_contact = False
         if not self._is_updated_by_peer:
             self._watches_until = clocks.Deadline.after(_FALLBACK_WATCH_S)
         return True
@@ -249,7 +250,8 @@
             interruption.cancel()
 
     def _record_failure(self, detail: str) -> None:
-        """Logs the loss of the store, once for each outage."""
+        """Records a failed call; logs it once for each outage."""
+        self._feed.has_store_contact = False
         if not self._has_failed:
             self._has_failed = True
             self._log.write(
@@ -262,7 +264,11 @@
             )
 
     def _record_contact(self) -> None:
-        """Logs the end of an outage, after which endpoints may re-register."""
+        """Records a successful call, and logs it if it ends an outage.
+
+        After an outage, endpoints may register again.
+        """
+        self._feed.has_store_contact = True
         if self._has_failed:
             age = self._replica.round_age()
             self._log.write(
--- a/sardinewharf/gateway/tests/test_feeds.py
+++ b/sardinewharf/gateway/tests/test_feeds.py
@@ -199,6 +199,41 @@
     assert watchers[0].replica.count_age() < 3.0
 
 
+async def test_changes_reach_all_while_the_watchers_have_no_store(fleet):
+    """Gateways without the store must not live by each other.
+
+    The load pattern: the store rejects some gateways for seconds. Two of them
+    asked each other, each the last one to have responded, and followers asked
+    watchers that had their changes from followers. Nobody saw a change until
+    all replicas were too old to be used.
+    """
+    watchers, _ = split_watchers(fleet)
+    for gateway in watchers:
+        gateway.store.is_unavailable = True
+    await asyncio.sleep(2.1)
+    for _ in range(12):
+        fleet[0].state.put("config", b"c")
+        await wait_for_version(fleet, fleet[0].state.revision, seconds=2.0)
+        await asyncio.sleep(0.3)
+
+
+async def test_of_two_responses_the_one_with_the_store_is_used(fleet):
+    """A gateway kept to the peer that had responded last, however old."""
+    watchers, followers = split_watchers(fleet)
+    requester, other = watchers
+    for gateway in fleet:
+        await gateway.stop()
+        gateway.task = asyncio.current_task()
+        gateway.feed.has_store_contact = False
+    followers[0].feed.has_store_contact = True
+    requester.feed._last_responder = other.name
+    names = [other.name, followers[0].name]
+    update = await requester.feed._query_best(names)
+    for gateway in fleet:
+        gateway.task = None
+    assert update.has_store_contact
+
+
 async def test_a_change_that_fits_no_response_is_read_from_the_store(fleet):
     _, followers = split_watchers(fleet)
     fleet[0].state.put("config", random.Random(1).randbytes(50_000))
