Mend the red tests: SIGHUP at the start, and two checks that were wrong

A launcher ignores SIGHUP before it imports them.

'A failure domain is cut off during a change and joins again': the daemon served all the while. The placer had reached the engine of the domain with the weights of an earlier scenario, and the step took only the texts of w1 and w2 for right. The step now takes the weights that operators have confirmed, and no others.

test_engines_that_load_are_drained passed with draining switched off, since arrivals leave out what an engine refuses.

--- a/features/environment.py
+++ b/features/environment.py
@@ -24,6 +24,9 @@
 def before_feature(context, feature):
     deployment = testbed.TestDeployment(has_proxy=True)
     context.deployment = deployment
+    # Weights of each plan, and the weights that were in force in this feature.
+    context.weights_by_plan = {}
+    context.confirmed_weights = {"w1"}
     if "rollout" in feature.tags:
         plan_rollout(deployment)
         start(context, feature, deployment)
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -33,6 +33,16 @@
     body = write_document(context, weights).encode()
     response = call_admin(context, daemon, "POST", "plan", body)
     assert response.status == 200, response
+    context.weights_by_plan[response.body] = weights
+    return response
+
+
+def send_confirm(context, plan, daemon):
+    """Confirms a plan and records its weights if it comes into force."""
+    response = call_admin(context, daemon, "POST", "confirm", plan.body)
+    context.responses.append(response)
+    if response.status == 200:
+        context.confirmed_weights.add(context.weights_by_plan[plan.body])
     return response
 
 
@@ -43,8 +53,7 @@
 
 @step("the plan is confirmed at {daemon}")
 def confirm(context, daemon):
-    response = call_admin(context, daemon, "POST", "confirm", context.plan.body)
-    context.responses.append(response)
+    response = send_confirm(context, context.plan, daemon)
     if response.status == 200:
         context.version = response.json()["version"]
 
@@ -82,6 +91,7 @@
     path = pathlib.Path(folder.name)
     (path / "wanted.toml").write_text(write_document(context, weights))
     context.plan_file = str(path / "plan.json")
+    context.plan_weights = weights
     address = context.deployment.processes[daemon].admin
     run_tool(
         context,
@@ -98,6 +108,7 @@
 def confirm_with_tool(context, daemon):
     address = context.deployment.processes[daemon].admin
     run_tool(context, "confirm", context.plan_file, "--daemon", address)
+    context.confirmed_weights.add(context.plan_weights)
     context.version += 1
 
 
@@ -136,13 +147,9 @@
 
 @when("both confirm")
 def confirm_both(context):
-    def work(plan, daemon):
-        response = call_admin(context, daemon, "POST", "confirm", plan.body)
-        context.responses.append(response)
-
     daemons = ("daemon-1", "daemon-2")
     threads = [
-        threading.Thread(target=work, args=pair)
+        threading.Thread(target=send_confirm, args=(context, *pair))
         for pair in zip(context.plans, daemons, strict=True)
     ]
     for thread in threads:
@@ -257,6 +264,7 @@
     context.version = context.deployment.apply(
         write_document(context, weights), daemon
     )
+    context.confirmed_weights.add(weights)
 
 
 def wait_weights(context, weights, seconds):
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -231,15 +231,8 @@
     except (OSError, http.client.HTTPException):
         return False
     text, done = read_stream(response)
-    return (
-        response.status == 200
-        and done
-        and text
-        in (
-            expect_text(body, "w1"),
-            expect_text(body, "w2"),
-        )
-    )
+    expected = [expect_text(body, w) for w in context.confirmed_weights]
+    return response.status == 200 and done and text in expected
 
 
 @then("{daemon} serves within {seconds:d} s")
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -115,10 +115,9 @@
                 "/chat/1", body=b"p", gateway=gateway
             )
             assert response.status == 200
-    # `arrivals` leaves out requests that an engine refuses because it loads
-    # or has another weights version than expected. So ten arrivals show that
-    # each request was accepted exactly once, not that none was refused before.
     assert sum(e.arrivals for e in harness.engines) == 10
+    # `arrivals` leaves out the requests that an engine refuses while it loads.
+    assert sum(e.refused for e in harness.engines) == 0
 
 
 async def test_a_leader_that_stops_hands_the_lease_over(harness):
--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -248,7 +248,7 @@
             )
             path = self._write_settings(name, index)
             self._specs[name] = _ProcessSpec(
-                f"{_PACKAGE}.platform.program",
+                f"{_PACKAGE}.launcher",
                 [],
                 {"SARDINEWHARF_CONFIG": str(path)},
             )
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -227,6 +227,8 @@
         load_duration_s: Time that a load of weights takes.
         events: Number of events in each stream.
         event_interval_s: Time between the events of a stream.
+        refused: Number of requests refused because weights were being loaded
+            or had another version than expected.
     """
 
     def __init__(self, server_id: str, model: str):
@@ -237,6 +239,7 @@
         self.load_duration_s = 0.05
         self.events = 4
         self.event_interval_s = 0.005
+        self.refused = 0
         self._busy_until = 0.0
         self._highest_fence = 0
 
@@ -256,9 +259,11 @@
             and int(expected_version) != self.version
         ):
             headers = [("x-sardinewharf-weight-versions", str(self.version))]
+            self.refused += 1
             connection.reply(421, headers)
             return
         if self._is_busy():
+            self.refused += 1
             connection.reply(503, [("x-sardinewharf-not-run", "1")])
             return
         await super().handle_request(connection, request)
