Choose the ports of test processes below the ephemeral range

Cause: tests bound port 0 to find a free port and released it; an outgoing connection of another process could take it before the process that was to listen there had started ('address already in use' of the proxy in one of eight runs of three features beside another; seen once before in caches.feature).

Change: ports are drawn from 10,000 to 29,999 and probed for TCP and UDP; the two searches that stood twice are one function.

--- a/sardinewharf/testbed/deployment.py
+++ b/sardinewharf/testbed/deployment.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 
 from sardinewharf import configuration
 from sardinewharf.testbed import http as http_lib
+from sardinewharf.testbed import ports
 
 OPERATOR = "ana"
 OPERATOR_TOKEN = "operator-token"
@@ -443,9 +443,7 @@
     def reserve_address(self) -> str:
         """Returns a free loopback address that was not returned before."""
         while True:
-            with socket.socket() as probe:
-                probe.bind((_LOCALHOST, 0))
-                port = probe.getsockname()[1]
+            port = ports.find_free_port()
             if port not in self._ports:
                 self._ports.add(port)
                 return f"{_LOCALHOST}:{port}"
--- a/sardinewharf/testbed/gateway_harness.py
+++ b/sardinewharf/testbed/gateway_harness.py
@@ -4,7 +4,6 @@
 import dataclasses
 import itertools
 import os
-import socket
 
 import aiohttp
 from aiohttp import web
@@ -16,6 +15,7 @@
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.standins import platform_servers
 from sardinewharf.standins import platform_store
+from sardinewharf.testbed import ports
 
 MODEL = "m1"
 KEY = "key-1"
@@ -175,7 +175,7 @@
         runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
         await runner.setup()
         self._runners.append(runner)
-        port = find_free_port()
+        port = ports.find_free_port()
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self.store_address = f"127.0.0.1:{port}"
         await self.store.put("op/config", make_manifest())
@@ -212,10 +212,10 @@
         settings = settings_lib.GatewaySettings(
             name=name,
             failure_domain="fd-1",
-            listen=f"127.0.0.1:{find_free_port()}",
-            ready_listen=f"127.0.0.1:{find_free_port()}",
+            listen=f"127.0.0.1:{ports.find_free_port()}",
+            ready_listen=f"127.0.0.1:{ports.find_free_port()}",
             metrics_listen="",
-            peer_listen=f"127.0.0.1:{find_free_port()}",
+            peer_listen=f"127.0.0.1:{ports.find_free_port()}",
             store=self.store_address,
             guarantees=self.guarantees,
         )
@@ -313,13 +313,6 @@
         os.close(self._null)
 
 
-def find_free_port() -> int:
-    """Returns a free TCP port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 async def wait_for(check, seconds: float = 8.0) -> None:
     """Polls an asynchronous condition until it is met.
 
