Measure prefill rates and prompt lengths instead of assuming them

Cause: choices were made with one site's figures: 50 tokens a millisecond and 1,500 tokens for a long prompt.

Change: balancing/prefill_rates fits the time to the first token over the tokens queued; balancing/prompt_lengths finds the boundary between lengths (Otsu). The choices take both as one object. Broadcasts hold whole digests again where the link carries them within 20 ms: without loads, peers of small fleets saw them up to 0.2 s late.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -12,9 +12,12 @@
 from sardinewharf.balancing.engines import choose_engine
 from sardinewharf.balancing.engines import choose_priority
 from sardinewharf.balancing.engines import misses_deadline
+from sardinewharf.balancing.estimates import EngineEstimates
+from sardinewharf.balancing.estimates import EngineEstimator
 from sardinewharf.balancing.idle_timeouts import find_idle_timeout
 from sardinewharf.balancing.prefills import PrefillTable
 from sardinewharf.balancing.prefix_cache import PrefixCacheIndex
+from sardinewharf.balancing.prompt_lengths import LengthSplit
 from sardinewharf.balancing.rendezvous import rank_preferred
 from sardinewharf.balancing.rollouts import EngineRolloutState
 from sardinewharf.balancing.rollouts import RolloutPace
@@ -22,7 +25,10 @@
 
 __all__ = [
     "Choice",
+    "EngineEstimates",
+    "EngineEstimator",
     "EngineState",
+    "LengthSplit",
     "PrefixCacheIndex",
     "PromptSize",
     "PrefillTable",
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -16,6 +16,8 @@
 
 from sardinewharf import catalog
 from sardinewharf import fleet
+from sardinewharf.balancing import estimates as estimates_lib
+from sardinewharf.balancing import prompt_lengths
 from sardinewharf.balancing import rendezvous
 
 # Time that each running request adds to the batch steps of an engine.
@@ -30,8 +32,9 @@
 # short prompt it includes the cost of computing the shared part there as well.
 _NOT_PREFERRED_PENALTY_MS = 8.0
 _NOT_PREFERRED_SHORT_PENALTY_MS = 40.0
-# Cost of each 1,000 tokens by which requests would exceed an engine's memory.
-_MS_PER_1000_EXCESS_TOKENS = 60.0
+# Cost of each token by which requests would exceed an engine's memory, as a
+# multiple of the time to prefill it.
+_EXCESS_TOKEN_WEIGHT = 3.0
 # Share of an engine's memory that requests can fill before others are queued.
 _USABLE_MEMORY_SHARE = 0.9
 # Cost of an engine that does not have the target version yet.
@@ -39,14 +42,9 @@
 # Share of the engines that are reserved for short prompts. Long prompts use
 # them only if all other engines cost much more.
 _SHORT_PROMPT_ENGINE_SHARE = 1 / 3
-# Prompts of at least this many tokens are long. For priorities and deadlines
-# only the tokens to prefill count; for choosing an engine, the whole prompt.
-_LONG_PROMPT_TOKENS = 1_500
 # Waits are estimates: one counts as too long only if it exceeds the time left
 # by this factor.
 _WAIT_ERROR_FACTOR = 1.2
-# Prompts with at least this many tokens to prefill are very long.
-_VERY_LONG_PROMPT_TOKENS = 6_000
 _LOWEST_PRIORITY = 9
 # Each caller priority is divided into this many engine priorities, by the
 # number of tokens to prefill.
@@ -132,7 +130,10 @@
 
 
 def misses_deadline(
-    prefill_tokens: int, wait_ms: float, time_left_ms: float
+    prefill_tokens: int,
+    wait_ms: float,
+    time_left_ms: float,
+    split: prompt_lengths.LengthSplit,
 ) -> bool:
     """Returns whether a long prompt cannot be answered in time.
 
@@ -144,22 +145,28 @@
         prefill_tokens: Prompt tokens that have to be prefilled.
         wait_ms: Estimated time to first token, including its own prefill.
         time_left_ms: Time left until the caller's deadline.
+        split: Boundaries between short and long prompts.
 
     Examples:
-        >>> misses_deadline(20_000, wait_ms=9_500.0, time_left_ms=6_900.0)
+        >>> split = prompt_lengths.LengthSplit()
+        >>> misses_deadline(20_000, 9_500.0, 6_900.0, split)
         True
-        >>> misses_deadline(20_000, wait_ms=3_000.0, time_left_ms=6_900.0)
+        >>> misses_deadline(20_000, 3_000.0, 6_900.0, split)
         False
-        >>> misses_deadline(300, wait_ms=9_500.0, time_left_ms=3_000.0)
+        >>> misses_deadline(300, 9_500.0, 3_000.0, split)
         False
     """
     return (
-        prefill_tokens >= _LONG_PROMPT_TOKENS
+        prefill_tokens >= split.medium_tokens
         and wait_ms > _WAIT_ERROR_FACTOR * time_left_ms
     )
 
 
-def choose_priority(caller_priority: int, prefill_tokens: int) -> int:
+def choose_priority(
+    caller_priority: int,
+    prefill_tokens: int,
+    split: prompt_lengths.LengthSplit,
+) -> int:
     """Returns the priority of a request in an engine's queue.
 
     Among requests of the same caller priority, short prompts go first: they
@@ -168,19 +175,21 @@
     Args:
         caller_priority: Priority of the request, 0 first.
         prefill_tokens: Prompt tokens that have to be prefilled.
+        split: Boundaries between short and long prompts.
 
     Returns:
         The engine's priority, from 0 (first) to 9 (last).
 
     Examples:
-        >>> choose_priority(0, prefill_tokens=300), choose_priority(0, 17_000)
+        >>> split = prompt_lengths.LengthSplit()
+        >>> choose_priority(0, 300, split), choose_priority(0, 17_000, split)
         (0, 2)
-        >>> choose_priority(7, prefill_tokens=300)
+        >>> choose_priority(7, 300, split)
         9
     """
     size_level = sum(
         prefill_tokens >= limit
-        for limit in (_LONG_PROMPT_TOKENS, _VERY_LONG_PROMPT_TOKENS)
+        for limit in (split.medium_tokens, split.long_tokens)
     )
     return min(
         _LOWEST_PRIORITY,
@@ -193,6 +202,7 @@
     size: PromptSize,
     spec: catalog.EngineSpec,
     failure_domain: str,
+    estimates: estimates_lib.EngineEstimates,
 ) -> Choice | None:
     """Returns the engine with the lowest cost; None without engines.
 
@@ -201,13 +211,15 @@
         size: Sizes of its prompt and answer.
         spec: Capacity of each engine of the service.
         failure_domain: Failure domain of this gateway.
+        estimates: What was measured of the service's engines and prompts.
 
     Examples:
+        >>> estimates = estimates_lib.EngineEstimates()
         >>> size = PromptSize("rules", 10_000, 12_000, 20)
         >>> idle = fleet.EndpointLoad()
         >>> engines = [EngineState(f"e{i}", "fd", idle) for i in range(4)]
         >>> spec = catalog.EngineSpec(24, 100_000, 18_432, 1e5, ("m",), 12)
-        >>> first = choose_engine(engines, size, spec, "fd").id
+        >>> first = choose_engine(engines, size, spec, "fd", estimates).id
         >>> cached = PrefixSource.CACHED
         >>> others = [
         ...     dataclasses.replace(e, shared=cached)
@@ -215,10 +227,13 @@
         ...     if e.id != first
         ... ]
         >>> cold = [e for e in engines if e.id == first]
-        >>> choose_engine([*others, *cold], size, spec, "fd").id == first
+        >>> engines = [*others, *cold]
+        >>> choose_engine(engines, size, spec, "fd", estimates).id == first
         False
     """
-    misplacements_ms = _compute_misplacement_ms(engines, size)
+    misplacements_ms = _compute_misplacement_ms(
+        engines, size.tokens >= estimates.split.long_tokens
+    )
     preferred = _find_preferred(size, misplacements_ms)
     choices = [
         _compute_choice(
@@ -228,6 +243,7 @@
             spec,
             failure_domain,
             misplacements_ms[engine.id],
+            estimates,
         )
         for engine in engines
     ]
@@ -253,9 +269,9 @@
 
 
 def _compute_misplacement_ms(
-    engines: Sequence[EngineState], size: PromptSize
+    engines: Sequence[EngineState], is_long: bool
 ) -> dict[str, float]:
-    """Returns the cost of each engine for a prompt of this length.
+    """Returns the cost of each engine for a long or a short prompt.
 
     While an engine prefills a long prompt, each token of its other answers
     takes many times as long, and these answers occupy their slots for as much
@@ -270,7 +286,7 @@
     reserved_for_short = frozenset(
         ranked[: int(len(ranked) * _SHORT_PROMPT_ENGINE_SHARE)]
     )
-    if size.tokens >= _LONG_PROMPT_TOKENS:
+    if is_long:
         return {
             name: _LONG_PROMPT_MISPLACEMENT_MS
             if name in reserved_for_short
@@ -292,6 +308,7 @@
     spec: catalog.EngineSpec,
     failure_domain: str,
     misplacement_ms: float,
+    estimates: estimates_lib.EngineEstimates,
 ) -> Choice:
     """Returns an engine with the estimated cost of running the request there.
 
@@ -299,16 +316,17 @@
     success rate.
     """
     load = engine.load
-    wait_ms = load.prompt_tokens / fleet.PREFILL_TOKENS_PER_MS
+    tokens_per_ms = estimates.prefill_tokens_per_ms
+    wait_ms = load.prompt_tokens / tokens_per_ms
     cost_ms = wait_ms + load.running * _MS_PER_RUNNING_REQUEST + misplacement_ms
     cost_ms += max(0, load.running + 1 - spec.slots) * _MS_PER_QUEUED_REQUEST
     if engine.shared is PrefixSource.COMPUTED:
-        prefill_ms = size.shared_tokens / fleet.PREFILL_TOKENS_PER_MS
+        prefill_ms = size.shared_tokens / tokens_per_ms
         cost_ms += _RECOMPUTE_WEIGHT * prefill_ms
     elif engine.shared is PrefixSource.FETCHED:
         cost_ms += size.fetch_ms + _FETCH_PENALTY_MS
     if preferred and engine.id != preferred:
-        is_short = size.tokens < _LONG_PROMPT_TOKENS
+        is_short = size.tokens < estimates.split.long_tokens
         cost_ms += (
             _NOT_PREFERRED_SHORT_PENALTY_MS
             if is_short
@@ -318,7 +336,7 @@
     excess_tokens = max(
         0.0, needed_tokens - _USABLE_MEMORY_SHARE * spec.capacity_tokens
     )
-    cost_ms += excess_tokens / 1000 * _MS_PER_1000_EXCESS_TOKENS
+    cost_ms += _EXCESS_TOKEN_WEIGHT * excess_tokens / tokens_per_ms
     if engine.has_outdated_weights:
         cost_ms += _OUTDATED_WEIGHTS_PENALTY_MS
     if engine.failure_domain != failure_domain:
--- /dev/null
+++ b/sardinewharf/balancing/estimates.py
@@ -0,0 +1,55 @@
+"""Holds what is measured of a service's engines and prompts while they serve.
+
+See Also:
+    ``prefill_rates`` and ``prompt_lengths``, which measure the values.
+"""
+
+import dataclasses
+
+from sardinewharf.balancing import prefill_rates
+from sardinewharf.balancing import prompt_lengths
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineEstimates:
+    """Estimates that the choice of an engine depends on.
+
+    Attributes:
+        prefill_tokens_per_ms: Prompt tokens that an engine works off per
+            millisecond.
+        split: Boundaries between short and long prompts.
+    """
+
+    prefill_tokens_per_ms: float = prefill_rates.ASSUMED_TOKENS_PER_MS
+    split: prompt_lengths.LengthSplit = prompt_lengths.LengthSplit()
+
+
+class EngineEstimator:
+    """Measures a service's engines and prompts."""
+
+    def __init__(self) -> None:
+        self._rates = prefill_rates.PrefillRateEstimator()
+        self._lengths = prompt_lengths.PromptLengths()
+
+    def read(self) -> EngineEstimates:
+        """Returns the present estimates."""
+        return EngineEstimates(self._rates.tokens_per_ms, self._lengths.split)
+
+    def record_prompt(self, tokens: int) -> None:
+        """Records the length of a prompt that a caller sent."""
+        self._lengths.record(tokens)
+
+    def record_first_token(
+        self, prefill_tokens: int, queued_tokens: int, took_ms: float
+    ) -> None:
+        """Records the first token of an answer.
+
+        Short prompts are left out: they overtake the queue that they find.
+
+        Args:
+            prefill_tokens: Prompt tokens that the engine had to prefill for it.
+            queued_tokens: Those that were queued there before.
+            took_ms: Time from the sending of the request, in milliseconds.
+        """
+        if prefill_tokens >= self._lengths.split.long_tokens:
+            self._rates.record(prefill_tokens + queued_tokens, took_ms)
--- a/sardinewharf/balancing/tests/test_load_patterns.py
+++ b/sardinewharf/balancing/tests/test_load_patterns.py
@@ -9,6 +9,7 @@
 from sardinewharf.standins import batch_engine
 
 SPEC = catalog.EngineSpec(24, 130_000, 18_432, 370_000.0, ("m",), 12)
+ESTIMATES = balancing.EngineEstimates()
 SHORT_TOKENS = 380
 LONG_TOKENS = 17_000
 
@@ -42,7 +43,7 @@
 
 
 def choose_by_cost(states, size):
-    return balancing.choose_engine(states, size, SPEC, "fd").id
+    return balancing.choose_engine(states, size, SPEC, "fd", ESTIMATES).id
 
 
 def simulate_traffic(
@@ -61,7 +62,9 @@
             engine.run_until(arrives_ms)
         size = balancing.PromptSize(prompt_key, int(tokens * 0.7), tokens, 60)
         name = choose([make_state(e) for e in fleet_.values()], size)
-        priority = balancing.choose_priority(0, tokens) if use_priorities else 0
+        priority = 0
+        if use_priorities:
+            priority = balancing.choose_priority(0, tokens, ESTIMATES.split)
         request = batch_engine.BatchRequest(arrives_ms, tokens, 60, priority)
         fleet_[name].add(request)
         requests.append(request)
@@ -152,7 +155,7 @@
         balancing.EngineState(f"e{i}", "fd", idle, shared=fetched)
         for i in range(6)
     ]
-    free = balancing.choose_engine(states, size, SPEC, "fd").id
+    free = balancing.choose_engine(states, size, SPEC, "fd", ESTIMATES).id
     other = next(s.id for s in states if s.id != free)
     states = [
         balancing.EngineState(
@@ -160,7 +163,7 @@
         )
         for s in states
     ]
-    chosen = balancing.choose_engine(states, size, SPEC, "fd")
+    chosen = balancing.choose_engine(states, size, SPEC, "fd", ESTIMATES)
     assert chosen.shared is cached or chosen.cost_ms < 70.0
 
 
--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -21,9 +21,6 @@
 # Time for which a peer's reported load counts. In a large fleet each peer
 # reports about every two seconds.
 _PEER_LOAD_TTL_S = 3.0
-# Prompt tokens that an engine prefills per millisecond.
-PREFILL_TOKENS_PER_MS = 50.0
-_PREFILL_TOKENS_PER_S = 1000 * PREFILL_TOKENS_PER_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,12 +136,22 @@
             by_peer = self._peers.setdefault(endpoint_id, {})
             by_peer[peer] = _PeerLoad(now, load)
 
-    def read(self, endpoint_id: ids.EndpointId, now: float) -> EndpointLoad:
+    def read(
+        self,
+        endpoint_id: ids.EndpointId,
+        now: float,
+        prefill_tokens_per_ms: float = 0.0,
+    ) -> EndpointLoad:
         """Returns the load of an endpoint.
 
         The prompt tokens that peers reported are reduced by what the endpoint
         has prefilled since. It prefills the prompts of all gateways in turn, so
         that each peer's share shrinks at the rate of the whole queue.
+
+        Args:
+            endpoint_id: The endpoint.
+            now: The present time, on the monotonic clock.
+            prefill_tokens_per_ms: Rate at which it prefills; 0 if it does not.
         """
         running, prompt_tokens, held_tokens = self._own.get(
             endpoint_id, (0, 0, 0)
@@ -163,7 +170,8 @@
             if queued_tokens:
                 prefilled_share = (
                     (now - peer.received_at)
-                    * _PREFILL_TOKENS_PER_S
+                    * 1000
+                    * prefill_tokens_per_ms
                     / queued_tokens
                 )
                 prompt_tokens += int(
--- a/sardinewharf/fleet/tests/test_loads.py
+++ b/sardinewharf/fleet/tests/test_loads.py
@@ -10,6 +10,7 @@
 
 ENGINE = ids.EndpointId("e1")
 TOKENS = 17_000
+TOKENS_PER_MS = 50.0
 
 
 def make_table(peers, at=0.0):
@@ -26,15 +27,15 @@
     It once shrank as if the engine prefilled that peer's prompts alone.
     """
     table = make_table(peers=20)
-    prefilled = fleet.PREFILL_TOKENS_PER_MS * 500
-    remaining = table.read(ENGINE, now=0.5).prompt_tokens
+    prefilled = TOKENS_PER_MS * 500
+    remaining = table.read(ENGINE, 0.5, TOKENS_PER_MS).prompt_tokens
     assert abs(remaining - (20 * TOKENS - prefilled)) < 20
-    assert table.read(ENGINE, now=2.5).prompt_tokens > 10 * TOKENS
+    assert table.read(ENGINE, 2.5, TOKENS_PER_MS).prompt_tokens > 10 * TOKENS
 
 
 def test_a_single_prompt_is_prefilled_in_its_time():
     table = make_table(peers=1)
-    assert table.read(ENGINE, now=0.5).prompt_tokens == 0
+    assert table.read(ENGINE, 0.5, TOKENS_PER_MS).prompt_tokens == 0
 
 
 def test_peers_that_report_every_two_seconds_count():
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -63,6 +63,7 @@
         replica: This gateway's replica of the store.
         prompts: Where shared prompts are cached.
         crashes: Requests that ran when endpoints crashed.
+        estimators: What is measured of engines and prompts.
         log: Receives a record of each attempt.
         metrics: Counts attempts and their outcomes.
     """
@@ -78,6 +79,7 @@
     replica: replica_lib.Replica
     prompts: prompts_lib.PromptTable
     crashes: limits.CrashTable
+    estimators: tables.EstimatorTable
     log: records.RecordSink
     metrics: metrics_lib.GatewayMetrics
 
@@ -113,6 +115,11 @@
             RefusedError: If no endpoint gave a valid response. The refusal
                 states correctly whether the request may have run.
         """
+        prompt = call.request.headers.prompt
+        if prompt is not None and not call.sends:
+            self._dependencies.estimators.find(call.service).record_prompt(
+                prompt.tokens
+            )
         connect_failures = 0
         while connect_failures < _MAX_CONNECT_FAILURES:
             self._check_may_send(call)
@@ -246,7 +253,10 @@
         """
         left = call.deadline.remaining()
         if not balancing.misses_deadline(
-            target.prefill_tokens, target.prefill_finish_s * 1000, left * 1000
+            target.prefill_tokens,
+            target.prefill_finish_s * 1000,
+            left * 1000,
+            self._dependencies.estimators.find(call.service).read().split,
         ):
             return
         call.last_failure_detail = (
@@ -344,7 +354,13 @@
             target.needs_prefill,
         )
         return requests.Attempt(
-            target, pool, connection, running_request, exchange, prefill_handle
+            target,
+            pool,
+            connection,
+            running_request,
+            exchange,
+            prefill_handle,
+            self._dependencies.estimators.find(call.service),
         )
 
     def _encode(self, call: requests.Call, target: requests.Target) -> bytes:
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -29,6 +29,8 @@
 # Peers that receive the digest of a round.
 _GOSSIP_FANOUT = 8
 _MAX_DATAGRAM_BYTES = 1_400
+# A broadcast holds a whole digest if that takes at most this long, in seconds.
+_MAX_DIGEST_BROADCAST_S = 0.02
 _log = logs.get_logger("peers")
 
 
@@ -59,10 +61,11 @@
         self._request_sync = request_sync
         self._transport: asyncio.DatagramTransport | None = None
         self._random = random.Random(settings.name)
+        self._broadcast_pace = broadcasts.compute_pace(settings.link_mbps)
         self._broadcaster = broadcasts.Broadcaster(
-            broadcasts.compute_pace(settings.link_mbps),
+            self._broadcast_pace,
             self._list_addresses,
-            self._make_urgent_datagram,
+            self._make_broadcast,
             self._send_to,
         )
 
@@ -105,7 +108,18 @@
         """Sends an urgent update to all peers soon."""
         self._broadcaster.request()
 
-    def _make_urgent_datagram(self) -> bytes | None:
+    def _make_broadcast(self) -> bytes | None:
+        """Returns a digest, or an urgent update if the link is too slow.
+
+        A digest also holds the loads, which change with each broadcast.
+        """
+        duration_s = (
+            len(self._replica.members)
+            * _MAX_DATAGRAM_BYTES
+            / self._broadcast_pace.bytes_per_s
+        )
+        if duration_s <= _MAX_DIGEST_BROADCAST_S:
+            return self._encode(self._exchange.make_digest())
         return self._encode(self._exchange.make_urgent_update())
 
     def _encode(self, message: digests.Message) -> bytes | None:
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -148,6 +148,7 @@
         running_request: The request's entry in the load table.
         exchange: The response as it arrives.
         prefill_handle: Reports to the prompt table how the prefill ended.
+        estimator: Receives the time to the first token of a prompt.
 
     Attributes:
         head: The decoded status and headers of the response; None before they
@@ -162,8 +163,12 @@
         running_request: fleet.RunningRequest,
         exchange: http1.Exchange,
         prefill_handle: prompts.PrefillHandle,
+        estimator: balancing.EngineEstimator,
     ):
         self.target = target
+        self._estimator = estimator
+        self._sent_at = clocks.read_monotonic()
+        self._has_first_event = False
         self.exchange = exchange
         self._running_request = running_request
         self._prefill_handle = prefill_handle
@@ -172,9 +177,21 @@
         self._connection = connection
 
     def record_first_event(self) -> None:
-        """Records the first event of a stream, which ends the prefill."""
+        """Records the first event of a stream, which ends the prefill.
+
+        Later calls have no effect.
+        """
+        if self._has_first_event:
+            return
+        self._has_first_event = True
         self._running_request.end_prefill()
         self._prefill_handle.succeed()
+        took_s = clocks.read_monotonic() - self._sent_at
+        self._estimator.record_first_token(
+            self.target.prefill_tokens,
+            self.target.load.prompt_tokens,
+            took_s * 1000,
+        )
 
     def close(self) -> None:
         """Releases the connection and the attempt's share of the load.
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -22,6 +22,7 @@
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import tables
 
 _SCHEDULE_INTERVAL_S = 0.05
 _LEASE_CHECK_INTERVAL_S = 0.25
@@ -64,6 +65,7 @@
         drains: Engines that are drained.
         exchange: Reports weights to the other gateways.
         peers: Sends the reports.
+        estimators: What is measured of engines and prompts.
         log: Where leadership changes and orders are logged.
     """
 
@@ -78,6 +80,7 @@
         drains: drains_lib.DrainTable,
         exchange: exchange_lib.StateExchange,
         peers: peers_lib.Peers,
+        estimators: tables.EstimatorTable,
         log: records.RecordSink,
     ):
         self._name = settings.name
@@ -90,6 +93,7 @@
         self._drains = drains
         self._exchange = exchange
         self._peers = peers
+        self._estimators = estimators
         self._log = log
         self._tasks = tasks.TaskGroup()
         self._updating: set[ids.EndpointId] = set()
@@ -162,6 +166,7 @@
         now = clocks.read_monotonic()
         registry = self._replica.registry
         engines = registry.list_ready(service)
+        estimates = self._estimators.find(service).read()
         states = [
             balancing.EngineRolloutState(
                 endpoint.id,
@@ -174,7 +179,7 @@
         ]
         if all(state.version >= target for state in states):
             return
-        pace = self._measure_pace(engines, model, now)
+        pace = self._measure_pace(engines, model, estimates, now)
         for engine in balancing.choose_engines_to_update(states, target, pace):
             endpoint = registry.find(ids.EndpointId(engine))
             if self._responded_recently(endpoint, now):
@@ -214,14 +219,20 @@
             self._probing.discard(endpoint.id)
 
     def _measure_pace(
-        self, engines: Sequence[fleet.Endpoint], model: str, now: float
+        self,
+        engines: Sequence[fleet.Endpoint],
+        model: str,
+        estimates: balancing.EngineEstimates,
+        now: float,
     ) -> balancing.RolloutPace:
         """Returns how loaded the engines are, and how urgent the rollout is."""
         tokens = sum(
-            self._loads.read(endpoint.id, now).prompt_tokens
+            self._loads.read(
+                endpoint.id, now, estimates.prefill_tokens_per_ms
+            ).prompt_tokens
             for endpoint in engines
         )
-        mean_wait_ms = tokens / len(engines) / fleet.PREFILL_TOKENS_PER_MS
+        mean_wait_ms = tokens / len(engines) / estimates.prefill_tokens_per_ms
         target_set_at = self._replica.target_versions.find_target_time(model)
         if target_set_at is None:
             return balancing.RolloutPace(mean_wait_ms, elapsed_share=1.0)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -17,6 +17,7 @@
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import tables
 
 # Share of an endpoint's connections that all gateways together may use.
 _CONNECTION_SHARE = 0.9
@@ -40,6 +41,7 @@
         health: Failures and ejections of each endpoint.
         drains: Engines that are being drained.
         prompts: Where shared prompts are cached.
+        estimators: What is measured of engines and prompts.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         health: fleet.HealthTable,
         drains: drains_lib.DrainTable,
         prompts: prompts_lib.PromptTable,
+        estimators: tables.EstimatorTable,
     ):
         self._settings = settings
         self._replica = replica
@@ -57,6 +60,7 @@
         self._health = health
         self._drains = drains
         self._prompts = prompts
+        self._estimators = estimators
 
     def choose_service(self, route: catalog.Route) -> str:
         """Returns a service of a route at random, by the splits' weights.
@@ -162,11 +166,14 @@
         now: float,
     ) -> requests.Target | None:
         """Returns a target of a service that has engines; None for none."""
+        estimates = self._estimators.find(call.service).read()
         usable = self._list_with_current_weights(endpoints, prompt.model, now)
         cache_keys = _CacheKeys(call, prompt, self._prompts)
         incarnations = [e.incarnation for e in usable]
         candidates = [
-            self._make_candidate(prompt, cache_keys, e, incarnations, now)
+            self._make_candidate(
+                prompt, cache_keys, e, incarnations, now, estimates
+            )
             for e in usable
         ]
         states = [
@@ -189,12 +196,14 @@
             fetch_ms=self._estimate_fetch_ms(spec, prompt),
         )
         choice = balancing.choose_engine(
-            states, size, spec, self._settings.failure_domain
+            states, size, spec, self._settings.failure_domain, estimates
         )
         if choice is None:
             return None
         chosen = next(v for v in candidates if v.endpoint.id == choice.id)
-        return self._make_target(call, prompt, chosen, choice, usable)
+        return self._make_target(
+            call, prompt, chosen, choice, usable, estimates
+        )
 
     def _make_candidate(
         self,
@@ -203,6 +212,7 @@
         endpoint: fleet.Endpoint,
         incarnations: list[str],
         now: float,
+        estimates: balancing.EngineEstimates,
     ) -> "_EngineCandidate":
         """Returns the facts about an engine that matter to a request."""
         weights = self._replica.registry.find_weights(endpoint.id, prompt.model)
@@ -213,7 +223,9 @@
             endpoint.incarnation,
             incarnations,
         )
-        load = self._loads.read(endpoint.id, now)
+        load = self._loads.read(
+            endpoint.id, now, estimates.prefill_tokens_per_ms
+        )
         return _EngineCandidate(endpoint, weights, cache_key, shared, load)
 
     def _make_target(
@@ -223,6 +235,7 @@
         chosen: "_EngineCandidate",
         choice: balancing.Choice,
         usable: list[fleet.Endpoint],
+        estimates: balancing.EngineEstimates,
     ) -> requests.Target:
         """Returns the target for a chosen engine.
 
@@ -232,6 +245,7 @@
             chosen: The engine.
             choice: Estimates for the engine.
             usable: All engines that it was chosen from.
+            estimates: What was measured of engines and prompts.
         """
         needs_prefill = choice.shared is balancing.PrefixSource.COMPUTED
         store = self._prompts.store
@@ -242,13 +256,13 @@
         prefill_tokens = prompt.tokens
         if not needs_prefill:
             prefill_tokens -= prompt.shared_tokens
-        own_prefill_ms = prefill_tokens / fleet.PREFILL_TOKENS_PER_MS
+        own_prefill_ms = prefill_tokens / estimates.prefill_tokens_per_ms
         return requests.Target(
             chosen.endpoint,
             weights=chosen.weights,
             cache_scope=cache_key.scope,
             priority=balancing.choose_priority(
-                call.admitted.priority, prefill_tokens
+                call.admitted.priority, prefill_tokens, estimates.split
             ),
             fetch_from=self._find_fetch_source(chosen, usable),
             save_to=store.address if saves else "",
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -104,6 +104,7 @@
         self._drains = drains_lib.DrainTable()
         self._crashes = limits.CrashTable()
         self._prompts = prompts_lib.PromptTable(self._schedule_broadcast)
+        self._estimators = tables.EstimatorTable()
         selector = selection.Selector(
             settings,
             self._replica,
@@ -111,6 +112,7 @@
             self._health,
             self._drains,
             self._prompts,
+            self._estimators,
         )
         dispatcher = dispatcher_lib.Dispatcher(
             dispatcher_lib.DispatcherDependencies(
@@ -125,6 +127,7 @@
                 replica=self._replica,
                 prompts=self._prompts,
                 crashes=self._crashes,
+                estimators=self._estimators,
                 log=log,
                 metrics=self._metrics,
             )
@@ -235,6 +238,7 @@
             self._drains,
             self._exchange,
             self._peers,
+            self._estimators,
             self._log,
         )
 
--- a/sardinewharf/gateway/tables.py
+++ b/sardinewharf/gateway/tables.py
@@ -1,5 +1,6 @@
-"""Holds connection pools by endpoint and retry budgets by service."""
+"""Holds what a gateway keeps for each endpoint or each service."""
 
+from sardinewharf import balancing
 from sardinewharf import fleet
 from sardinewharf import http1
 from sardinewharf import ids
@@ -59,3 +60,14 @@
         self._share = share
         for budget in self._budgets.values():
             budget.share = share
+
+
+class EstimatorTable:
+    """Estimators of engines and prompts by service."""
+
+    def __init__(self) -> None:
+        self._estimators: dict[str, balancing.EngineEstimator] = {}
+
+    def find(self, service: str) -> balancing.EngineEstimator:
+        """Returns the estimator of a service."""
+        return self._estimators.setdefault(service, balancing.EngineEstimator())
