End responses without end, and streams that only trickle

Cause: heads, interim responses, trailers and chunk extensions without end were kept or read until the deadline, and so was an event without end: a server can fill the 200 MB of a VM. A resumable stream that sends a byte now and then was never silent, so it was read to its deadline.

Change: 64 KiB without completing the head or adding to the body end the connection; an event is buffered up to 1 MiB; a resumable stream that completes no event for 1.5 s beyond the prefill of its queue goes on elsewhere.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import random
 from typing import TypeVar
 
 from sardinewharf import balancing
@@ -31,8 +32,10 @@
 # Share of the remaining time that the first attempt of a retryable request may
 # take; the rest is left for a second endpoint.
 _FIRST_ATTEMPT_SHARE = 0.45
-# Retry-After of refusals.
-_RETRY_AFTER_S = 0.3
+# Retry-After of refusals, in seconds: drawn from a range, so that callers that
+# were refused together do not come back together.
+_MIN_RETRY_AFTER_S = 0.2
+_MAX_RETRY_AFTER_S = 0.5
 _ReadResult = TypeVar("_ReadResult")
 # Longest wait for another request that prefills the same shared prompt, in
 # seconds and as a share of the remaining time.
@@ -42,6 +45,9 @@
 _REFUSAL_BACKOFF_S = 0.15
 # The same after status 421, Misdirected Request.
 _MISDIRECTED_BACKOFF_S = 1.0
+# Longest time between the ends of two events of a resumable stream while data
+# arrives, in seconds, beyond the prefill of the queued prompts.
+_MAX_EVENT_S = 1.5
 # Statuses that state that a request has not run; they count only if the
 # response carries the endpoint's stamp.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -118,7 +124,7 @@
         prompt = call.request.headers.prompt
         if prompt is not None and not call.sends:
             self._dependencies.estimators.find(call.service).record_prompt(
-                prompt.tokens
+                prompt.shared_ids, prompt.tokens
             )
         connect_failures = 0
         while connect_failures < _MAX_CONNECT_FAILURES:
@@ -216,6 +222,27 @@
             health.record_response(incarnation, clocks.read_monotonic())
             return result
 
+    def check_progress(
+        self, call: requests.Call, attempt: requests.Attempt, since: float
+    ) -> None:
+        """Checks that a stream whose events do not end may go on.
+
+        An endpoint that sends a byte now and then is never silent. Only a
+        stream that can be resumed elsewhere is given up.
+
+        Args:
+            call: The request.
+            attempt: The attempt that sent data without completing an event.
+            since: When it last completed one, or began to be read.
+
+        Raises:
+            ResponseLostError: If it has taken too long.
+        """
+        limit_s = _MAX_EVENT_S + attempt.target.prefill_finish_s
+        took_s = clocks.read_monotonic() - since
+        if _is_resumable(call) and took_s > limit_s:
+            raise http1.ResponseLostError(f"no event for {took_s:.1f} s")
+
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
         self._dependencies.health.record_success(
@@ -509,7 +536,10 @@
         """
         detail = call.last_failure_detail or reason.value
         if not call.may_have_run:
-            return refusals.refuse(reason, detail, _RETRY_AFTER_S)
+            retry_after_s = random.uniform(
+                _MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S
+            )
+            return refusals.refuse(reason, detail, retry_after_s)
         is_late = call.deadline.is_past()
         final_reason = (
             refusals.Reason.TIMED_OUT if is_late else refusals.Reason.LOST
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -181,6 +181,7 @@
         Returns:
             Whether the stream came to its end.
         """
+        progress_at = clocks.read_monotonic()
         try:
             while True:
                 async with asyncio.timeout_at(call.deadline.at):
@@ -189,14 +190,20 @@
                     )
                 if not chunk:
                     break
-                attempt.record_first_event()
                 complete_events = framer.feed(chunk)
                 if complete_events:
+                    attempt.record_first_event()
+                    progress_at = clocks.read_monotonic()
                     if call.first_byte_at is None:
                         call.first_byte_at = clocks.read_monotonic()
                     call.sent_bytes += len(complete_events)
                     await responder.write(complete_events)
-        except http1.ResponseLostError as error:
+                else:
+                    self._dispatcher.check_progress(call, attempt, progress_at)
+        except (
+            http1.ResponseLostError,
+            streams.EventTooLargeError,
+        ) as error:
             self._dispatcher.record_loss(call, attempt, str(error))
             return False
         except TimeoutError:
--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -25,6 +25,14 @@
 _CRLF_EVENT_END = b"\r\n\r\n"
 
 
+# Largest event that is buffered until it is complete.
+_MAX_EVENT_BYTES = 1_048_576
+
+
+class EventTooLargeError(Exception):
+    """Raised if an event does not end within the largest size."""
+
+
 class EventFramer:
     """Extracts complete events from the chunks of a stream.
 
@@ -42,13 +50,21 @@
         return not self._pending
 
     def feed(self, chunk: bytes) -> bytes:
-        """Returns the events that are complete, and buffers the rest."""
+        """Returns the events that are complete, and buffers the rest.
+
+        Raises:
+            EventTooLargeError: If an event is too large to be buffered.
+        """
         data = self._pending + chunk
         end = max(
             _find_end(data, _EVENT_END),
             _find_end(data, _CRLF_EVENT_END),
         )
         complete_events, self._pending = data[:end], data[end:]
+        if len(self._pending) > _MAX_EVENT_BYTES:
+            raise EventTooLargeError(
+                f"an event exceeds {_MAX_EVENT_BYTES} bytes"
+            )
         for match in _ID.finditer(complete_events):
             self.last_id = int(match.group(1))
         return complete_events
--- a/sardinewharf/gateway/tests/test_faulty_endpoints.py
+++ b/sardinewharf/gateway/tests/test_faulty_endpoints.py
@@ -1,6 +1,7 @@
 """Tests the responses to requests if endpoints have faults."""
 
 import asyncio
+import time
 
 import pytest
 import pytest_asyncio
@@ -110,6 +111,20 @@
         assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
 
 
+async def test_a_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere(
+    harness,
+):
+    """A stalled stream was read until its deadline, as it was never silent."""
+    inject_faults(harness.engines[:1], trickle=True)
+    started_at = time.monotonic()
+    responses = await asyncio.gather(
+        *(harness.send_request("/ask/1", body=b"p") for _ in range(3))
+    )
+    assert all(response.is_complete for response in responses)
+    assert all(response.body.count(b"data:") == 4 for response in responses)
+    assert time.monotonic() - started_at < 4.5
+
+
 async def test_another_stream_is_cut_and_does_not_look_whole(harness):
     inject_faults(harness.engines, cut_after=2)
     response = await harness.send_request("/chat/1", body=b"p")
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -31,6 +31,9 @@
 # Idle timeout assumed if the endpoint states none.
 _DEFAULT_IDLE_TIMEOUT_S = 0.25
 
+# Most bytes that may arrive without completing the head or adding to the body.
+_MAX_OVERHEAD_BYTES = 65_536
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -166,6 +169,8 @@
         self._body_ends_at_eof = False
         self._is_paused = False
         self._has_head = False
+        # Bytes received since the end of the head or the last data of the body.
+        self._overhead_bytes = 0
         self._is_unusable = False
         self.idle_until = clocks.Deadline(0.0)
         self.reuse_until = clocks.Deadline(0.0)
@@ -192,6 +197,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._has_head = False
+        self._overhead_bytes = 0
         self._body_ends_at_eof = False
         self._transport.write(request)
         return self._exchange
@@ -232,12 +238,20 @@
             # These bytes belong to no request.
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            self._is_unusable = True
-            exchange.fail(f"not an HTTP answer: {type(e).__name__}")
-            self._transport.abort()
+            self._fail(exchange, f"not an HTTP answer: {type(e).__name__}")
+            return
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            self._fail(exchange, "headers without end")
+
+    def _fail(self, exchange: Exchange, reason: str) -> None:
+        """Marks the response as lost and closes the connection."""
+        self._is_unusable = True
+        exchange.fail(reason)
+        self._transport.abort()
 
     def eof_received(self) -> None:
         """Completes a body that ends with the connection; called by asyncio."""
@@ -282,6 +296,7 @@
         self._body_ends_at_eof = not has_length and coding is None
         self._set_idle_until(head)
         self._has_head = True
+        self._overhead_bytes = 0
         self._exchange.set_head(head)
         if self._exchange.method == b"HEAD":
             self._is_unusable = True
@@ -289,6 +304,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes received data of the body to the exchange."""
+        self._overhead_bytes = 0
         if not self._exchange.is_complete:
             self._exchange.add_chunk(body)
 
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from sardinewharf import http1
 
 
@@ -86,3 +88,44 @@
     except http1.ResponseLostError:
         return
     raise AssertionError("a truncated response was taken as complete")
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begin", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"x-name: value\r\n" * 500),
+        (b"HTTP/1.1 200 OK\r\nx-name: ", b"v" * 8_000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 300),
+        (CHUNKED + b"1;", b"name=value;" * 700),
+        (CHUNKED + b"0\r\n", b"x-name: value\r\n" * 500),
+    ],
+    ids=["headers", "value", "interim", "extension", "trailers"],
+)
+async def test_bytes_without_end_are_not_collected(begin, repeated):
+    """They were kept until the deadline, and filled the memory of a VM."""
+    connection, exchange = open_exchange()
+    connection.data_received(begin + repeated)
+    received = 0
+    while connection.is_open:
+        connection.data_received(repeated)
+        received += len(repeated)
+        assert received < 200_000, received
+    with pytest.raises(http1.ResponseLostError):
+        if begin.startswith(CHUNKED):
+            await exchange.read_head()
+            await exchange.read()
+            await exchange.read()
+        await exchange.read_head()
+
+
+async def test_a_large_body_is_not_taken_for_headers():
+    connection, exchange = open_exchange()
+    connection.data_received(CHUNKED)
+    for _ in range(400):
+        connection.data_received(b"4000\r\n" + b"b" * 0x4000 + b"\r\n")
+        assert len(await exchange.read()) == 0x4000
+    connection.data_received(b"0\r\n\r\n")
+    assert await exchange.read() == b""
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -12,6 +12,9 @@
 import httptools
 import msgspec
 
+# Time between the bytes of a stream that trickles, in seconds.
+_TRICKLE_INTERVAL_S = 0.05
+
 
 @dataclasses.dataclass
 class Faults:
@@ -26,6 +29,7 @@
         hang: Executes the request and never responds.
         cut_after: Aborts a stream within the event after this one; 0 for
             never.
+        trickle: Begins a stream, then sends a byte now and then for ever.
         short_body: Closes the connection before the end of the body.
         extra: Sends a second response after the first one.
         garbage: Executes the request and sends bytes that are not HTTP.
@@ -42,6 +46,7 @@
     reset: bool = False
     hang: bool = False
     cut_after: int = 0
+    trickle: bool = False
     short_body: bool = False
     extra: bool = False
     garbage: bool = False
@@ -284,6 +289,9 @@
         headers.append(("x-sardinewharf-weight-versions", str(self.version)))
         headers.append(("content-type", "text/event-stream"))
         connection.write_head(200, headers, None, is_chunked=True)
+        while faults.trickle:
+            connection.write_chunk(b"d")
+            await asyncio.sleep(_TRICKLE_INTERVAL_S)
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             event = self.make_event(request, number)
