Serve large fleets by what is known of few, and group prompts by level

All preferred the first engine with new weights by 150 ms; it refused 170 requests in a second. - Shared parts come in levels.

--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -37,7 +37,8 @@
 _EXCESS_TOKEN_WEIGHT = 3.0
 # Share of an engine's memory that requests can fill before others are queued.
 _USABLE_MEMORY_SHARE = 0.9
-# Cost of an engine that does not have the target version yet.
+# Cost of an engine that does not have the target version yet, once all others
+# have it. It is less while fewer have it: they cannot take all requests.
 _OUTDATED_WEIGHTS_PENALTY_MS = 150.0
 # Share of the engines that are reserved for short prompts. Long prompts use
 # them only if all other engines cost much more.
@@ -121,12 +122,15 @@
         cost_ms: Estimated cost of running the request there.
         wait_ms: Time in which it prefills the prompts queued there.
         shared: Where it gets the shared prompt from.
+        preferred: Id of the preferred engine of the shared prompt; empty if
+            it has none.
     """
 
     id: str
     cost_ms: float
     wait_ms: float
     shared: PrefixSource
+    preferred: str = ""
 
 
 def misses_deadline(
@@ -235,6 +239,7 @@
         engines, size.tokens >= estimates.split.long_tokens
     )
     preferred = _find_preferred(size, misplacements_ms)
+    outdated_ms = _compute_outdated_penalty_ms(engines)
     choices = [
         _compute_choice(
             engine,
@@ -242,7 +247,8 @@
             size,
             spec,
             failure_domain,
-            misplacements_ms[engine.id],
+            misplacements_ms[engine.id]
+            + (outdated_ms if engine.has_outdated_weights else 0.0),
             estimates,
         )
         for engine in engines
@@ -301,13 +307,23 @@
     }
 
 
+def _compute_outdated_penalty_ms(engines: Sequence[EngineState]) -> float:
+    """Returns the cost of engines without the target version.
+
+    When the first of many engines has new weights, all gateways would send
+    their requests there, and it would refuse most of them.
+    """
+    current = sum(not engine.has_outdated_weights for engine in engines)
+    return _OUTDATED_WEIGHTS_PENALTY_MS * current / max(1, len(engines))
+
+
 def _compute_choice(
     engine: EngineState,
     preferred: str,
     size: PromptSize,
     spec: catalog.EngineSpec,
     failure_domain: str,
-    misplacement_ms: float,
+    penalty_ms: float,
     estimates: estimates_lib.EngineEstimates,
 ) -> Choice:
     """Returns an engine with the estimated cost of running the request there.
@@ -318,7 +334,7 @@
     load = engine.load
     tokens_per_ms = estimates.prefill_tokens_per_ms
     wait_ms = load.prompt_tokens / tokens_per_ms
-    cost_ms = wait_ms + load.running * _MS_PER_RUNNING_REQUEST + misplacement_ms
+    cost_ms = wait_ms + load.running * _MS_PER_RUNNING_REQUEST + penalty_ms
     cost_ms += max(0, load.running + 1 - spec.slots) * _MS_PER_QUEUED_REQUEST
     if engine.shared is PrefixSource.COMPUTED:
         prefill_ms = size.shared_tokens / tokens_per_ms
@@ -337,9 +353,7 @@
         0.0, needed_tokens - _USABLE_MEMORY_SHARE * spec.capacity_tokens
     )
     cost_ms += _EXCESS_TOKEN_WEIGHT * excess_tokens / tokens_per_ms
-    if engine.has_outdated_weights:
-        cost_ms += _OUTDATED_WEIGHTS_PENALTY_MS
     if engine.failure_domain != failure_domain:
         cost_ms += _REMOTE_DOMAIN_PENALTY_MS
     cost_ms /= max(0.1, 1.0 - engine.failure_rate)
-    return Choice(engine.id, cost_ms, wait_ms, engine.shared)
+    return Choice(engine.id, cost_ms, wait_ms, engine.shared, preferred)
--- a/sardinewharf/balancing/estimates.py
+++ b/sardinewharf/balancing/estimates.py
@@ -1,12 +1,15 @@
 """Holds what is measured of a service's engines and prompts while they serve.
 
 See Also:
-    ``prefill_rates`` and ``prompt_lengths``, which measure the values.
+    ``prefill_rates``, ``prompt_lengths`` and ``prefix_groups``, which measure
+    the values.
 """
 
+from collections.abc import Sequence
 import dataclasses
 
 from sardinewharf.balancing import prefill_rates
+from sardinewharf.balancing import prefix_groups
 from sardinewharf.balancing import prompt_lengths
 
 
@@ -30,14 +33,32 @@
     def __init__(self) -> None:
         self._rates = prefill_rates.PrefillRateEstimator()
         self._lengths = prompt_lengths.PromptLengths()
+        self._demand = prefix_groups.PrefixDemand()
 
     def read(self) -> EngineEstimates:
         """Returns the present estimates."""
         return EngineEstimates(self._rates.tokens_per_ms, self._lengths.split)
 
-    def record_prompt(self, tokens: int) -> None:
-        """Records the length of a prompt that a caller sent."""
+    def record_prompt(
+        self, shared_part_ids: Sequence[str], tokens: int
+    ) -> None:
+        """Records a prompt that a caller sent.
+
+        Args:
+            shared_part_ids: Ids of its shared parts, in order.
+            tokens: Tokens of the whole prompt.
+        """
         self._lengths.record(tokens)
+        self._demand.record(shared_part_ids, tokens)
+
+    def find_group(self, shared_part_ids: Sequence[str], engines: int) -> str:
+        """Returns the key of the prompts that are to share an engine.
+
+        Args:
+            shared_part_ids: Ids of a prompt's shared parts, in order.
+            engines: Number of engines that requests can be sent to.
+        """
+        return self._demand.find_group(shared_part_ids, engines)
 
     def record_first_token(
         self, prefill_tokens: int, queued_tokens: int, took_ms: float
--- a/sardinewharf/balancing/tests/test_load_patterns.py
+++ b/sardinewharf/balancing/tests/test_load_patterns.py
@@ -233,3 +233,34 @@
     ]
     pace = balancing.RolloutPace(mean_wait_ms=100.0)
     assert balancing.choose_engines_to_update(states, 2, pace) == ["e2", "e3"]
+
+
+def test_the_first_engine_with_new_weights_is_not_chosen_by_all():
+    """Guards against a rush to the first updated engine of a large fleet.
+
+    The load pattern: 195 gateways know little of each other's requests. All
+    preferred the one engine with new weights, which refused 170 requests in a
+    second.
+    """
+    for current, most in ((1, 0.2), (6, 0.6)):
+        states = [
+            balancing.EngineState(
+                f"e{i}",
+                "fd",
+                fleet.EndpointLoad(4, 0, 0),
+                has_outdated_weights=i >= current,
+            )
+            for i in range(24)
+        ]
+        chosen = [
+            balancing.choose_engine(
+                states,
+                balancing.PromptSize(f"p{number}", 92, 383, 8),
+                SPEC,
+                "fd",
+                ESTIMATES,
+            ).id
+            for number in range(400)
+        ]
+        updated = sum(int(name[1:]) < current for name in chosen)
+        assert updated <= most * len(chosen)
--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -18,9 +18,8 @@
 
 from sardinewharf import ids
 
-# Time for which a peer's reported load counts. In a large fleet each peer
-# reports about every two seconds.
-_PEER_LOAD_TTL_S = 3.0
+# Time for which a peer's reported load counts, in seconds.
+_PEER_LOAD_TTL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,15 +77,29 @@
 
 
 class LoadTable:
-    """Load of all endpoints, of this gateway and of its peers."""
+    """Load of all endpoints, of this gateway and of its peers.
+
+    In a large fleet only some peers report within the time for which a report
+    counts. Each report stands for as many peers as are expected for each one
+    that reports: the estimate is right in the mean, and differs between
+    gateways, so that they do not all choose the same endpoint.
+
+    Attributes:
+        peers_per_report: Peers that each report stands for, at least 1.
+    """
 
     def __init__(self) -> None:
+        self.peers_per_report = 1.0
         # Running requests, prompt tokens and KV cache tokens, in this order.
         self._own: dict[ids.EndpointId, list[int]] = {}
         self._peers: dict[ids.EndpointId, dict[str, _PeerLoad]] = {}
         # Endpoints in the last report of each peer.
         self._reported: dict[str, list[ids.EndpointId]] = {}
 
+    def set_report_interval(self, interval_s: float) -> None:
+        """Sets the mean time between two reports of a peer, in seconds."""
+        self.peers_per_report = max(1.0, interval_s / _PEER_LOAD_TTL_S)
+
     def begin(
         self,
         endpoint_id: ids.EndpointId,
@@ -161,12 +174,13 @@
             for peer in self._peers.get(endpoint_id, {}).values()
             if now - peer.received_at <= _PEER_LOAD_TTL_S
         ]
-        queued_tokens = prompt_tokens + sum(
+        scale = self.peers_per_report
+        queued_tokens = prompt_tokens + scale * sum(
             peer.load.prompt_tokens for peer in recent
         )
         for peer in recent:
-            running += peer.load.running
-            held_tokens += peer.load.held_tokens
+            running += round(scale * peer.load.running)
+            held_tokens += int(scale * peer.load.held_tokens)
             if queued_tokens:
                 prefilled_share = (
                     (now - peer.received_at)
@@ -175,7 +189,9 @@
                     / queued_tokens
                 )
                 prompt_tokens += int(
-                    peer.load.prompt_tokens * max(0.0, 1.0 - prefilled_share)
+                    scale
+                    * peer.load.prompt_tokens
+                    * max(0.0, 1.0 - prefilled_share)
                 )
         return EndpointLoad(running, prompt_tokens, held_tokens)
 
--- a/sardinewharf/gateway/messages.py
+++ b/sardinewharf/gateway/messages.py
@@ -50,6 +50,11 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_ids(self) -> tuple[str, ...]:
+        """Ids of the shared parts."""
+        return tuple(part.id for part in self.shared)
+
     @property
     def shared_tokens(self) -> int:
         """Tokens of the shared parts."""
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -108,6 +108,11 @@
         """Sends an urgent update to all peers soon."""
         self._broadcaster.request()
 
+    def estimate_digest_interval(self) -> float:
+        """Returns the mean time between two digests of a peer, in seconds."""
+        peers = max(0, len(self._replica.members) - 1)
+        return _GOSSIP_INTERVAL_S * max(1.0, peers / _GOSSIP_FANOUT)
+
     def _make_broadcast(self) -> bytes | None:
         """Returns a digest, or an urgent update if the link is too slow.
 
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -30,6 +30,9 @@
 # time is aborted, in seconds.
 _WEIGHTS_ABORT_MARGIN_S = 0.3
 
+# Shorter shared prompts are prefilled as fast as they are fetched.
+_MIN_FETCH_TOKENS = 128
+
 
 class Selector:
     """Chooses endpoints for requests.
@@ -166,7 +169,8 @@
         now: float,
     ) -> requests.Target | None:
         """Returns a target of a service that has engines; None for none."""
-        estimates = self._estimators.find(call.service).read()
+        estimator = self._estimators.find(call.service)
+        estimates = estimator.read()
         usable = self._list_with_current_weights(endpoints, prompt.model, now)
         cache_keys = _CacheKeys(call, prompt, self._prompts)
         incarnations = [e.incarnation for e in usable]
@@ -189,7 +193,7 @@
             for candidate in candidates
         ]
         size = balancing.PromptSize(
-            shared_key="/".join(part.id for part in prompt.shared),
+            shared_key=estimator.find_group(prompt.shared_ids, len(usable)),
             shared_tokens=prompt.shared_tokens,
             tokens=prompt.tokens,
             answer_tokens=prompt.answer_tokens,
@@ -264,7 +268,7 @@
             priority=balancing.choose_priority(
                 call.admitted.priority, prefill_tokens, estimates.split
             ),
-            fetch_from=self._find_fetch_source(chosen, usable),
+            fetch_from=self._find_fetch_source(prompt, chosen, choice, usable),
             save_to=store.address if saves else "",
             prompt_key=cache_key.key,
             shared_tokens=prompt.shared_tokens,
@@ -300,28 +304,37 @@
 
     def _find_fetch_source(
         self,
+        prompt: messages.Prompt,
         chosen: "_EngineCandidate",
+        choice: balancing.Choice,
         usable: list[fleet.Endpoint],
     ) -> str:
         """Returns the address to fetch the KV cache of the shared prompt from.
 
-        It is the cache store, or else another engine; empty if neither has it.
+        It is the cache store, or else another engine that is known to have it.
+        Without either it is the preferred engine, which may have a part of it:
+        a miss costs little. It is empty if there is none to ask.
+
         An engine that is assumed to have it cached gets a source too: it
         fetches only the blocks that are missing.
         """
-        store = self._prompts.store
-        cache_key = chosen.cache_key
-        if not cache_key.key:
+        if prompt.shared_tokens < _MIN_FETCH_TOKENS:
             return ""
+        cache_key = chosen.cache_key
         if cache_key.is_stored:
-            return store.address
+            return self._prompts.store.address
         others = {
-            e.incarnation: e.address
-            for e in usable
-            if e.id != chosen.endpoint.id
+            e.incarnation: e for e in usable if e.id != chosen.endpoint.id
         }
-        holder = self._prompts.find_holder(cache_key.key, list(others))
-        return others[holder] if holder is not None else ""
+        holder = None
+        if cache_key.key:
+            holder = self._prompts.find_holder(cache_key.key, list(others))
+        if holder is not None:
+            return others[holder].address
+        return next(
+            (e.address for e in others.values() if e.id == choice.preferred),
+            "",
+        )
 
     def _estimate_fetch_ms(
         self, spec: catalog.EngineSpec, prompt: messages.Prompt
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -316,6 +316,9 @@
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._replica.drop_expired()
             self._budgets.set_share(self._make_budget_share())
+            self._loads.set_report_interval(
+                self._peers.estimate_digest_interval()
+            )
             self._set_cache_capacity()
             self._crashes.forget_old(clocks.read_monotonic())
             if self._replica.registry.changes != handled_changes:
