Shorten a watch of the store that begins with an old replica

A watch that returns a change after 1.9 s confirms only that the replica was current when it was sent, and the next one waited two seconds more.

Change: a watch waits until the replica would be 2.5 s old, 0.2 s at least.

--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -18,6 +18,10 @@
 # A watch that returns no changes confirms that the replica was current when it
 # ended; an unresponsive connection is detected within this time, in seconds.
 _WATCH_TIMEOUT_S = 2.0
+# A watch ends early enough to confirm a replica before it is this old, in
+# seconds, and lasts at least some time.
+_MAX_REPLICA_AGE_S = 2.5
+_MIN_WATCH_TIMEOUT_S = 0.2
 # After a failure, a short watch soonest detects that the store is back.
 _PROBE_WATCH_TIMEOUT_S = 0.05
 _LIST_TIMEOUT_S = 1.5
@@ -190,7 +194,11 @@
         """Watches the store once; returns False if that failed."""
         sent = clocks.read_monotonic()
         was_failing = self._has_failed or self._was_interrupted
-        seconds = _PROBE_WATCH_TIMEOUT_S if was_failing else _WATCH_TIMEOUT_S
+        seconds = (
+            _PROBE_WATCH_TIMEOUT_S
+            if was_failing
+            else self._find_watch_timeout()
+        )
         until = clocks.Deadline(sent + seconds)
         if self._was_interrupted:
             # This watch is not interrupted: if every one were abandoned, none
@@ -221,6 +229,15 @@
             await asyncio.sleep(self._find_batching_delay())
         return True
 
+    def _find_watch_timeout(self) -> float:
+        """Returns how long the next watch is to wait, in seconds.
+
+        A watch that returns changes confirms only that the replica was current
+        when it was sent. The next one is the shorter the older that is.
+        """
+        left_s = _MAX_REPLICA_AGE_S - self._replica.count_age()
+        return min(_WATCH_TIMEOUT_S, max(_MIN_WATCH_TIMEOUT_S, left_s))
+
     def _find_batching_delay(self) -> float:
         """Returns how long to batch changes before a watch, in seconds."""
         gateways = len(self._replica.members)
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -106,3 +106,47 @@
     ]
     assert len(lost) == 1
     assert lost[0].detail == "no answer in time"
+
+
+class LateChangeStore(FakeStore):
+    """A store with one change, near the end of the first watch.
+
+    Attributes:
+        calls: Number of watches.
+    """
+
+    def __init__(self):
+        super().__init__(response_s=None)
+        self.calls = 0
+
+    async def watch_prefix(self, prefix, revision, until):
+        self.calls += 1
+        if revision < 7:
+            await asyncio.sleep(until.remaining() - 0.1)
+            return keyvalue.Changes((keyvalue.Entry("a", b"", 7),), 7)
+        await asyncio.sleep(until.remaining())
+        return keyvalue.Changes((), 7)
+
+
+async def test_a_change_late_in_a_watch_does_not_let_the_replica_age(log):
+    """Replicas of all gateways were 4.7 s old, and callers were refused.
+
+    A watch that returns a change after 1.9 s confirms only that the replica was
+    current when it was sent, and the next one took two seconds more.
+    """
+    store = LateChangeStore()
+    replica = replica_lib.Replica(log)
+    feed = feeds.Feed(stores.make_settings("vm-1"), replica)
+    synchronizer = sync.Synchronizer(store, FakeReader(), replica, feed, log)
+    running = asyncio.create_task(synchronizer.run())
+    await asyncio.sleep(0.01)
+    oldest_s = 0.0
+    until = clocks.Deadline.after(4.5)
+    while not until.is_past():
+        oldest_s = max(oldest_s, replica.count_age())
+        await asyncio.sleep(0.01)
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+    assert oldest_s < 3.0
+    assert store.calls <= 5
