Read from endpoints in a module of its own, and test the blind fetch

Reading with an idle timeout and the check of progress are an EndpointReader now, which the relay uses, too; nothing else changed (gateway and platform tests pass).

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -1,11 +1,8 @@
 """Sends requests to endpoints and decides which may be retried."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import random
-from typing import TypeVar
 
 from sardinewharf import balancing
 from sardinewharf import catalog
@@ -19,6 +16,7 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import readers
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
@@ -36,7 +34,6 @@
 # were refused together do not come back together.
 _MIN_RETRY_AFTER_S = 0.2
 _MAX_RETRY_AFTER_S = 0.5
-_ReadResult = TypeVar("_ReadResult")
 # Longest wait for another request that prefills the same shared prompt, in
 # seconds and as a share of the remaining time.
 _PREFILL_WAIT_S = 0.8
@@ -45,9 +42,6 @@
 _REFUSAL_BACKOFF_S = 0.15
 # The same after status 421, Misdirected Request.
 _MISDIRECTED_BACKOFF_S = 1.0
-# Longest time between the ends of two events of a resumable stream while data
-# arrives, in seconds, beyond the prefill of the queued prompts.
-_MAX_EVENT_S = 1.5
 # Statuses that state that a request has not run; they count only if the
 # response carries the endpoint's stamp.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -70,6 +64,7 @@
         prompts: Where shared prompts are cached.
         crashes: Requests that ran when endpoints crashed.
         estimators: What is measured of engines and prompts.
+        reader: Reads from endpoints, and detects unresponsive ones.
         log: Receives a record of each attempt.
         metrics: Counts attempts and their outcomes.
     """
@@ -86,16 +81,11 @@
     prompts: prompts_lib.PromptTable
     crashes: limits.CrashTable
     estimators: tables.EstimatorTable
+    reader: readers.EndpointReader
     log: records.RecordSink
     metrics: metrics_lib.GatewayMetrics
 
 
-def _is_resumable(call: requests.Call) -> bool:
-    """Returns whether a broken stream may be resumed at another endpoint."""
-    is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
-    return is_stream and call.may_run_again
-
-
 class Dispatcher:
     """Sends requests to endpoints until one of them responds.
 
@@ -170,79 +160,6 @@
                 call.request.fingerprint, endpoint.incarnation, now
             )
 
-    async def read_with_idle_timeout(
-        self,
-        call: requests.Call,
-        attempt: requests.Attempt,
-        read: Callable[[], Awaitable[_ReadResult]],
-    ) -> _ReadResult:
-        """Reads from an endpoint, with an idle timeout for resumable streams.
-
-        Other requests have no idle timeout. A stream times out only if the
-        endpoint sent nothing on any of this gateway's connections meanwhile: a
-        slow endpoint may still respond.
-
-        Args:
-            call: The request.
-            attempt: The attempt that is read.
-            read: Reads the next data of the attempt.
-
-        Raises:
-            ResponseLostError: If the connection ends or the endpoint is
-                unresponsive.
-        """
-        health = self._dependencies.health
-        incarnation = attempt.target.endpoint.incarnation
-        if not _is_resumable(call):
-            result = await read()
-            health.record_response(incarnation, clocks.read_monotonic())
-            return result
-        endpoint_id = attempt.target.endpoint.id
-        while True:
-            own_requests = self._dependencies.loads.count_own(endpoint_id)
-            idle_timeout_s = (
-                balancing.find_idle_timeout(own_requests)
-                + attempt.target.prefill_finish_s
-            )
-            began = clocks.read_monotonic()
-            try:
-                async with asyncio.timeout(idle_timeout_s):
-                    result = await read()
-            except TimeoutError as error:
-                now = clocks.read_monotonic()
-                last_received_at = max(
-                    began, health.read_last_response_at(incarnation)
-                )
-                if now - last_received_at < idle_timeout_s:
-                    continue
-                health.record_unreachable(incarnation, now)
-                raise http1.ResponseLostError(
-                    f"silent for {now - last_received_at:.1f} s"
-                ) from error
-            health.record_response(incarnation, clocks.read_monotonic())
-            return result
-
-    def check_progress(
-        self, call: requests.Call, attempt: requests.Attempt, since: float
-    ) -> None:
-        """Checks that a stream whose events do not end may go on.
-
-        An endpoint that sends a byte now and then is never silent. Only a
-        stream that can be resumed elsewhere is given up.
-
-        Args:
-            call: The request.
-            attempt: The attempt that sent data without completing an event.
-            since: When it last completed one, or began to be read.
-
-        Raises:
-            ResponseLostError: If it has taken too long.
-        """
-        limit_s = _MAX_EVENT_S + attempt.target.prefill_finish_s
-        took_s = clocks.read_monotonic() - since
-        if _is_resumable(call) and took_s > limit_s:
-            raise http1.ResponseLostError(f"no event for {took_s:.1f} s")
-
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
         self._dependencies.health.record_success(
@@ -420,7 +337,7 @@
             async with asyncio.timeout_at(
                 self._find_head_deadline(call, attempt)
             ):
-                head = await self.read_with_idle_timeout(
+                head = await self._dependencies.reader.read(
                     call, attempt, attempt.exchange.read_head
                 )
             attempt.head = self._dependencies.header_codec.read_response(head)
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -9,6 +9,7 @@
 from sardinewharf.gateway import dispatcher as dispatcher_lib
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import readers
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
@@ -22,6 +23,7 @@
 
     Args:
         dispatcher: Sends requests to endpoints.
+        reader: Reads from endpoints, and detects unresponsive ones.
         log: Receives a record of how each response ended.
         metrics: Counts responses by how they ended.
     """
@@ -29,10 +31,12 @@
     def __init__(
         self,
         dispatcher: dispatcher_lib.Dispatcher,
+        reader: readers.EndpointReader,
         log: records.RecordSink,
         metrics: metrics_lib.GatewayMetrics,
     ):
         self._dispatcher = dispatcher
+        self._reader = reader
         self._log = log
         self._metrics = metrics
 
@@ -185,7 +189,7 @@
         try:
             while True:
                 async with asyncio.timeout_at(call.deadline.at):
-                    chunk = await self._dispatcher.read_with_idle_timeout(
+                    chunk = await self._reader.read(
                         call, attempt, attempt.exchange.read
                     )
                 if not chunk:
@@ -199,7 +203,7 @@
                     call.sent_bytes += len(complete_events)
                     await responder.write(complete_events)
                 else:
-                    self._dispatcher.check_progress(call, attempt, progress_at)
+                    self._reader.check_progress(call, attempt, progress_at)
         except (
             http1.ResponseLostError,
             streams.EventTooLargeError,
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -27,6 +27,7 @@
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import readers
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import responder as responder_lib
@@ -114,6 +115,7 @@
             self._prompts,
             self._estimators,
         )
+        reader = readers.EndpointReader(self._loads, self._health)
         dispatcher = dispatcher_lib.Dispatcher(
             dispatcher_lib.DispatcherDependencies(
                 header_codec=platform.header_codec,
@@ -128,6 +130,7 @@
                 prompts=self._prompts,
                 crashes=self._crashes,
                 estimators=self._estimators,
+                reader=reader,
                 log=log,
                 metrics=self._metrics,
             )
@@ -137,7 +140,7 @@
             self._replica,
             self._admission_controller,
             selector,
-            relay_lib.Relay(dispatcher, log, self._metrics),
+            relay_lib.Relay(dispatcher, reader, log, self._metrics),
             log,
             self._metrics,
         )
--- a/sardinewharf/gateway/tests/test_serving.py
+++ b/sardinewharf/gateway/tests/test_serving.py
@@ -4,6 +4,7 @@
 
 import pytest_asyncio
 
+from sardinewharf import ids
 from sardinewharf.testbed import gateway_harness
 
 
@@ -110,3 +111,32 @@
     ]
     assert {a.status for a in responses} == {200}
     assert harness.servers[0].executed == []
+
+
+async def test_a_prompt_away_from_its_preferred_engine_is_fetched_from_there(
+    harness,
+):
+    """The load pattern: a large fleet hears of few of its cached prompts.
+
+    The preferred engine most probably has the shared parts. An engine that had
+    to serve the request instead read them again.
+    """
+    *busy, free = harness.engines
+    for engine in busy:
+        harness.gateways[0]._loads.begin(
+            ids.EndpointId(engine.id), prompt_tokens=10_000_000
+        )
+    for number in range(8):
+        await harness.send_request(
+            "/chat/1",
+            body=b"p",
+            x_sardinewharf_prompt_prefix=f"c{number}:1000,bb:500",
+        )
+    assert len(free.executed) == 8
+    # One of the three engines is kept for prompts as short as these.
+    sources = {
+        request.headers.get("x-sardinewharf-kv-fetch")
+        for request in free.executed
+    }
+    assert sources
+    assert sources <= {engine.address for engine in busy}
