Send a busy gateway's loads when its digest is too large

Change: cache uses are left out of such a message; urgent updates carry them, too. The table of estimators makes one only when it needs one.

--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -127,9 +127,18 @@
             return self._encode(self._exchange.make_digest())
         return self._encode(self._exchange.make_urgent_update())
 
-    def _encode(self, message: digests.Message) -> bytes | None:
-        """Returns a message as a datagram; None if it is too large."""
+    def _encode(
+        self, message: digests.Digest | digests.UrgentUpdate
+    ) -> bytes | None:
+        """Returns a message as a datagram; None if it is too large.
+
+        Cache uses are left out first: a gateway with many has many requests,
+        whose loads its peers have to know.
+        """
         datagram = msgspec.msgpack.encode(message)
+        if len(datagram) > _MAX_DATAGRAM_BYTES:
+            shorter = msgspec.structs.replace(message, cache_uses=[])
+            datagram = msgspec.msgpack.encode(shorter)
         if len(datagram) <= _MAX_DATAGRAM_BYTES:
             return datagram
         _log.warning(
--- a/sardinewharf/gateway/tables.py
+++ b/sardinewharf/gateway/tables.py
@@ -70,4 +70,8 @@
 
     def find(self, service: str) -> balancing.EngineEstimator:
         """Returns the estimator of a service."""
-        return self._estimators.setdefault(service, balancing.EngineEstimator())
+        estimator = self._estimators.get(service)
+        if estimator is None:
+            estimator = balancing.EngineEstimator()
+            self._estimators[service] = estimator
+        return estimator
