Log where a configuration came from, and when a replica is stale

Cause: the hypotheses on the late configuration could not be told apart by the logs. Nothing named the source of an update, and no record was written while a replica was older than a change may take.

Change: configuration_applied states its source (listing, watch or the gateway that passed it on) and how long before the replica had been confirmed.

No logic of updates changed.

--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -118,6 +118,7 @@
             that expired in an outage of the store may be renewed.
         has_store_contact: Whether that gateway's last update came from the
             store itself.
+        responder: That gateway's name.
     """
 
     revision: int
@@ -125,6 +126,7 @@
     entries: tuple[keyvalue.Entry, ...] | None
     reregistration_deadline: clocks.Deadline = clocks.Deadline(float("-inf"))
     has_store_contact: bool = True
+    responder: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,11 +134,13 @@
     """A request that awaits its response.
 
     Attributes:
+        responder: Name of the gateway that it was sent to.
         sent_at: When it was sent.
         response: Completed once the whole response is received.
         chunks: The chunks of the response received so far, by index.
     """
 
+    responder: str
     sent_at: float
     response: "asyncio.Future[FeedUpdate]"
     chunks: dict[int, bytes] = dataclasses.field(default_factory=dict)
@@ -264,6 +268,7 @@
                 entries,
                 reregistration_deadline,
                 response.has_store_contact,
+                pending.responder,
             )
         )
 
@@ -293,9 +298,7 @@
         # The gateway that responded last is likely to respond again.
         others.sort(key=lambda name: name != self._last_responder)
         asked = others[:_MAX_QUERIES]
-        updates = await asyncio.gather(
-            *(self._query(self._replica.members[name]) for name in asked)
-        )
+        updates = await asyncio.gather(*(self._query(name) for name in asked))
         responses = [
             (update.has_store_contact, update.last_confirmed_at, name, update)
             for name, update in zip(asked, updates, strict=True)
@@ -308,14 +311,17 @@
         self._last_responder = name if has_contact else ""
         return update
 
-    async def _query(self, address: str) -> FeedUpdate | None:
+    async def _query(self, name: str) -> FeedUpdate | None:
         self._number += 1
         number = self._number
         response = asyncio.get_running_loop().create_future()
         self._pending[number] = _PendingRequest(
-            clocks.read_monotonic(), response
+            name, clocks.read_monotonic(), response
+        )
+        self.send(
+            self._replica.members[name],
+            digests.FeedRequest(number, self._replica.revision),
         )
-        self.send(address, digests.FeedRequest(number, self._replica.revision))
         try:
             async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
                 return await response
--- a/sardinewharf/gateway/replica.py
+++ b/sardinewharf/gateway/replica.py
@@ -12,6 +12,9 @@
 # After an outage of the store, registrations that expired meanwhile are renewed
 # within this time, in seconds, if their endpoint still runs.
 _REREGISTRATION_S = 2.2
+# Sources of an update that is read from the store itself.
+LISTING_SOURCE = "listing"
+WATCH_SOURCE = "watch"
 
 
 class Replica:
@@ -84,15 +87,18 @@
             self._reregistration_deadline, until
         )
 
-    def apply(self, change: changes.Change, since: float | None) -> None:
+    def apply(
+        self, change: changes.Change, since: float | None, source: str = ""
+    ) -> None:
         """Applies a change.
 
         Args:
             change: The change.
             since: The earliest time at which it was made; None if unknown.
+            source: Where it was read, for the log.
         """
         if isinstance(change, changes.ConfigurationChange):
-            self._apply_configuration(change.configuration)
+            self._apply_configuration(change.configuration, source)
         elif isinstance(change, changes.TargetVersionChange):
             self._record_target_version(change, since)
         elif isinstance(change, changes.EndpointChange):
@@ -114,7 +120,7 @@
         members: set[str] = set()
         self.rollout_leader = ""
         for change in listed:
-            self.apply(change, since)
+            self.apply(change, since, LISTING_SOURCE)
             if isinstance(change, changes.EndpointChange):
                 endpoints.add(change.endpoint.id)
             elif isinstance(change, changes.MemberChange):
@@ -148,7 +154,7 @@
         )
 
     def _apply_configuration(
-        self, configuration: catalog.Configuration
+        self, configuration: catalog.Configuration, source: str
     ) -> None:
         former = self.configuration.version
         if configuration.version <= former:
@@ -161,6 +167,8 @@
                 revision=self.revision,
                 routes=len(configuration.routes),
                 organisations=len(configuration.organisations),
+                source=source,
+                age_s=self.round_age(),
             )
         )
 
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -34,6 +34,7 @@
 from sardinewharf.gateway import rollout
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import staleness
 from sardinewharf.gateway import sync
 from sardinewharf.gateway import tables
 from sardinewharf.http1 import server as http_server
@@ -145,6 +146,9 @@
             self._metrics,
         )
         feed = feeds.Feed(settings, self._replica)
+        self._staleness_monitor = staleness.StalenessMonitor(
+            self._replica, feed, settings.guarantees, log
+        )
         self._synchronizer = sync.Synchronizer(
             platform.store, platform.change_reader, self._replica, feed, log
         )
@@ -318,6 +322,7 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._replica.drop_expired()
+            self._staleness_monitor.check()
             self._budgets.set_share(self._make_budget_share())
             self._loads.set_report_interval(
                 self._peers.estimate_digest_interval()
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -152,7 +152,10 @@
             return False
         self._replica.allow_reregistration(update.reregistration_deadline)
         self._apply_entries(
-            update.entries, update.revision, self._replica.last_confirmed_at
+            update.entries,
+            update.revision,
+            self._replica.last_confirmed_at,
+            update.responder,
         )
         self._replica.record_confirmation(update.last_confirmed_at)
         return True
@@ -162,13 +165,14 @@
         entries: Iterable[keyvalue.Entry],
         revision: int,
         since: float,
+        source: str,
     ) -> None:
         """Applies changes that were made at ``since`` or later."""
         newer = [e for e in entries if e.revision > self._replica.revision]
         for entry in newer:
             change = self._reader.read_change(entry)
             if change is not None:
-                self._replica.apply(change, since)
+                self._replica.apply(change, since, source)
         if revision > self._replica.revision:
             self._feed.log.add(newer, revision)
             self._replica.revision = revision
@@ -222,7 +226,9 @@
         since = self._replica.last_confirmed_at
         if not was_failing:
             since = clocks.read_monotonic() - _WATCH_LAG_S
-        self._apply_entries(result.entries, result.revision, since)
+        self._apply_entries(
+            result.entries, result.revision, since, replica_lib.WATCH_SOURCE
+        )
         has_timed_out = not result.entries and until.is_past()
         self._replica.record_confirmation(until.at if has_timed_out else sent)
         if result.entries:
--- a/sardinewharf/gateway/tests/stores.py
+++ b/sardinewharf/gateway/tests/stores.py
@@ -1,6 +1,7 @@
-"""Provides a base class for fake stores and settings for tests."""
+"""Provides a base class for fake stores, a log and settings for tests."""
 
 from sardinewharf import keyvalue
+from sardinewharf import records
 from sardinewharf.gateway import settings as settings_lib
 
 
@@ -16,6 +17,17 @@
         """Does nothing."""
 
 
+class MemoryLog(records.RecordSink):
+    """A log that keeps its events in memory."""
+
+    def __init__(self):
+        super().__init__(-1, "vm-1", records.SinkSettings())
+        self.events = []
+
+    def write(self, event):
+        self.events.append(event)
+
+
 def make_settings(name, failure_domain="fd1"):
     """Returns the settings of a gateway without addresses."""
     return settings_lib.GatewaySettings(name, failure_domain, *[""] * 5)
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -48,20 +48,9 @@
         return changes.MemberChange("vm-2", "127.0.0.1:1")
 
 
-class MemoryLog(records.RecordSink):
-    """A log that keeps its events in memory."""
-
-    def __init__(self):
-        super().__init__(-1, "vm-1", records.SinkSettings())
-        self.events = []
-
-    def write(self, event):
-        self.events.append(event)
-
-
 @pytest.fixture
 def log():
-    return MemoryLog()
+    return stores.MemoryLog()
 
 
 async def _follow(store, log, seconds):
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -86,13 +86,41 @@
 
 
 class ConfigurationApplied(Record, tag="configuration_applied"):
-    """This process applied a version that replaces version ``former``."""
+    """This process applied a version that replaces version ``former``.
+
+    ``source`` is ``listing`` or ``watch`` for an update from the store itself,
+    and otherwise the name of the gateway that passed it on; ``age_s`` is the
+    time since the replica was last confirmed to be current before the update.
+    """
 
     version: int
     former: int
     revision: int
     routes: int
     organisations: int
+    source: str = ""
+    age_s: float = -1.0
+
+
+class ReplicaStale(Record, tag="replica_stale"):
+    """The replica was not confirmed for as long as a change may take.
+
+    A newer configuration may be in force by now. ``has_store_contact`` states
+    whether the last update came from the store itself.
+    """
+
+    revision: int
+    configuration: int
+    age_s: float
+    has_store_contact: bool
+
+
+class ReplicaConfirmed(Record, tag="replica_confirmed"):
+    """The replica is confirmed again after it was stale."""
+
+    revision: int
+    configuration: int
+    age_s: float
 
 
 class EndpointRegistered(Record, tag="endpoint_seen"):
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -34,6 +34,8 @@
         "dependency_regained",
         "history_lost",
         "configuration_applied",
+        "replica_stale",
+        "replica_confirmed",
         "gateway_fault",
     }
 )
