Derive the limits of updates from the time a change may take

What callers saw: requests handled by an older configuration than the bound allows.

Cause: apply_ms was read and used nowhere. Each step between the store and a gateway had a constant of its own (updates up to 2.5 s old, polls, two rounds of queries, batching), and their sum was 3.1 s where 3.0 s are allowed, and above 2.0 s on the smaller deployments. A watcher for which the store falls silent counts as having contact until its watch ends. Followers did nothing about a newer revision that digests state, and a gateway that watches only began another watch.

Change: the module freshness splits the time into the limits of the steps, and states their sums. Gateways that others follow watch for a shorter time. An update that is not recent is no reason not to apply its changes, and not a reason to prefer its sender. A gateway that is behind another one for a tenth of the time requests the changes from that one, also a follower, and between two attempts to reach the store.

Evidence: with this test file, the code before failed the two new tests of test_feeds in 3 of 3 runs: the followers took over 2.0 s, and over 1.0 s though others had the change.

--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -34,6 +34,7 @@
 from sardinewharf import clocks
 from sardinewharf import keyvalue
 from sardinewharf.gateway import digests
+from sardinewharf.gateway import freshness
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
 
@@ -41,9 +42,7 @@
 # up to which all of them do.
 _WATCHERS_PER_DOMAIN = 2
 _MAX_ALL_WATCHING = 4
-# How long responses are awaited, in seconds, and how many gateways are asked at
-# the same time.
-_RESPONSE_TIMEOUT_S = 0.15
+# How many gateways are asked at the same time.
 _MAX_QUERIES = 3
 # Largest size of the log of changes, of the changes in a response, and of those
 # in each of its datagrams; and what an entry counts beyond its key and value.
@@ -128,6 +127,11 @@
     has_store_contact: bool = True
     responder: str = ""
 
+    def is_recent(self, limits: freshness.FreshnessLimits) -> bool:
+        """Returns whether the replica it is from was confirmed recently."""
+        age_s = clocks.read_monotonic() - self.last_confirmed_at
+        return age_s <= limits.max_update_age_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingRequest:
@@ -170,6 +174,9 @@
     ):
         self._settings = settings
         self._replica = replica
+        self._limits = freshness.split_apply_time(
+            settings.guarantees.apply_ms / 1000
+        )
         self._number = 0
         self._pending: dict[int, _PendingRequest] = {}
         self._last_responder = ""
@@ -182,21 +189,27 @@
         watchers = self._list_watchers()
         return bool(watchers) and self._settings.name not in watchers
 
+    def is_followed(self) -> bool:
+        """Returns whether other gateways of the domain rely on this watch."""
+        return self._settings.name in self._list_watchers()
+
     async def query_watchers(self) -> FeedUpdate | None:
-        """Returns an update from a gateway that has contact to the store.
+        """Returns a recent update from a gateway with contact to the store.
 
         It is one that watches for this failure domain, or else any other; None
-        if none of those that were asked has contact.
+        if none of those that were asked has such an update.
         """
         names = self._list_watchers()
         if self._last_responder in names:
             names = [self._last_responder]
         update = await self._query_best(names)
-        if update is None or not update.has_store_contact:
+        if not self._is_reliable(update):
             update = await self._query_best(list(self._replica.members))
-        if update is None or not update.has_store_contact:
-            return None
-        return update
+        return update if self._is_reliable(update) else None
+
+    async def query_peer(self, name: str) -> FeedUpdate | None:
+        """Returns an update of one gateway, if it responds."""
+        return await self._query_best([name])
 
     async def query_any_peer(self) -> FeedUpdate | None:
         """Returns the best update of some other gateways, if any responds."""
@@ -289,28 +302,45 @@
     async def _query_best(self, names: list[str]) -> FeedUpdate | None:
         """Queries some of the named gateways and returns the best update.
 
-        An update of a gateway that has contact to the store goes before all
-        others: gateways without contact may have their updates from each other.
-        Among equal ones, the last confirmed goes first.
+        A recent update of a gateway that has contact to the store goes before
+        all others: gateways without contact may have their updates from each
+        other. Among equal ones, the last confirmed goes first.
         """
-        others = [name for name in names if name != self._settings.name]
+        others = [
+            name
+            for name in names
+            if name != self._settings.name and name in self._replica.members
+        ]
         random.shuffle(others)
         # The gateway that responded last is likely to respond again.
         others.sort(key=lambda name: name != self._last_responder)
         asked = others[:_MAX_QUERIES]
         updates = await asyncio.gather(*(self._query(name) for name in asked))
         responses = [
-            (update.has_store_contact, update.last_confirmed_at, name, update)
+            (
+                self._is_reliable(update),
+                update.last_confirmed_at,
+                name,
+                update,
+            )
             for name, update in zip(asked, updates, strict=True)
             if update is not None
         ]
         if not responses:
             self._last_responder = ""
             return None
-        has_contact, _, name, update = max(responses, key=lambda r: r[:3])
-        self._last_responder = name if has_contact else ""
+        is_reliable, _, name, update = max(responses, key=lambda r: r[:3])
+        self._last_responder = name if is_reliable else ""
         return update
 
+    def _is_reliable(self, update: FeedUpdate | None) -> bool:
+        """Returns whether an update is recent and not from a follower."""
+        return (
+            update is not None
+            and update.has_store_contact
+            and update.is_recent(self._limits)
+        )
+
     async def _query(self, name: str) -> FeedUpdate | None:
         self._number += 1
         number = self._number
@@ -323,7 +353,7 @@
             digests.FeedRequest(number, self._replica.revision),
         )
         try:
-            async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+            async with asyncio.timeout(self._limits.response_timeout_s):
                 return await response
         except TimeoutError:
             return None
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -25,7 +25,7 @@
 from sardinewharf.gateway import settings as settings_lib
 
 # Time between two rounds of digests to some peers, in seconds.
-_GOSSIP_INTERVAL_S = 0.2
+GOSSIP_INTERVAL_S = 0.2
 # Peers that receive the digest of a round.
 _GOSSIP_FANOUT = 8
 _MAX_DATAGRAM_BYTES = 1_400
@@ -42,7 +42,8 @@
         replica: The gateway's replica of the store.
         exchange: Makes and merges the messages.
         feed: Exchanges changes of the store with other gateways.
-        request_sync: Called with the revision of a peer that has a newer one.
+        request_sync: Called with the revision and the name of a peer that has a
+            newer one.
     """
 
     def __init__(
@@ -51,7 +52,7 @@
         replica: replica_lib.Replica,
         exchange: exchange_lib.StateExchange,
         feed: feeds.Feed,
-        request_sync: Callable[[int], None],
+        request_sync: Callable[[int, str], None],
     ):
         self._settings = settings
         self._replica = replica
@@ -101,7 +102,7 @@
                 # A peer that missed a broadcast must not use the engines.
                 self._broadcaster.request()
             await asyncio.sleep(
-                _GOSSIP_INTERVAL_S * self._random.uniform(0.9, 1.1)
+                GOSSIP_INTERVAL_S * self._random.uniform(0.9, 1.1)
             )
 
     def schedule_broadcast(self) -> None:
@@ -111,7 +112,7 @@
     def estimate_digest_interval(self) -> float:
         """Returns the mean time between two digests of a peer, in seconds."""
         peers = max(0, len(self._replica.members) - 1)
-        return _GOSSIP_INTERVAL_S * max(1.0, peers / _GOSSIP_FANOUT)
+        return GOSSIP_INTERVAL_S * max(1.0, peers / _GOSSIP_FANOUT)
 
     def _make_broadcast(self) -> bytes | None:
         """Returns a digest, or an urgent update if the link is too slow.
@@ -200,7 +201,7 @@
             isinstance(message, digests.Digest)
             and message.revision > self._replica.revision
         ):
-            self._request_sync(message.revision)
+            self._request_sync(message.revision, message.sender)
 
     def _handle_response(
         self, response: digests.FeedResponse, sender: str
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -150,7 +150,12 @@
             self._replica, feed, settings.guarantees, log
         )
         self._synchronizer = sync.Synchronizer(
-            platform.store, platform.change_reader, self._replica, feed, log
+            settings,
+            platform.store,
+            platform.change_reader,
+            self._replica,
+            feed,
+            log,
         )
         self._exchange = exchange_lib.StateExchange(
             settings,
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -1,11 +1,14 @@
 """Keeps a replica current with one watch of the platform's store.
 
 If other gateways of the failure domain watch the store, changes are requested
-from them instead.
+from them instead. If another gateway states a newer revision, and neither the
+watch nor the watchers return it soon, that gateway is asked for the changes.
 """
 
 import asyncio
 from collections.abc import Iterable
+import contextlib
+import dataclasses
 import random
 
 from sardinewharf import clocks
@@ -13,47 +16,53 @@
 from sardinewharf import records
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import feeds
+from sardinewharf.gateway import freshness
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
 
 # A watch that returns no changes confirms that the replica was current when it
 # ended; an unresponsive connection is detected within this time, in seconds.
 _WATCH_TIMEOUT_S = 2.0
 # A watch ends early enough to confirm a replica before it is this old, in
-# seconds, and lasts at least some time.
+# seconds.
 _MAX_REPLICA_AGE_S = 2.5
-_MIN_WATCH_TIMEOUT_S = 0.2
 # After a failure, a short watch soonest detects that the store is back.
-_PROBE_WATCH_TIMEOUT_S = 0.05
+PROBE_WATCH_TIMEOUT_S = 0.05
 _LIST_TIMEOUT_S = 1.5
-# Delay after changes, so that the next watch returns several together: for each
-# gateway, since all of them watch again after each change, and at most, in
-# seconds.
+# Delay after changes, so that the next watch returns several together: seconds
+# for each gateway, since all of them watch again after each change.
 _BATCHING_S_PER_GATEWAY = 0.005
-_MAX_BATCHING_S = 0.3
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.8
 # An outage that is longer may have let registrations expire, in seconds.
 _MIN_OUTAGE_S = 1.5
-# A watch counts as unresponsive if it has not returned by then a revision that
-# other gateways have, in seconds.
-_CATCH_UP_TIMEOUT_S = 0.6
 # A change reaches a watch within this time, in seconds.
 _WATCH_LAG_S = 0.2
 # Prefix that all keys have.
 _ALL_KEYS = ""
-# Time between two requests to a gateway that watches the store, in seconds.
-_POLL_INTERVAL_S = 0.25
-# Updates that were last confirmed longer ago are rejected, in seconds.
-_MAX_UPDATE_AGE_S = 2.5
 # A gateway that gets no usable update from those that watch the store for its
 # failure domain watches the store itself for this long, in seconds.
 _FALLBACK_WATCH_S = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NewerRevision:
+    """A revision that another gateway has.
+
+    Attributes:
+        revision: The revision.
+        peer: Name of that gateway.
+    """
+
+    revision: int
+    peer: str
+
+
 class Synchronizer:
     """Keeps a replica current with the store.
 
     Args:
+        settings: Settings of the gateway.
         store: The platform's store.
         reader: Decodes its entries.
         replica: The replica that is kept current.
@@ -63,12 +72,16 @@
 
     def __init__(
         self,
+        settings: settings_lib.GatewaySettings,
         store: keyvalue.PrefixStore,
         reader: changes.ChangeReader,
         replica: replica_lib.Replica,
         feed: feeds.Feed,
         log: records.RecordSink,
     ):
+        self._limits = freshness.split_apply_time(
+            settings.guarantees.apply_ms / 1000
+        )
         self._feed = feed
         # Whether another gateway sent a usable update in the last step.
         self._is_updated_by_peer = False
@@ -84,23 +97,28 @@
         # Whether the last watch was abandoned for being behind other gateways.
         self._was_interrupted = False
         self._sync_requested = asyncio.Event()
-        self._has_timer = False
+        # The revision that the replica should have soon.
+        self._newer_revision: _NewerRevision | None = None
 
-    def record_newer_revision(self, revision: int) -> None:
+    def record_newer_revision(self, revision: int, peer: str) -> None:
         """Records that another gateway has a newer revision.
 
         The watch returns it within milliseconds, unless it is unresponsive.
         """
-        if self._has_timer:
+        awaited = self._newer_revision
+        if awaited is not None and awaited.revision > self._replica.revision:
             return
-        self._has_timer = True
+        self._newer_revision = _NewerRevision(revision, peer)
         asyncio.get_running_loop().call_later(
-            _CATCH_UP_TIMEOUT_S, self._check_revision, revision
+            self._limits.catch_up_s, self._check_revision, self._newer_revision
         )
 
-    def _check_revision(self, revision: int) -> None:
-        self._has_timer = False
-        if revision > self._replica.revision:
+    def _check_revision(self, newer: _NewerRevision) -> None:
+        """Has a revision requested that the replica still lacks."""
+        if (
+            newer is self._newer_revision
+            and newer.revision > self._replica.revision
+        ):
             self._sync_requested.set()
 
     async def run(self) -> None:
@@ -108,16 +126,26 @@
         while True:
             is_done = await self.step()
             if is_done and self._is_updated_by_peer:
-                await asyncio.sleep(_POLL_INTERVAL_S * random.uniform(0.8, 1.2))
+                jitter = freshness.POLL_JITTER
+                await self._pause(
+                    self._limits.poll_s * random.uniform(1 - jitter, 1 + jitter)
+                )
             if is_done:
                 self._backoff_s = _MIN_BACKOFF_S
                 continue
-            await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1.0))
+            await self._pause(self._backoff_s * random.uniform(0.5, 1.0))
             self._backoff_s = min(_MAX_BACKOFF_S, 2 * self._backoff_s)
 
+    async def _pause(self, seconds: float) -> None:
+        """Sleeps, but no longer than until a newer revision is to be read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._sync_requested.wait()
+
     async def step(self) -> bool:
         """Calls the store or a gateway; returns False if the store failed."""
         self._is_updated_by_peer = False
+        await self._catch_up()
         if not self._replica.is_filled:
             is_done = await self._list()
         elif self._feed.is_follower() and self._watches_until.is_past():
@@ -129,6 +157,16 @@
         self._replica.drop_expired()
         return is_done
 
+    async def _catch_up(self) -> None:
+        """Requests changes from a gateway that has had them for some time."""
+        newer = self._newer_revision
+        if newer is None or not self._sync_requested.is_set():
+            return
+        self._sync_requested.clear()
+        self._newer_revision = None
+        if self._replica.is_filled and newer.revision > self._replica.revision:
+            self._apply_update(await self._feed.query_peer(newer.peer))
+
     async def _follow(self) -> bool:
         """Requests changes from a gateway that has contact to the store."""
         update = await self._feed.query_watchers()
@@ -142,14 +180,13 @@
         return True
 
     def _apply_update(self, update: feeds.FeedUpdate | None) -> bool:
-        """Applies another gateway's update; returns whether it is usable."""
+        """Applies another gateway's update; returns whether it is recent.
+
+        The changes of one that is not recent are applied, too: they were made,
+        whatever was made since.
+        """
         if update is None or update.entries is None:
             return False
-        if (
-            clocks.read_monotonic() - update.last_confirmed_at
-            > _MAX_UPDATE_AGE_S
-        ):
-            return False
         self._replica.allow_reregistration(update.reregistration_deadline)
         self._apply_entries(
             update.entries,
@@ -158,7 +195,7 @@
             update.responder,
         )
         self._replica.record_confirmation(update.last_confirmed_at)
-        return True
+        return update.is_recent(self._limits)
 
     def _apply_entries(
         self,
@@ -199,9 +236,7 @@
         sent = clocks.read_monotonic()
         was_failing = self._has_failed or self._was_interrupted
         seconds = (
-            _PROBE_WATCH_TIMEOUT_S
-            if was_failing
-            else self._find_watch_timeout()
+            PROBE_WATCH_TIMEOUT_S if was_failing else self._find_watch_timeout()
         )
         until = clocks.Deadline(sent + seconds)
         if self._was_interrupted:
@@ -239,15 +274,23 @@
         """Returns how long the next watch is to wait, in seconds.
 
         A watch that returns changes confirms only that the replica was current
-        when it was sent. The next one is the shorter the older that is.
+        when it was sent. The next one is the shorter the older that is. Watches
+        are short as well if other gateways rely on them.
         """
-        left_s = _MAX_REPLICA_AGE_S - self._replica.count_age()
-        return min(_WATCH_TIMEOUT_S, max(_MIN_WATCH_TIMEOUT_S, left_s))
+        limits = self._limits
+        longest_s, max_age_s = _WATCH_TIMEOUT_S, _MAX_REPLICA_AGE_S
+        if self._feed.is_followed():
+            longest_s = min(longest_s, limits.watch_s)
+            max_age_s = min(max_age_s, limits.max_update_age_s)
+        left_s = max_age_s - self._replica.count_age()
+        return min(longest_s, max(limits.min_watch_s, left_s))
 
     def _find_batching_delay(self) -> float:
         """Returns how long to batch changes before a watch, in seconds."""
         gateways = len(self._replica.members)
-        return min(_MAX_BATCHING_S, gateways * _BATCHING_S_PER_GATEWAY)
+        return min(
+            self._limits.max_batching_s, gateways * _BATCHING_S_PER_GATEWAY
+        )
 
     async def _watch_store(
         self, until: clocks.Deadline
@@ -260,7 +303,6 @@
         self, until: clocks.Deadline
     ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable | None:
         """Watches; returns None if the watch was abandoned for a new one."""
-        self._sync_requested.clear()
         watch = asyncio.ensure_future(self._watch_store(until))
         interruption = asyncio.ensure_future(self._sync_requested.wait())
         try:
--- a/sardinewharf/gateway/tests/test_feeds.py
+++ b/sardinewharf/gateway/tests/test_feeds.py
@@ -18,11 +18,18 @@
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import feeds
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import sync
 from sardinewharf.gateway.tests import stores
 
 _DOMAIN = "fd1"
 _GATEWAYS = 6
+# A change is to be in force within this time, in seconds.
+_APPLY_S = settings_lib.Guarantees().apply_ms / 1000
+# A silent watch ends this long after the time it was to last, in seconds.
+_RESPONSE_GRACE_S = 0.6
+# Time between two digests of a gateway, in seconds.
+_DIGEST_INTERVAL_S = 0.2
 
 
 class StoreState:
@@ -55,6 +62,7 @@
         self._state = state
         self.calls = 0
         self.is_unavailable = False
+        self.is_silent = False
 
     async def list_prefix(self, prefix, deadline):
         self.calls += 1
@@ -67,6 +75,9 @@
             return keyvalue.Unavailable("unavailable")
         if self._state.revision <= revision:
             await self._state.wait(until.remaining())
+        if self.is_silent:
+            await asyncio.sleep(until.remaining() + _RESPONSE_GRACE_S)
+            return keyvalue.Unavailable("no answer in time")
         if self.is_unavailable:
             return keyvalue.Unavailable("unavailable")
         newer = tuple(e for e in self._state.entries if e.revision > revision)
@@ -98,7 +109,7 @@
         self.feed = feeds.Feed(settings, self.replica)
         self.feed.send = self._send
         self.synchronizer = sync.Synchronizer(
-            self.store, FakeReader(), self.replica, self.feed, log
+            settings, self.store, FakeReader(), self.replica, self.feed, log
         )
         self.task = None
 
@@ -234,6 +245,53 @@
     assert update.has_store_contact
 
 
+async def test_a_change_is_in_force_in_time_while_watchers_hear_nothing(fleet):
+    """Followers had a configuration later than the operators guarantee.
+
+    The store fell silent for the watchers of a failure domain. They counted as
+    having contact until their watch ended, and followers took updates that had
+    been confirmed up to 2.5 s ago, whatever time the settings allowed.
+    """
+    watchers, followers = split_watchers(fleet)
+    fleet[0].state.put("config", b"c")
+    await wait_for_version(fleet, fleet[0].state.revision, seconds=0.8)
+    for gateway in watchers:
+        gateway.store.is_silent = True
+    await asyncio.sleep(0.05)
+    fleet[0].state.put("config", b"d")
+    await wait_for_version(followers, fleet[0].state.revision, _APPLY_S)
+
+
+async def test_changes_that_others_have_are_requested_from_them(fleet):
+    """Followers waited for their watchers, though others had the change.
+
+    Digests stated a newer revision, but only gateways that watch the store made
+    use of that.
+    """
+    watchers, followers = split_watchers(fleet)
+    for gateway in fleet:
+        gateway.store.is_silent = gateway is not followers[0]
+    followers[0].synchronizer._watches_until = clocks.Deadline.after(9.0)
+    await asyncio.sleep(0.4)
+    fleet[0].state.put("config", b"c")
+    sending = [asyncio.create_task(send_digests(g, fleet)) for g in fleet]
+    seconds = _APPLY_S / 2
+    await wait_for_version(followers, fleet[0].state.revision, seconds)
+    for task in sending:
+        task.cancel()
+
+
+async def send_digests(sender, fleet):
+    """States a gateway's revision to all others, as its digests do."""
+    while True:
+        for gateway in fleet:
+            if gateway.replica.revision < sender.replica.revision:
+                gateway.synchronizer.record_newer_revision(
+                    sender.replica.revision, sender.name
+                )
+        await asyncio.sleep(_DIGEST_INTERVAL_S)
+
+
 async def test_a_change_that_fits_no_response_is_read_from_the_store(fleet):
     _, followers = split_watchers(fleet)
     fleet[0].state.put("config", random.Random(1).randbytes(50_000))
--- a/sardinewharf/gateway/tests/test_freshness_fuzz.py
+++ b/sardinewharf/gateway/tests/test_freshness_fuzz.py
@@ -266,6 +266,7 @@
         settings = stores.make_settings("vm-1")
         self._peers = FakePeers(store_history, settings, self._replica)
         self._synchronizer = sync.Synchronizer(
+            settings,
             self._store,
             FakeReader(self._check_version),
             self._replica,
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -58,11 +58,13 @@
     replica = replica_lib.Replica(log)
     settings = stores.make_settings("vm-1")
     feed = feeds.Feed(settings, replica)
-    synchronizer = sync.Synchronizer(store, FakeReader(), replica, feed, log)
+    synchronizer = sync.Synchronizer(
+        settings, store, FakeReader(), replica, feed, log
+    )
     running = asyncio.create_task(synchronizer.run())
     until = clocks.Deadline.after(seconds)
     while not until.is_past() and not replica.members:
-        synchronizer.record_newer_revision(7)
+        synchronizer.record_newer_revision(7, "vm-2")
         await asyncio.sleep(0.05)
     running.cancel()
     with contextlib.suppress(asyncio.CancelledError):
@@ -125,8 +127,11 @@
     """
     store = LateChangeStore()
     replica = replica_lib.Replica(log)
-    feed = feeds.Feed(stores.make_settings("vm-1"), replica)
-    synchronizer = sync.Synchronizer(store, FakeReader(), replica, feed, log)
+    settings = stores.make_settings("vm-1")
+    feed = feeds.Feed(settings, replica)
+    synchronizer = sync.Synchronizer(
+        settings, store, FakeReader(), replica, feed, log
+    )
     running = asyncio.create_task(synchronizer.run())
     await asyncio.sleep(0.01)
     oldest_s = 0.0
