Do not call a route unknown by a replica older than a change may take

What callers would see: 404 or 401 for a route or key that has been in force for the whole bound.

A replica confirmed up to 2.3 s ago proved that a route does not exist, also where a new route has to be served within 2.0 s; and a watch of 2.0 s let a replica grow older than that.

Times above 3.0 s are taken as 3.0 s, so that a silent store is noticed as soon as before.

--- a/sardinewharf/gateway/admission.py
+++ b/sardinewharf/gateway/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sardinewharf import catalog
+from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import replica as replica_lib
@@ -11,10 +12,6 @@
 # Requests are admitted until this long before a revoked key must be refused;
 # the margin covers the time until they reach an endpoint, in seconds.
 _REVOCATION_MARGIN_S = 0.8
-# A route or key that is not found is refused as unknown up to this staleness of
-# the replica, in seconds, plus the margin above. Beyond it, it may have been
-# added since, so the request is refused as one that may be sent again.
-_MAX_NOT_FOUND_STALENESS_S = 1.5
 _RETRY_AFTER_S = 0.5
 
 
@@ -48,7 +45,8 @@
 
     Args:
         replica: This gateway's replica of the store.
-        guarantees: State how soon a revoked key must be refused.
+        guarantees: State how soon a revoked key must be refused, and a new
+            configuration be in force.
     """
 
     def __init__(
@@ -56,6 +54,9 @@
     ):
         self._replica = replica
         self._guarantees = guarantees
+        self._max_unknown_age_s = freshness.split_guarantees(
+            guarantees
+        ).max_unknown_age_s
 
     def admit(self, headers: messages.CallerHeaders, path: str) -> Admitted:
         """Returns the request's route and organisation.
@@ -69,9 +70,8 @@
         if not configuration.version:
             raise _refuse_stale("the store holds no configuration yet")
         route = configuration.find_route(headers.host, path)
-        age = self._replica.count_age()
         if route is None:
-            if age > _MAX_NOT_FOUND_STALENESS_S + _REVOCATION_MARGIN_S:
+            if self._may_be_added_since():
                 raise _refuse_stale(
                     "the route may be newer than this gateway's configuration"
                 )
@@ -81,12 +81,13 @@
         if route.is_public or not configuration.organisations:
             return Admitted(route, None)
         if not self.is_current():
+            age = self._replica.count_age()
             raise _refuse_stale(
                 f"the configuration was current {age:.1f} s ago"
             )
         organisation = configuration.find_organisation(headers.key)
         if organisation is None:
-            if age > _MAX_NOT_FOUND_STALENESS_S + _REVOCATION_MARGIN_S:
+            if self._may_be_added_since():
                 raise _refuse_stale(
                     "the key may be newer than this gateway's configuration"
                 )
@@ -95,6 +96,10 @@
             )
         return Admitted(route, organisation)
 
+    def _may_be_added_since(self) -> bool:
+        """Returns whether a route or key may be newer than the replica."""
+        return self._replica.count_age() > self._max_unknown_age_s
+
     def is_current(self) -> bool:
         """Returns whether the replica is fresh enough to check keys."""
         if not self._replica.is_filled:
--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -174,9 +174,7 @@
     ):
         self._settings = settings
         self._replica = replica
-        self._limits = freshness.split_apply_time(
-            settings.guarantees.apply_ms / 1000
-        )
+        self._limits = freshness.split_guarantees(settings.guarantees)
         self._number = 0
         self._pending: dict[int, _PendingRequest] = {}
         self._last_responder = ""
--- a/sardinewharf/gateway/freshness.py
+++ b/sardinewharf/gateway/freshness.py
@@ -23,9 +23,11 @@
 
 import dataclasses
 
-# Longer times to apply a change do not make the limits longer, in seconds: keys
-# and unknown routes are refused by the age of the replica, too.
-_MAX_APPLY_S = 4.5
+from sardinewharf.gateway import settings as settings_lib
+
+# Longer times to apply a change do not make the limits longer, in seconds: a
+# watch also detects that the store is unresponsive.
+_MAX_APPLY_S = 3.0
 # Longest random extension of the interval between two polls.
 POLL_JITTER = 0.2
 
@@ -35,6 +37,9 @@
     """Limits of the steps by which a change reaches a gateway, in seconds.
 
     Attributes:
+        lone_watch_s: Longest watch of a gateway that nobody follows.
+        max_unknown_age_s: A route or key that is not found may have been added
+            since a replica was confirmed longer ago than this.
         watch_s: Longest watch of a gateway that others follow.
         min_watch_s: Shortest watch of an old replica.
         max_batching_s: Longest delay after changes, in which more are awaited.
@@ -47,6 +52,8 @@
             the changes from it.
     """
 
+    lone_watch_s: float
+    max_unknown_age_s: float
     watch_s: float
     min_watch_s: float
     max_batching_s: float
@@ -60,6 +67,10 @@
         """Returns the age at which a watcher's replica is confirmed at last."""
         return self.watch_s + self.max_batching_s + self.min_watch_s
 
+    def sum_lone_watcher_steps(self) -> float:
+        """Returns the same for a gateway that nobody follows."""
+        return self.lone_watch_s + self.max_batching_s + self.min_watch_s
+
     def sum_follower_steps(self) -> float:
         """Returns how late a follower reads a change at last, in seconds.
 
@@ -73,6 +84,11 @@
         )
 
 
+def split_guarantees(guarantees: settings_lib.Guarantees) -> FreshnessLimits:
+    """Returns the limits that keep the guarantees of a deployment."""
+    return split_apply_time(guarantees.apply_ms / 1000)
+
+
 def split_apply_time(apply_s: float) -> FreshnessLimits:
     """Returns the limits for the time in which a change must be in force.
 
@@ -81,6 +97,8 @@
     """
     total_s = min(_MAX_APPLY_S, apply_s)
     return FreshnessLimits(
+        lone_watch_s=total_s * 0.72,
+        max_unknown_age_s=total_s * 0.9,
         watch_s=total_s * 0.36,
         min_watch_s=total_s / 15,
         max_batching_s=total_s / 10,
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -20,12 +20,6 @@
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
 
-# A watch that returns no changes confirms that the replica was current when it
-# ended; an unresponsive connection is detected within this time, in seconds.
-_WATCH_TIMEOUT_S = 2.0
-# A watch ends early enough to confirm a replica before it is this old, in
-# seconds.
-_MAX_REPLICA_AGE_S = 2.5
 # After a failure, a short watch soonest detects that the store is back.
 PROBE_WATCH_TIMEOUT_S = 0.05
 _LIST_TIMEOUT_S = 1.5
@@ -79,9 +73,7 @@
         feed: feeds.Feed,
         log: records.RecordSink,
     ):
-        self._limits = freshness.split_apply_time(
-            settings.guarantees.apply_ms / 1000
-        )
+        self._limits = freshness.split_guarantees(settings.guarantees)
         self._feed = feed
         # Whether another gateway sent a usable update in the last step.
         self._is_updated_by_peer = False
@@ -278,10 +270,9 @@
         are short as well if other gateways rely on them.
         """
         limits = self._limits
-        longest_s, max_age_s = _WATCH_TIMEOUT_S, _MAX_REPLICA_AGE_S
+        longest_s, max_age_s = limits.lone_watch_s, limits.max_unknown_age_s
         if self._feed.is_followed():
-            longest_s = min(longest_s, limits.watch_s)
-            max_age_s = min(max_age_s, limits.max_update_age_s)
+            longest_s, max_age_s = limits.watch_s, limits.max_update_age_s
         left_s = max_age_s - self._replica.count_age()
         return min(longest_s, max(limits.min_watch_s, left_s))
 
--- a/sardinewharf/gateway/tests/test_freshness_fuzz.py
+++ b/sardinewharf/gateway/tests/test_freshness_fuzz.py
@@ -38,8 +38,8 @@
 _KEYS = ("k0", "k1", "k2")
 _REVOKE_S = 5.0
 # A key may be refused as unknown if a configuration of this long ago lacks it,
-# in seconds: a watch may take as long to return a newer one.
-_UNKNOWN_S = 2.6
+# in seconds: a newer one may take as long to be in force.
+_UNKNOWN_S = settings_lib.Guarantees().apply_ms / 1000
 
 
 @dataclasses.dataclass(frozen=True)
