Hear of leaving endpoints in time where less is allowed for them

Cause: the same class of fault, found by adding up limits: endpoints that leave reach a gateway by the chain of configurations, but endpoint_drain_ms bounds them, and the limits followed from apply_ms alone.

Change: the limits follow from the shorter of the two times.

Measured: the new test fails on the code before and passes now.

--- a/sardinewharf/gateway/freshness.py
+++ b/sardinewharf/gateway/freshness.py
@@ -85,8 +85,12 @@
 
 
 def split_guarantees(guarantees: settings_lib.Guarantees) -> FreshnessLimits:
-    """Returns the limits that keep the guarantees of a deployment."""
-    return split_apply_time(guarantees.apply_ms / 1000)
+    """Returns the limits that keep the guarantees of a deployment.
+
+    Configurations and leaving endpoints reach a gateway by the same chain.
+    """
+    shortest_ms = min(guarantees.apply_ms, guarantees.endpoint_drain_ms)
+    return split_apply_time(shortest_ms / 1000)
 
 
 def split_apply_time(apply_s: float) -> FreshnessLimits:
--- a/sardinewharf/gateway/tests/test_freshness.py
+++ b/sardinewharf/gateway/tests/test_freshness.py
@@ -85,3 +85,15 @@
     with pytest.raises(refusals.RefusedError) as caught:
         controller.admit(headers, "/new/")
     assert caught.value.refusal.reason is refusals.Reason.NOT_CURRENT
+
+
+def test_leaving_endpoints_are_known_in_time_where_less_is_allowed_for_them():
+    """Followers could hear of a leaving endpoint later than it is to be left.
+
+    The limits followed from the time for configurations alone.
+    """
+    guarantees = settings_lib.Guarantees(
+        apply_ms=3_000, endpoint_drain_ms=1_500
+    )
+    limits = freshness.split_guarantees(guarantees)
+    assert limits.sum_follower_steps() <= 1.5
