Keep the log of changes in order of revision

Cause: the log takes the revision of the entry that it dropped last as the one from which it is complete. With entries out of order that moved back, and a follower between the two never heard of a change. Only suspected: the store states changes in order, and no play showed another order.

Change: entries are added in order of their revision.

Measured: the new test fails on the code before and passes now.

--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -78,7 +78,7 @@
         if self._compacted_revision is None:
             self._compacted_revision = revision
             return
-        for entry in entries:
+        for entry in sorted(entries, key=lambda entry: entry.revision):
             former = self._entries.pop(entry.key, None)
             if former is not None:
                 self._bytes -= _count_bytes(former)
--- a/sardinewharf/gateway/tests/test_feeds.py
+++ b/sardinewharf/gateway/tests/test_feeds.py
@@ -352,6 +352,24 @@
     assert [e.revision for e in log.list_since(3)] == [4]
 
 
+def test_a_log_that_is_full_never_hides_a_change():
+    """Entries out of order could hide a change from followers for good.
+
+    The revision of the entry that was dropped last counted as the one from
+    which the log is complete, also if a newer entry had been dropped before.
+    """
+    log = feeds.ChangeLog()
+    log.restart(revision=1)
+    large = bytes(150_000)
+    log.add([keyvalue.Entry("b", large, 3), keyvalue.Entry("a", large, 2)], 3)
+    log.add([keyvalue.Entry("c", large, 4)], 4)
+    for revision in (1, 2, 3):
+        listed = log.list_since(revision)
+        assert listed is None or [e.revision for e in listed] == list(
+            range(revision + 1, 5)
+        )
+
+
 async def test_a_slow_response_is_dated_from_its_request(fleet):
     """Transit time must not make an update look more current than it is."""
     _, followers = split_watchers(fleet)
