Continue a watch from the changes that were read, not from the store's revision

Cause: a watch that ended without changes moved the replica on to the revision that the store stated. If the store had kept changes back (it does for a second before it drops its history), the next watch asked only for later ones, and they were lost until the next listing.

Change: only changes that were read move the revision on.

Measured: the new test fails on the code before and passes now.

--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -253,9 +253,13 @@
         since = self._replica.last_confirmed_at
         if not was_failing:
             since = clocks.read_monotonic() - _WATCH_LAG_S
-        self._apply_entries(
-            result.entries, result.revision, since, replica_lib.WATCH_SOURCE
-        )
+        if result.entries:
+            self._apply_entries(
+                result.entries,
+                result.revision,
+                since,
+                replica_lib.WATCH_SOURCE,
+            )
         has_timed_out = not result.entries and until.is_past()
         self._replica.record_confirmation(until.at if has_timed_out else sent)
         if result.entries:
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -144,3 +144,30 @@
         await running
     assert oldest_s < 3.0
     assert store.calls <= 5
+
+
+class WithholdingStore(FakeStore):
+    """A store whose first watch returns a revision without its change."""
+
+    def __init__(self):
+        super().__init__(response_s=0.0)
+        self.calls = 0
+
+    async def watch_prefix(self, prefix, revision, until):
+        self.calls += 1
+        if self.calls == 1:
+            return keyvalue.Changes((), 7)
+        if revision < 7:
+            return await super().watch_prefix(prefix, revision, until)
+        await asyncio.sleep(until.remaining())
+        return keyvalue.Changes((), 7)
+
+
+async def test_a_change_that_a_watch_withheld_is_read_by_the_next(log):
+    """A change was lost for good if a watch ended before it was returned.
+
+    The next watch continued from the revision that the store had, although no
+    change up to it had been read.
+    """
+    replica = await _follow(WithholdingStore(), log, seconds=1.0)
+    assert replica.members
