Keep a watch open while changes are requested from other gateways

Cause: a gateway that was behind others gave up its watch, and began a short one that failed at a store that is silent.

Change: changes are requested from the other gateway while the watch, the pause between two polls or the pause after a failure goes on. So watches need not be abandoned, and the state for that goes. A watch that returned nothing although other gateways had a change meanwhile confirms nothing.

Measured: a new test shows the latter; tests of sync, feeds, admission pass.

--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -86,8 +86,6 @@
         self._log = log
         self._backoff_s = _MIN_BACKOFF_S
         self._has_failed = False
-        # Whether the last watch was abandoned for being behind other gateways.
-        self._was_interrupted = False
         self._sync_requested = asyncio.Event()
         # The revision that the replica should have soon.
         self._newer_revision: _NewerRevision | None = None
@@ -129,15 +127,17 @@
             self._backoff_s = min(_MAX_BACKOFF_S, 2 * self._backoff_s)
 
     async def _pause(self, seconds: float) -> None:
-        """Sleeps, but no longer than until a newer revision is to be read."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._sync_requested.wait()
+        """Sleeps, and meanwhile requests changes that other gateways have."""
+        until = clocks.Deadline.after(seconds)
+        while not until.is_past():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(until.remaining()):
+                    await self._sync_requested.wait()
+                    await self._catch_up()
 
     async def step(self) -> bool:
         """Calls the store or a gateway; returns False if the store failed."""
         self._is_updated_by_peer = False
-        await self._catch_up()
         if not self._replica.is_filled:
             is_done = await self._list()
         elif self._feed.is_follower() and self._watches_until.is_past():
@@ -151,12 +151,11 @@
 
     async def _catch_up(self) -> None:
         """Requests changes from a gateway that has had them for some time."""
-        newer = self._newer_revision
-        if newer is None or not self._sync_requested.is_set():
-            return
         self._sync_requested.clear()
-        self._newer_revision = None
-        if self._replica.is_filled and newer.revision > self._replica.revision:
+        newer, self._newer_revision = self._newer_revision, None
+        if newer is None or newer.revision <= self._replica.revision:
+            return
+        if self._replica.is_filled:
             self._apply_update(await self._feed.query_peer(newer.peer))
 
     async def _follow(self) -> bool:
@@ -226,21 +225,13 @@
     async def _watch(self) -> bool:
         """Watches the store once; returns False if that failed."""
         sent = clocks.read_monotonic()
-        was_failing = self._has_failed or self._was_interrupted
+        was_failing = self._has_failed
+        revision = self._replica.revision
         seconds = (
             PROBE_WATCH_TIMEOUT_S if was_failing else self._find_watch_timeout()
         )
         until = clocks.Deadline(sent + seconds)
-        if self._was_interrupted:
-            # This watch is not interrupted: if every one were abandoned, none
-            # would ever return from a store that is slow or unresponsive.
-            self._was_interrupted = False
-            result = await self._watch_store(until)
-        else:
-            result = await self._watch_interruptibly(until)
-        if result is None:
-            self._was_interrupted = True
-            return True
+        result = await self._watch_store(until)
         if isinstance(result, keyvalue.Unavailable):
             self._record_failure(result.detail)
             return False
@@ -260,10 +251,13 @@
                 since,
                 replica_lib.WATCH_SOURCE,
             )
-        has_timed_out = not result.entries and until.is_past()
-        self._replica.record_confirmation(until.at if has_timed_out else sent)
-        if result.entries:
+            self._replica.record_confirmation(sent)
             await asyncio.sleep(self._find_batching_delay())
+        elif self._replica.revision == revision:
+            self._replica.record_confirmation(
+                until.at if until.is_past() else sent
+            )
+        # Else other gateways had changes that this watch did not return.
         return True
 
     def _find_watch_timeout(self) -> float:
@@ -290,24 +284,28 @@
     async def _watch_store(
         self, until: clocks.Deadline
     ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable:
-        return await self._store.watch_prefix(
-            _ALL_KEYS, self._replica.revision, until
+        """Watches, and meanwhile requests changes that other gateways have."""
+        watch = asyncio.ensure_future(
+            self._store.watch_prefix(_ALL_KEYS, self._replica.revision, until)
         )
+        try:
+            while not watch.done():
+                await self._wait_for(watch)
+                if not watch.done():
+                    await self._catch_up()
+            return watch.result()
+        finally:
+            watch.cancel()
 
-    async def _watch_interruptibly(
-        self, until: clocks.Deadline
-    ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable | None:
-        """Watches; returns None if the watch was abandoned for a new one."""
-        watch = asyncio.ensure_future(self._watch_store(until))
-        interruption = asyncio.ensure_future(self._sync_requested.wait())
+    async def _wait_for(self, watch: asyncio.Future[object]) -> None:
+        """Waits until a watch is done or changes are to be requested."""
+        requested = asyncio.ensure_future(self._sync_requested.wait())
         try:
             await asyncio.wait(
-                {watch, interruption}, return_when=asyncio.FIRST_COMPLETED
+                {watch, requested}, return_when=asyncio.FIRST_COMPLETED
             )
-            return watch.result() if watch.done() else None
         finally:
-            watch.cancel()
-            interruption.cancel()
+            requested.cancel()
 
     def _record_failure(self, detail: str) -> None:
         """Records a failed call; logs it once for each outage."""
--- a/sardinewharf/gateway/tests/test_sync.py
+++ b/sardinewharf/gateway/tests/test_sync.py
@@ -163,6 +163,38 @@
         return keyvalue.Changes((), 7)
 
 
+async def test_a_watch_that_withheld_a_change_confirms_nothing(log):
+    """A replica counted as current though a watch had kept a change back.
+
+    A watch without changes confirmed the replica at its end, even if another
+    gateway had passed on a change meanwhile that the watch did not return.
+    """
+    replica = replica_lib.Replica(log)
+    settings = stores.make_settings("vm-1")
+    feed = feeds.Feed(settings, replica)
+    synchronizer = sync.Synchronizer(
+        settings, SilentWatchStore(), FakeReader(), replica, feed, log
+    )
+    await synchronizer.step()
+    confirmed_at = replica.last_confirmed_at
+    watching = asyncio.create_task(synchronizer.step())
+    await asyncio.sleep(0.1)
+    replica.revision = 7
+    await watching
+    assert replica.last_confirmed_at == confirmed_at
+
+
+class SilentWatchStore(FakeStore):
+    """A store whose watches never return a change."""
+
+    def __init__(self):
+        super().__init__(response_s=0.0)
+
+    async def watch_prefix(self, prefix, revision, until):
+        await asyncio.sleep(until.remaining())
+        return keyvalue.Changes((), revision)
+
+
 async def test_a_change_that_a_watch_withheld_is_read_by_the_next(log):
     """A change was lost for good if a watch ended before it was returned.
 
