Wait for target versions instead of sleeping in tests of weights

The test slept 0.2 s after it set a version and then dated it back; a gateway that had not read it yet ignored that.

Change: the three tests that date versions back wait until each gateway has read them. The checks are the same.

Measured: all 14 tests pass with that stall put in after each such step.

--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -55,6 +55,19 @@
     )
 
 
+async def wait_for_target(harness, version: int) -> None:
+    """Waits until each gateway has read a target version from the store."""
+
+    async def is_known() -> bool:
+        return all(
+            g._replica.target_versions.find_target(gateway_harness.MODEL)
+            == version
+            for g in harness.gateways
+        )
+
+    await gateway_harness.wait_for(is_known)
+
+
 async def has_version(harness, version: int) -> bool:
     return all(engine.version == version for engine in harness.engines)
 
@@ -200,7 +213,7 @@
     """
     stop_rollouts(harness)
     await set_target_version(harness, 2)
-    await asyncio.sleep(0.3)
+    await wait_for_target(harness, 2)
     backdate_target_version(harness, 2, 3.0)
     late = await harness.start_gateway("vm-late")
     late._rollout_controller._is_stopping = True
@@ -236,10 +249,10 @@
     """
     stop_rollouts(harness)
     await set_target_version(harness, 2)
-    await asyncio.sleep(0.2)
+    await wait_for_target(harness, 2)
     backdate_target_version(harness, 2, 3.0)
     await set_target_version(harness, 3)
-    await asyncio.sleep(0.2)
+    await wait_for_target(harness, 3)
     response = await harness.send_request("/chat/1", body=b"p")
     assert response.status == 503
     assert harness.list_executed() == []
@@ -255,7 +268,7 @@
     for engine in harness.engines:
         engine.request_duration_s = 5.0
     await set_target_version(harness, 2)
-    await asyncio.sleep(0.2)
+    await wait_for_target(harness, 2)
     now = backdate_target_version(harness, 2, 2.0)
     response = await harness.send_request("/chat/1", body=b"p")
     assert response.status in (502, 504)
