Keep processes of test deployments in a module of their own

Cause: testbed/deployment.py had grown to 494 lines with two jobs: what a process is, and what a deployment of them is. The soak took the former from there, too.

Change: testbed/processes has the process, its start and its error; moved, not changed.

--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -13,9 +13,9 @@
 
 from sardinewharf import clocks
 from sardinewharf.gateway import settings as settings_lib
-from sardinewharf.testbed import deployment
 from sardinewharf.testbed import gateway_harness
 from sardinewharf.testbed import http as http_lib
+from sardinewharf.testbed import processes
 
 _FRONT_PORT = 8_782
 _READY_PORT = 8_789
@@ -93,7 +93,7 @@
         self.gateways = [f"g{i}" for i in range(size.gateways)]
         self.engines = [f"e{i}" for i in range(size.engines)]
         self.servers = [f"s{i}" for i in range(size.servers)]
-        self.processes: dict[str, deployment.Process] = {}
+        self.processes: dict[str, processes.Process] = {}
         self._network = _choose_loopback_network()
         self._specs: dict[str, _ProcessSpec] = {}
         self._links: dict[str, tuple[int, str]] = {}
@@ -125,7 +125,7 @@
             flag.replace("@START", str(spec.start_count)) for flag in spec.flags
         ]
         arguments = [sys.executable, "-m", spec.module, *flags]
-        self.processes[name] = deployment.start_process(
+        self.processes[name] = processes.start_process(
             name, "", arguments, self.folder / f"{name}.log", **spec.env
         )
 
@@ -216,14 +216,14 @@
             name: Name of the process.
 
         Raises:
-            deployment.DeploymentError: If the condition is not met in time, or
+            processes.DeploymentError: If the condition is not met in time, or
                 the process has exited.
         """
         end = clocks.Deadline.after(_START_TIMEOUT_S)
         while not check():
             if name in self.list_unexpected_exits() or end.is_past():
                 log = (self.folder / f"{name}.log").read_text()[-2000:]
-                raise deployment.DeploymentError(
+                raise processes.DeploymentError(
                     f"{name} did not start; end of its log: {log}"
                 )
             time.sleep(_POLL_INTERVAL_S)
--- a/sardinewharf/testbed/deployment.py
+++ b/sardinewharf/testbed/deployment.py
@@ -1,11 +1,8 @@
 """Starts and stops the processes of a small deployment on loopback."""
 
 from collections.abc import Callable
-import dataclasses
 import http.client
-import os
 import pathlib
-import signal
 import subprocess
 import sys
 import tempfile
@@ -16,6 +13,7 @@
 from sardinewharf import configuration
 from sardinewharf.testbed import http as http_lib
 from sardinewharf.testbed import ports
+from sardinewharf.testbed import processes
 
 OPERATOR = "ana"
 OPERATOR_TOKEN = "operator-token"
@@ -30,90 +28,6 @@
 _SOURCE_ADDRESSES = {"fd1": "127.0.1.1", "fd2": "127.0.2.1", "fd3": "127.0.3.1"}
 
 
-class DeploymentError(Exception):
-    """A process failed, or did not reach the awaited state in time."""
-
-
-@dataclasses.dataclass(slots=True)
-class Process:
-    """A child process of a test deployment.
-
-    Attributes:
-        name: Name of the process, unique in the deployment.
-        address: ``HOST:PORT`` of its HTTP server.
-        popen: Handle of the process.
-        log: File that collects its standard output and standard error.
-        arguments: Command line.
-        admin: ``HOST:PORT`` of the operator API; empty unless it is a daemon.
-    """
-
-    name: str
-    address: str
-    popen: subprocess.Popen
-    log: pathlib.Path
-    arguments: list[str]
-    admin: str = ""
-
-    @property
-    def is_live(self) -> bool:
-        """Whether the process is running."""
-        return self.popen.poll() is None
-
-    def kill(self) -> None:
-        """Kills the process with SIGKILL and waits for its exit."""
-        self.popen.kill()
-        self.popen.wait()
-
-    def freeze(self) -> None:
-        """Suspends the process with SIGSTOP."""
-        self.popen.send_signal(signal.SIGSTOP)
-
-    def thaw(self) -> None:
-        """Resumes a suspended process with SIGCONT."""
-        self.popen.send_signal(signal.SIGCONT)
-
-    def read_memory(self) -> int:
-        """Returns the resident memory in bytes."""
-        status = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text()
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024
-        raise DeploymentError(f"/proc reports no VmRSS for {self.name}.")
-
-    def read_cpu(self) -> float:
-        """Returns the CPU time used so far, user and system, in seconds."""
-        stat = pathlib.Path(f"/proc/{self.popen.pid}/stat").read_text()
-        fields = stat.rsplit(")", 1)[1].split()
-        ticks = int(fields[11]) + int(fields[12])
-        return ticks / os.sysconf("SC_CLK_TCK")
-
-
-def start_process(
-    name: str,
-    address: str,
-    arguments: list[str],
-    log: pathlib.Path,
-    **environment: str,
-) -> Process:
-    """Starts a process and appends its output to a log file.
-
-    Args:
-        name: Name of the process.
-        address: ``HOST:PORT`` of its HTTP server.
-        arguments: Command line.
-        log: File that collects the output.
-        **environment: Variables to set besides the inherited ones.
-    """
-    with log.open("ab") as output:
-        popen = subprocess.Popen(
-            arguments,
-            stdout=output,
-            stderr=subprocess.STDOUT,
-            env=os.environ | environment,
-        )
-    return Process(name, address, popen, log, arguments)
-
-
 class TestDeployment:
     """A small deployment whose processes all run on loopback.
 
@@ -135,7 +49,7 @@
         self._has_proxy = has_proxy
         self._links: dict[str, tuple[int, str]] = {}
         self._ports: set[int] = set()
-        self.processes: dict[str, Process] = {}
+        self.processes: dict[str, processes.Process] = {}
         self.kv = self.reserve_address()
         self.vms = self.reserve_address()
         self._daemons: dict[str, tuple[str, list[str], str]] = {}
@@ -148,7 +62,7 @@
         self.close()
 
     @property
-    def daemons(self) -> list[Process]:
+    def daemons(self) -> list[processes.Process]:
         """The running daemons, sorted by name."""
         return [
             self.processes[name]
@@ -183,7 +97,7 @@
                 f"{daemon.name} to report every endpoint live",
             )
 
-    def _reports_all_live(self, daemon: Process) -> bool:
+    def _reports_all_live(self, daemon: processes.Process) -> bool:
         reported = self.read_status(daemon)["endpoints"]
         live = {
             e["endpoint"]: e["incarnation"]
@@ -242,7 +156,7 @@
         for name in names:
             self.start_daemon(name)
 
-    def start_daemon(self, name: str) -> Process:
+    def start_daemon(self, name: str) -> processes.Process:
         """Starts a planned daemon, or restarts one that has exited.
 
         A restarted daemon keeps its addresses.
@@ -274,7 +188,9 @@
         process.admin = admin
         return process
 
-    def start_module(self, name: str, module: str, *flags: str) -> Process:
+    def start_module(
+        self, name: str, module: str, *flags: str
+    ) -> processes.Process:
         """Runs another module with ``--port`` and waits until it responds."""
         address = self.reserve_address()
         port = address.rsplit(":", 1)[1]
@@ -294,7 +210,7 @@
             Version of the committed configuration.
 
         Raises:
-            DeploymentError: If the plan or the commit is rejected.
+            processes.DeploymentError: If the plan or the commit is rejected.
         """
         name = daemon or self.daemons[0].name
         admin = self.processes[name].admin
@@ -306,12 +222,12 @@
             admin, "POST", "/admin/v1/plan", document.encode(), headers
         )
         if plan.status != 200:
-            raise DeploymentError(plan.body.decode())
+            raise processes.DeploymentError(plan.body.decode())
         commit = http_lib.call(
             admin, "POST", "/admin/v1/confirm", plan.body, headers
         )
         if commit.status != 200:
-            raise DeploymentError(commit.body.decode())
+            raise processes.DeploymentError(commit.body.decode())
         return commit.json()["version"]
 
     def wait_ready(self, version: int = 1) -> None:
@@ -332,14 +248,14 @@
                 f"{daemon.name} to be ready",
             )
 
-    def read_status(self, daemon: Process) -> dict:
+    def read_status(self, daemon: processes.Process) -> dict:
         """Returns the status that a daemon reports to operators."""
         headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
         return http_lib.call(
             daemon.admin, "GET", "/admin/v1/status", headers=headers
         ).json()
 
-    def read_version(self, daemon: Process) -> int:
+    def read_version(self, daemon: processes.Process) -> int:
         """Returns a daemon's configuration version, or -1 if unreachable."""
         try:
             return self.read_status(daemon)["version"]
@@ -355,7 +271,9 @@
         address = self.processes["proxy"].address
         response = http_lib.post_json(address, f"/links/{link}", faults)
         if response.status != 200:
-            raise DeploymentError(f"No link {link}: {response.status}.")
+            raise processes.DeploymentError(
+                f"No link {link}: {response.status}."
+            )
 
     def read_record(self, name: str) -> dict:
         """Returns what a test double recorded about the requests it handled."""
@@ -398,14 +316,14 @@
             seconds: Timeout.
 
         Raises:
-            DeploymentError: If the condition is not met in time.
+            processes.DeploymentError: If the condition is not met in time.
         """
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             if check():
                 return
             time.sleep(_POLL_INTERVAL_S)
-        raise DeploymentError(f"Waited {seconds:g} s for {what}.")
+        raise processes.DeploymentError(f"Waited {seconds:g} s for {what}.")
 
     def close(self) -> None:
         """Terminates all processes; kills those that still run after 2 s."""
@@ -473,22 +391,24 @@
 
     def _start_standin(
         self, program: str, address: str, *flags: str, name: str = ""
-    ) -> Process:
+    ) -> processes.Process:
         port = address.rsplit(":", 1)[1]
         module = f"sardinewharf.standins.{program}"
         arguments = [sys.executable, "-m", module, "--port", port, *flags]
         return self._spawn(name or program, address, arguments)
 
-    def _spawn(self, name: str, address: str, arguments: list[str]) -> Process:
+    def _spawn(
+        self, name: str, address: str, arguments: list[str]
+    ) -> processes.Process:
         log = pathlib.Path(self._folder.name) / f"{name}.log"
-        process = start_process(name, address, arguments, log)
+        process = processes.start_process(name, address, arguments, log)
         self.processes[name] = process
         return process
 
-    def _wait_for_http(self, process: Process) -> None:
+    def _wait_for_http(self, process: processes.Process) -> None:
         self.wait(
             lambda: http_lib.responds(process.address) or not process.is_live,
             f"{process.name} to respond",
         )
         if not process.is_live:
-            raise DeploymentError(process.log.read_text()[-2000:])
+            raise processes.DeploymentError(process.log.read_text()[-2000:])
