Ask a gateway for its changes without forgetting the watcher that responds

Cause: found on reading the diff. A request to the gateway that had stated a newer revision went through the choice of the best responder, which forgot the watcher that had responded last if the other one is a follower. The next poll then asked both watchers.

Change: one gateway is queried directly.

--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -207,7 +207,9 @@
 
     async def query_peer(self, name: str) -> FeedUpdate | None:
         """Returns an update of one gateway, if it responds."""
-        return await self._query_best([name])
+        if name not in self._replica.members:
+            return None
+        return await self._query(name)
 
     async def query_any_peer(self) -> FeedUpdate | None:
         """Returns the best update of some other gateways, if any responds."""
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -21,7 +21,7 @@
 from sardinewharf.gateway import settings as settings_lib
 
 # After a failure, a short watch soonest detects that the store is back.
-PROBE_WATCH_TIMEOUT_S = 0.05
+_PROBE_WATCH_TIMEOUT_S = 0.05
 _LIST_TIMEOUT_S = 1.5
 # Delay after changes, so that the next watch returns several together: seconds
 # for each gateway, since all of them watch again after each change.
@@ -228,7 +228,9 @@
         was_failing = self._has_failed
         revision = self._replica.revision
         seconds = (
-            PROBE_WATCH_TIMEOUT_S if was_failing else self._find_watch_timeout()
+            _PROBE_WATCH_TIMEOUT_S
+            if was_failing
+            else self._find_watch_timeout()
         )
         until = clocks.Deadline(sent + seconds)
         result = await self._watch_store(until)
--- a/sardinewharf/platform/store.py
+++ b/sardinewharf/platform/store.py
@@ -15,7 +15,7 @@
 
 _MAX_CONNECTIONS = 8
 # The response to a watch may arrive this long after the requested wait.
-RESPONSE_GRACE_S = 0.6
+_RESPONSE_GRACE_S = 0.6
 _MAX_WAIT_MS = 30_000
 _MIN_LEASE_MS = 1_000
 _Body = TypeVar("_Body")
@@ -63,7 +63,7 @@
         changes = await self.watch_prefix(key, revision, deadline)
         if isinstance(changes, keyvalue.Unavailable):
             return changes
-        return await self.read(key, clocks.Deadline.after(RESPONSE_GRACE_S))
+        return await self.read(key, clocks.Deadline.after(_RESPONSE_GRACE_S))
 
     async def write(
         self,
@@ -123,7 +123,7 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
         )
-        response_deadline = clocks.Deadline(until.at + RESPONSE_GRACE_S)
+        response_deadline = clocks.Deadline(until.at + _RESPONSE_GRACE_S)
         try:
             status, body = await self._call(
                 b"GET", f"/-/kv-watch?{query}", None, response_deadline
