Let the soak be played with any number of gateways

Cause: all four gateways of the soak watch the store, so that no run had a gateway that follows others; the late configuration could not be found there.

--- a/sardinewharf/soak/program.py
+++ b/sardinewharf/soak/program.py
@@ -10,6 +10,7 @@
 from cleo.commands import command
 from cleo.helpers import option
 
+from sardinewharf.soak import deployment
 from sardinewharf.soak import runner
 
 _LOG_FOLDER = pathlib.Path("build/soak")
@@ -41,6 +42,13 @@
             flag=False,
             default="20",
         ),
+        option(
+            "gateways",
+            None,
+            "number of gateways; of more than eight, some follow others",
+            flag=False,
+            default=str(deployment.DeploymentSize().gateways),
+        ),
     ]
 
     def handle(self) -> int:
@@ -54,15 +62,19 @@
             )
             seeds = range(first, first + int(self.option("seeds")))
             seconds = float(self.option("seconds"))
+            size = deployment.DeploymentSize(int(self.option("gateways")))
         except ValueError as error:
             self.line_error(
-                f"{error}; --seed, --seeds and --seconds must be numbers"
+                f"{error}; --seed, --seeds, --seconds and --gateways must be"
+                " numbers"
             )
             return _EXIT_USAGE
         failed_seeds = [
             seed
             for seed in seeds
-            if not self._holds_invariants(runner.SoakSettings(seed, seconds))
+            if not self._holds_invariants(
+                runner.SoakSettings(seed, seconds, size)
+            )
         ]
         return _EXIT_VIOLATION if failed_seeds else 0
 
