Log which request a rejected response named, and whether its connection was reused

Cause: attempt_failed named neither the status nor the id in the response, so that a refusal of an earlier request could not be told from a true one.

Change: status, answered and is_reused in attempt_failed. No logic is changed.

--- a/sardinewharf/gateway/attempt_log.py
+++ b/sardinewharf/gateway/attempt_log.py
@@ -3,6 +3,7 @@
 from sardinewharf import clocks
 from sardinewharf import ids
 from sardinewharf import records
+from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
@@ -62,10 +63,32 @@
             )
         )
 
+    def record_unreached(
+        self, call: requests.Call, endpoint_id: ids.EndpointId
+    ) -> None:
+        """Logs that no connection to an endpoint could be made."""
+        self._write_failure(call, endpoint_id, "unreached")
+
     def record_failure(
-        self, call: requests.Call, endpoint_id: ids.EndpointId, outcome: str
+        self, call: requests.Call, attempt: requests.Attempt, outcome: str
     ) -> None:
         """Logs that an endpoint gave no response that may be forwarded."""
+        self._write_failure(
+            call,
+            attempt.target.endpoint.id,
+            outcome,
+            attempt.head,
+            is_reused=not attempt.exchange.is_first,
+        )
+
+    def _write_failure(
+        self,
+        call: requests.Call,
+        endpoint_id: ids.EndpointId,
+        outcome: str,
+        head: messages.ResponseHead | None = None,
+        is_reused: bool = False,
+    ) -> None:
         now = clocks.read_monotonic()
         self._metrics.count_failure(call.service, outcome)
         self._log.write(
@@ -79,5 +102,8 @@
                 budget_left=round(
                     self._budgets.find(call.service).read_remaining(now), 1
                 ),
+                status=head.status if head is not None else 0,
+                answered=head.request_id if head is not None else "",
+                is_reused=is_reused,
             )
         )
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -134,7 +134,7 @@
             except http1.ConnectError as error:
                 call.last_failure_detail = str(error)
                 call.excluded.add(target.endpoint.id)
-                self._log.record_failure(call, target.endpoint.id, "unreached")
+                self._log.record_unreached(call, target.endpoint.id)
                 connect_failures += 1
                 continue
             if not self._charge_retry_budget(call):
@@ -152,7 +152,7 @@
         endpoint = attempt.target.endpoint
         call.last_failure_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
-        self._log.record_failure(call, endpoint.id, "lost")
+        self._log.record_failure(call, attempt, "lost")
         now = clocks.read_monotonic()
         self._dependencies.health.record_failure(endpoint.incarnation, now)
         if attempt.exchange.was_lost:
@@ -424,7 +424,7 @@
         status = attempt.head.status
         call.last_failure_detail = f"{endpoint.id}: not run, status {status}"
         call.excluded.add(endpoint.id)
-        self._log.record_failure(call, endpoint.id, "not_run")
+        self._log.record_failure(call, attempt, "not_run")
         backoff_s = (
             _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
         )
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -70,11 +70,15 @@
 
     Attributes:
         method: HTTP method.
+        is_first: Whether it is the connection's first exchange. Only then no
+            bytes of an earlier response can be taken for this one's.
         is_complete: Whether the complete response has arrived.
         was_lost: Whether the connection ended before the response did.
     """
 
-    def __init__(self, connection: "Connection", method: bytes):
+    def __init__(
+        self, connection: "Connection", method: bytes, is_first: bool = True
+    ):
         self._connection = connection
         self._event = asyncio.Event()
         self._chunks: list[bytes] = []
@@ -82,6 +86,7 @@
         self._head: Head | None = None
         self._error: str | None = None
         self.method = method
+        self.is_first = is_first
         self.is_complete = False
         self.was_lost = False
 
@@ -193,7 +198,8 @@
 
     def start(self, method: bytes, request: bytes) -> Exchange:
         """Writes a request and returns its exchange."""
-        self._exchange = Exchange(self, method)
+        is_first = self._exchange is None
+        self._exchange = Exchange(self, method, is_first)
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._has_head = False
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -274,7 +274,10 @@
 class AttemptFailed(Record, tag="attempt_failed"):
     """An endpoint gave no response that may be forwarded.
 
-    ``budget_left`` is what remains of the service's retry budget.
+    ``budget_left`` is what remains of the service's retry budget. ``status``
+    and ``answered`` are the status and the request id of the response, 0 and
+    empty if none arrived; ``is_reused`` states whether its connection had
+    carried another request before.
     """
 
     request: str
@@ -284,6 +287,9 @@
     detail: str
     waited_ms: int
     budget_left: float
+    status: int = 0
+    answered: str = ""
+    is_reused: bool = False
 
 
 class RequestAnswered(Record, tag="request_answered"):
