Match a response to its request before anything of it is believed

Callers saw: 503, 'not run', for a booking that three servers had run, or one booking run at up to three servers (TWICE, REFUSED).

Cause: a response was classified as a refusal before its request id was compared, so that a faulty server's copy of an earlier refusal took back a run. The connection then went back to the pool one response behind, and the weights that such a response named were recorded.

Change: the id is compared first. A response without an id counts only on a connection that carried no request before. A connection whose response is to another request is closed.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -375,19 +375,18 @@
         A response that is not is recorded, so that the request may be retried.
         """
         head = attempt.head
+        request_id = call.request.headers.request_id
+        if not attempt.is_answered_by(head, request_id):
+            attempt.discard_connection()
+            self.record_loss(call, attempt, "the answer is to another request")
+            return False
         self._record_weights(call, attempt)
         if head.is_not_run:
             self._record_not_run(call, attempt)
             return False
-        if (
-            head.request_id
-            and head.request_id != call.request.headers.request_id
-        ):
-            self.record_loss(call, attempt, "the answer is to another request")
-            return False
         if head.is_success:
-            matches_request = head.request_id == call.request.headers.request_id
-            if matches_request and head.is_stamped and not head.is_encoded:
+            names_request = head.request_id == request_id
+            if names_request and head.is_stamped and not head.is_encoded:
                 return True
             self.record_loss(call, attempt, "the answer is not the endpoint's")
             return False
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -193,6 +193,22 @@
             took_s * 1000,
         )
 
+    def is_answered_by(
+        self, head: messages.ResponseHead, request_id: ids.RequestId
+    ) -> bool:
+        """Returns whether a response is to this attempt's request.
+
+        A response without an id may be an earlier one that an endpoint sent
+        again, unless its connection carried no request before.
+        """
+        if not head.request_id:
+            return self.exchange.is_first
+        return head.request_id == request_id
+
+    def discard_connection(self) -> None:
+        """Closes the connection, so that no later request is sent on it."""
+        self._connection.abort()
+
     def close(self) -> None:
         """Releases the connection and the attempt's share of the load.
 
--- a/sardinewharf/gateway/tests/test_faulty_endpoints.py
+++ b/sardinewharf/gateway/tests/test_faulty_endpoints.py
@@ -77,6 +77,135 @@
     assert all(a.body == b"an answer" for a in responses if a.status == 200)
 
 
+class StaleRefusals:
+    """Makes servers run requests and then write an earlier refusal.
+
+    Args:
+        servers: The servers.
+        status: Status of the refusal.
+        request_id: Id of the request that was refused; None for no id.
+    """
+
+    def __init__(self, servers, status, request_id):
+        self._status = status
+        self._request_id = request_id
+        self.is_active = True
+        for server in servers:
+            self._wrap(server)
+
+    def _wrap(self, server):
+        respond = server.respond
+
+        async def respond_stale(connection, request):
+            if not self.is_active:
+                await respond(connection, request)
+                return
+            headers = [
+                ("x-sardinewharf-server-stamp", f"{server.id}.stamp"),
+                ("keep-alive", "timeout=10"),
+            ]
+            if self._status != 421:
+                headers.append(("x-sardinewharf-not-run", "1"))
+            if self._request_id is not None:
+                headers.append(("x-sardinewharf-request-id", self._request_id))
+            connection.reply(self._status, headers)
+
+        server.respond = respond_stale
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+async def test_a_refusal_of_an_earlier_request_is_not_believed(harness, status):
+    """A stale refusal made a booking run at three servers, and a 503 deny it.
+
+    The gateway took the refusal for its own request's before it compared the
+    request ids.
+    """
+    StaleRefusals(harness.servers, status, "an-earlier-request")
+    response = await harness.send_request("/book/1", body=b"pallet")
+    assert response.status == 502
+    assert len(harness.list_executed()) == 1
+
+
+@pytest.mark.parametrize("status", [503, 421])
+async def test_a_refusal_without_an_id_is_not_believed_on_a_reused_connection(
+    harness, status
+):
+    """It may be a copy of the refusal of an earlier request."""
+    (server,) = harness.servers[:1]
+    for other in harness.servers[1:]:
+        await harness.store.remove(f"servers/{other.id}")
+    await asyncio.sleep(0.1)
+    stale = StaleRefusals([server], status, None)
+    stale.is_active = False
+    await harness.send_request("/book/1", body=b"x")
+    stale.is_active = True
+    response = await harness.send_request("/book/1", body=b"pallet")
+    assert response.status == 502
+    assert [r.body for r in server.executed] == [b"x", b"pallet"]
+
+
+async def test_a_connection_with_a_stale_refusal_is_not_used_again(harness):
+    """Each later response on it was taken for the next request's.
+
+    The connection went back to the pool with the response still to come.
+    """
+    (server,) = harness.servers[:1]
+    for other in harness.servers[1:]:
+        await harness.store.remove(f"servers/{other.id}")
+    await asyncio.sleep(0.1)
+    stale = StaleRefusals([server], 503, "an-earlier-request")
+    await harness.send_request("/book/1", body=b"x")
+    stale.is_active = False
+    assert not server._connections
+    response = await harness.send_request("/book/1", body=b"x")
+    assert (response.status, response.body) == (200, b"an answer")
+
+
+@pytest.mark.parametrize("request_id", ["an-earlier-request", None])
+async def test_an_error_of_an_earlier_request_is_not_passed_on(
+    harness, request_id
+):
+    """A response without an id on a reused connection may be an earlier one."""
+    (server,) = harness.servers[:1]
+    for other in harness.servers[1:]:
+        await harness.store.remove(f"servers/{other.id}")
+    await asyncio.sleep(0.1)
+    stale = StaleRefusals([server], 500, request_id)
+    stale.is_active = False
+    await harness.send_request("/book/1", body=b"x")
+    stale.is_active = True
+    response = await harness.send_request("/book/1", body=b"x")
+    assert response.status == 502
+
+
+async def test_nothing_is_learned_from_the_response_to_another_request(harness):
+    """An old response named newer weights, which the engine did not have."""
+    respond_by_engine = {}
+
+    def respond_as_another(engine):
+        respond_by_engine[engine.id] = engine.respond
+
+        async def respond(connection, request):
+            headers = [
+                ("x-sardinewharf-request-id", "an-earlier-request"),
+                ("x-sardinewharf-server-stamp", "stamp"),
+                ("x-sardinewharf-weight-versions", "9"),
+            ]
+            connection.reply(200, headers, b"id: 1\ndata: a\n\n")
+
+        engine.respond = respond
+
+    for engine in harness.engines:
+        respond_as_another(engine)
+    await harness.send_request("/chat/1", body=b"p")
+    registry = harness.gateways[0]._replica.registry
+    versions = {
+        registry.find_weights(engine.id, gateway_harness.MODEL)
+        for engine in harness.engines
+    }
+    assert versions == {1}
+
+
 async def test_a_failure_of_an_endpoint_is_passed_on_unchanged(harness):
     inject_faults(harness.servers, status=500)
     response = await harness.send_request("/book/1", body=b"x")
