Keep a stalled attempt open until another endpoint has responded

Callers saw: streams that ended incomplete, and safe requests answered 502, although their endpoint only paused for a second and would have gone on (LOST; a server's silence is no reason to end an answer sooner).

Cause: an engine without a byte for 0.6 or 1.2 s was given up and its connection closed before it was known whether another endpoint could go on. Without another endpoint, retry budget or attempt, or if the next one answered an error, the stream was cut. A safe request was given up in the same way after 0.45 of its time.

Change: silence only means stalled. The next endpoint is tried while the stalled one is read on; whichever sends first goes on, and the other is closed at once, so that two never serve one stream. A refusal or an error of the others leaves the stalled attempt open. Forwarding of streams moves from relay to a module of its own.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -5,7 +5,6 @@
 import random
 
 from sardinewharf import balancing
-from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import http1
@@ -13,6 +12,7 @@
 from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import attempt_log
+from sardinewharf.gateway import failover
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import prompts as prompts_lib
@@ -27,9 +27,6 @@
 _CONNECT_S = 0.3
 # Failed connection attempts after which a request is refused.
 _MAX_CONNECT_FAILURES = 4
-# Share of the remaining time that the first attempt of a retryable request may
-# take; the rest is left for a second endpoint.
-_FIRST_ATTEMPT_SHARE = 0.45
 # Retry-After of refusals, in seconds: drawn from a range, so that callers that
 # were refused together do not come back together.
 _MIN_RETRY_AFTER_S = 0.2
@@ -64,7 +61,7 @@
         prompts: Where shared prompts are cached.
         crashes: Requests that ran when endpoints crashed.
         estimators: What is measured of engines and prompts.
-        reader: Reads from endpoints, and detects unresponsive ones.
+        reader: Reads from endpoints, and detects stalled ones.
         log: Receives a record of each attempt.
         metrics: Counts attempts and their outcomes.
     """
@@ -141,8 +138,9 @@
                 pool.release(connection)
                 raise self._make_refusal(call, refusals.Reason.BUSY)
             attempt = self._send(call, target, pool, connection)
-            if await self._wait_for_head(call, attempt):
-                return attempt
+            answered = await self._wait_for_answer(call, attempt)
+            if answered is not None:
+                return answered
         raise self._make_refusal(call, refusals.Reason.NO_ENDPOINT)
 
     def record_loss(
@@ -160,6 +158,15 @@
                 call.request.fingerprint, endpoint.incarnation, now
             )
 
+    def record_stall(
+        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    ) -> None:
+        """Records that other endpoints are tried, as one may have stopped."""
+        endpoint = attempt.target.endpoint
+        call.last_failure_detail = f"{endpoint.id}: {detail}"
+        call.excluded.add(endpoint.id)
+        self._log.record_failure(call, attempt, "stalled")
+
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
         self._dependencies.health.record_success(
@@ -328,11 +335,37 @@
             request.method, request.target, headers, request.body
         )
 
-    async def _wait_for_head(
+    async def _wait_for_answer(
         self, call: requests.Call, attempt: requests.Attempt
-    ) -> bool:
-        """Returns whether a response may be forwarded; if not, closes it."""
+    ) -> requests.Attempt | None:
+        """Waits for the head of a response that may be forwarded.
+
+        Returns:
+            The attempt, or that at another endpoint which responded while this
+            one was stalled; None if the request has to be sent again.
+        """
         is_accepted = False
+        try:
+            while True:
+                try:
+                    is_accepted = await self._read_head(call, attempt)
+                    return attempt if is_accepted else None
+                except readers.StalledError as error:
+                    outcome = await self._fail_over(call, attempt, str(error))
+                if isinstance(outcome, failover.Replaced):
+                    return outcome.attempt
+        finally:
+            if not is_accepted:
+                attempt.close()
+
+    async def _read_head(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> bool:
+        """Reads the head of a response; returns whether to forward it.
+
+        Raises:
+            StalledError: If the endpoint is stalled.
+        """
         try:
             async with asyncio.timeout_at(
                 self._find_head_deadline(call, attempt)
@@ -340,32 +373,76 @@
                 head = await self._dependencies.reader.read(
                     call, attempt, attempt.exchange.read_head
                 )
-            attempt.head = self._dependencies.header_codec.read_response(head)
-            is_accepted = self._classify_response(call, attempt)
         except http1.ResponseLostError as error:
             self.record_loss(call, attempt, str(error))
+            return False
         except TimeoutError:
             self.record_loss(call, attempt, "no answer in time")
-        finally:
-            if not is_accepted:
-                attempt.close()
-        return is_accepted
+            return False
+        attempt.head = self._dependencies.header_codec.read_response(head)
+        return self._classify_response(call, attempt)
+
+    async def _fail_over(
+        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    ) -> (
+        failover.Continued[http1.Head]
+        | failover.Replaced
+        | failover.StillStalled
+    ):
+        """Tries other endpoints while the attempt at a stalled one is open.
+
+        Raises:
+            RefusedError: If the stalled attempt is lost, and no other endpoint
+                can take the request.
+        """
+        self.record_stall(call, attempt, detail)
+        outcome = await failover.wait_for_first(
+            attempt,
+            self._read_head_patiently(call, attempt),
+            self._open_replacement(call),
+        )
+        if not isinstance(outcome, failover.Replaced):
+            call.endpoint = attempt.target.endpoint.id
+        return outcome
+
+    async def _read_head_patiently(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> http1.Head:
+        try:
+            async with asyncio.timeout_at(
+                self._find_head_deadline(call, attempt)
+            ):
+                return await self._dependencies.reader.read_patiently(
+                    attempt, attempt.exchange.read_head
+                )
+        except (http1.ResponseLostError, TimeoutError) as error:
+            detail = str(error) or "no answer in time"
+            self.record_loss(call, attempt, detail)
+            raise
+
+    async def _open_replacement(self, call: requests.Call) -> requests.Attempt:
+        """Returns an attempt that may replace one at a stalled endpoint.
+
+        Raises:
+            RefusedError: If no other endpoint serves the request. An error of
+                another endpoint is no reason to end the stalled attempt.
+        """
+        attempt = await self.open(call)
+        if attempt.head.status < 500:
+            return attempt
+        attempt.close()
+        raise refusals.refuse(
+            refusals.Reason.LOST, f"status {attempt.head.status}"
+        )
 
     def _find_head_deadline(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> float:
         """Returns when to stop waiting for a response, on the loop's clock."""
         start_deadline = attempt.target.start_deadline
-        if start_deadline is not None:
-            return start_deadline.earlier(call.deadline).at
-        route = call.admitted.route
-        leaves_time_for_retry = (
-            route.kind is catalog.RouteKind.SAFE and call.may_run_again
-        )
-        if not leaves_time_for_retry:
+        if start_deadline is None:
             return call.deadline.at
-        left = call.deadline.remaining()
-        return clocks.read_monotonic() + left * _FIRST_ATTEMPT_SHARE
+        return start_deadline.earlier(call.deadline).at
 
     def _classify_response(
         self, call: requests.Call, attempt: requests.Attempt
--- /dev/null
+++ b/sardinewharf/gateway/forwarding.py
@@ -0,0 +1,212 @@
+"""Forwards streams to callers, and resumes those that break."""
+
+import asyncio
+
+from sardinewharf import clocks
+from sardinewharf import http1
+from sardinewharf.gateway import dispatcher as dispatcher_lib
+from sardinewharf.gateway import failover
+from sardinewharf.gateway import messages
+from sardinewharf.gateway import readers
+from sardinewharf.gateway import refusals
+from sardinewharf.gateway import requests
+from sardinewharf.gateway import responder as responder_lib
+from sardinewharf.gateway import streams
+
+# How an attempt can end without the rest of its stream.
+_LOSSES = (http1.ResponseLostError, streams.EventTooLargeError, TimeoutError)
+
+
+class StreamForwarder:
+    """Forwards one stream event by event.
+
+    A stream that breaks is resumed at another endpoint if the request may run
+    again. One that stalls is too, but the attempt at the stalled endpoint stays
+    open until the other endpoint has responded.
+
+    Args:
+        dispatcher: Sends requests to endpoints.
+        reader: Reads from endpoints, and detects stalled ones.
+        call: The request.
+        attempt: The attempt whose response has begun. It is closed at the end.
+        responder: Sends the response to the caller.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatcher_lib.Dispatcher,
+        reader: readers.EndpointReader,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        responder: responder_lib.Responder,
+    ):
+        self._dispatcher = dispatcher
+        self._reader = reader
+        self._call = call
+        self._attempt = attempt
+        self._responder = responder
+        self._framer = streams.EventFramer()
+        self._progress_at = clocks.read_monotonic()
+
+    async def run(self) -> bool:
+        """Returns whether the stream was forwarded to its end."""
+        try:
+            await self._responder.start(self._attempt.head)
+            while not await self._forward_events():
+                if not await self._resume():
+                    return False
+            await self._responder.finish()
+            return True
+        finally:
+            self._attempt.close()
+
+    async def _forward_events(self) -> bool:
+        """Forwards complete events until the stream ends or is lost.
+
+        Returns:
+            Whether the stream came to its end.
+        """
+        try:
+            while events := await self._read_next():
+                await self._responder.write(events)
+        except _LOSSES as error:
+            self._record_loss(error)
+            return False
+        except refusals.RefusedError as error:
+            self._call.last_failure_detail = error.refusal.detail
+            return False
+        if not self._framer.is_at_event_end:
+            self._record_loss(http1.ResponseLostError("ends within an event"))
+            return False
+        self._dispatcher.record_success(self._attempt)
+        return True
+
+    async def _read_next(self) -> bytes:
+        """Returns the next complete events; empty at the stream's end.
+
+        While the endpoint is stalled, others are tried.
+        """
+        while True:
+            try:
+                return await self._read_events(is_patient=False)
+            except readers.StalledError as error:
+                outcome = await self._fail_over(error)
+            if isinstance(outcome, failover.Continued):
+                return outcome.answer
+            if isinstance(outcome, failover.Replaced):
+                self._replace_attempt(outcome.attempt)
+            self._progress_at = clocks.read_monotonic()
+
+    async def _read_events(self, is_patient: bool) -> bytes:
+        """Returns the next complete events; empty at the stream's end.
+
+        Args:
+            is_patient: Whether to wait however long the endpoint is stalled.
+        """
+        attempt = self._attempt
+        while True:
+            async with asyncio.timeout_at(self._call.deadline.at):
+                chunk = await self._read_chunk(is_patient)
+            if not chunk:
+                return b""
+            events = self._framer.feed(chunk)
+            if events:
+                self._record_events(events)
+                return events
+            if not is_patient:
+                self._reader.check_progress(
+                    self._call, attempt, self._progress_at
+                )
+
+    async def _read_while_stalled(self) -> bytes:
+        try:
+            return await self._read_events(is_patient=True)
+        except _LOSSES as error:
+            self._record_loss(error)
+            raise
+
+    async def _read_chunk(self, is_patient: bool) -> bytes:
+        attempt = self._attempt
+        if is_patient:
+            return await self._reader.read_patiently(
+                attempt, attempt.exchange.read
+            )
+        return await self._reader.read(
+            self._call, attempt, attempt.exchange.read
+        )
+
+    def _record_events(self, events: bytes) -> None:
+        call = self._call
+        self._attempt.record_first_event()
+        self._progress_at = clocks.read_monotonic()
+        if call.first_byte_at is None:
+            call.first_byte_at = self._progress_at
+        call.sent_bytes += len(events)
+
+    def _record_loss(self, error: Exception) -> None:
+        detail = str(error) or "stream not whole in time"
+        self._dispatcher.record_loss(self._call, self._attempt, detail)
+
+    async def _fail_over(
+        self, error: readers.StalledError
+    ) -> failover.Continued[bytes] | failover.Replaced | failover.StillStalled:
+        """Tries other endpoints while the attempt at the stalled one is open.
+
+        Raises:
+            RefusedError: If the stalled attempt is lost, and no other endpoint
+                can resume the stream.
+        """
+        self._dispatcher.record_stall(self._call, self._attempt, str(error))
+        outcome = await failover.wait_for_first(
+            self._attempt,
+            self._read_while_stalled(),
+            self._open_resumption(),
+        )
+        if not isinstance(outcome, failover.Replaced):
+            self._call.endpoint = self._attempt.target.endpoint.id
+        return outcome
+
+    async def _resume(self) -> bool:
+        """Returns whether another endpoint resumes the stream that was lost."""
+        call = self._call
+        if not call.may_run_again or call.deadline.is_past():
+            return False
+        try:
+            attempt = await self._open_resumption()
+        except refusals.RefusedError as error:
+            call.last_failure_detail = error.refusal.detail
+            return False
+        self._replace_attempt(attempt)
+        return True
+
+    async def _open_resumption(self) -> requests.Attempt:
+        """Returns an attempt that resumes the stream after its last event.
+
+        Raises:
+            RefusedError: If no endpoint can resume it.
+        """
+        call = self._call
+        call.resume_after = (
+            self._framer.last_id
+            if self._framer.last_id is not None
+            else call.request.headers.resume_after
+        )
+        attempt = await self._dispatcher.open(call)
+        if _is_resumed_stream(attempt.head):
+            return attempt
+        attempt.close()
+        raise refusals.refuse(
+            refusals.Reason.LOST,
+            f"status {attempt.head.status} instead of the rest of the stream",
+        )
+
+    def _replace_attempt(self, attempt: requests.Attempt) -> None:
+        self._attempt.close()
+        self._attempt = attempt
+        self._framer.drop_partial_event()
+        self._progress_at = clocks.read_monotonic()
+
+
+def _is_resumed_stream(head: messages.ResponseHead | None) -> bool:
+    """Returns whether a response can continue a broken stream."""
+    return head is not None and head.is_success and head.is_event_stream
--- a/sardinewharf/gateway/readers.py
+++ b/sardinewharf/gateway/readers.py
@@ -1,4 +1,4 @@
-"""Reads responses from endpoints and detects those that stopped responding."""
+"""Reads responses from endpoints and detects those that stall."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -9,23 +9,23 @@
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
-from sardinewharf import http1
 from sardinewharf.gateway import requests
 
 # Longest time between the ends of two events of a resumable stream while data
 # arrives, in seconds, beyond the prefill of the queued prompts.
 _MAX_EVENT_S = 1.5
+# Share of the remaining time after which a response to an idempotent request
+# that is no stream counts as stalled; the rest is left for a second endpoint.
+_STALL_SHARE = 0.45
 _ReadResult = TypeVar("_ReadResult")
 
 
-def _is_resumable(call: requests.Call) -> bool:
-    """Returns whether a broken stream may be resumed at another endpoint."""
-    is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
-    return is_stream and call.may_run_again
+class StalledError(Exception):
+    """Raised if an endpoint may have stopped; its response may still arrive."""
 
 
 class EndpointReader:
-    """Reads responses; gives up streams that can be resumed elsewhere.
+    """Reads responses, and detects those that another endpoint could give.
 
     Args:
         loads: Estimated load of each endpoint.
@@ -42,11 +42,10 @@
         attempt: requests.Attempt,
         read: Callable[[], Awaitable[_ReadResult]],
     ) -> _ReadResult:
-        """Reads from an endpoint, with an idle timeout for resumable streams.
+        """Reads from an endpoint, with an idle timeout for what may run again.
 
-        Other requests have no idle timeout. A stream times out only if the
-        endpoint sent nothing on any of this gateway's connections meanwhile: a
-        slow endpoint may still respond.
+        Other requests have no idle timeout. The attempt may be read again after
+        it timed out.
 
         Args:
             call: The request.
@@ -54,47 +53,45 @@
             read: Reads the next data of the attempt.
 
         Raises:
-            ResponseLostError: If the connection ends or the endpoint is
-                unresponsive.
+            ResponseLostError: If the connection ends.
+            StalledError: If the endpoint is silent.
         """
-        health = self._health
-        incarnation = attempt.target.endpoint.incarnation
-        if not _is_resumable(call):
-            result = await read()
-            health.record_response(incarnation, clocks.read_monotonic())
-            return result
-        endpoint_id = attempt.target.endpoint.id
-        while True:
-            own_requests = self._loads.count_own(endpoint_id)
-            idle_timeout_s = (
-                balancing.find_idle_timeout(own_requests)
-                + attempt.target.prefill_finish_s
-            )
+        while call.may_run_again:
+            idle_timeout_s = self._find_idle_timeout(call, attempt)
             began = clocks.read_monotonic()
             try:
                 async with asyncio.timeout(idle_timeout_s):
-                    result = await read()
-            except TimeoutError as error:
-                now = clocks.read_monotonic()
-                last_received_at = max(
-                    began, health.read_last_response_at(incarnation)
-                )
-                if now - last_received_at < idle_timeout_s:
-                    continue
-                health.record_unreachable(incarnation, now)
-                raise http1.ResponseLostError(
-                    f"silent for {now - last_received_at:.1f} s"
-                ) from error
-            health.record_response(incarnation, clocks.read_monotonic())
-            return result
+                    return await self.read_patiently(attempt, read)
+            except TimeoutError:
+                self._check_silence(call, attempt, began, idle_timeout_s)
+        return await self.read_patiently(attempt, read)
+
+    async def read_patiently(
+        self,
+        attempt: requests.Attempt,
+        read: Callable[[], Awaitable[_ReadResult]],
+    ) -> _ReadResult:
+        """Reads from an endpoint without an idle timeout.
+
+        Args:
+            attempt: The attempt that is read.
+            read: Reads the next data of the attempt.
+
+        Raises:
+            ResponseLostError: If the connection ends.
+        """
+        result = await read()
+        self._health.record_response(
+            attempt.target.endpoint.incarnation, clocks.read_monotonic()
+        )
+        return result
 
     def check_progress(
         self, call: requests.Call, attempt: requests.Attempt, since: float
     ) -> None:
         """Checks that a stream whose events do not end may go on.
 
-        An endpoint that sends a byte now and then is never silent. Only a
-        stream that can be resumed elsewhere is given up.
+        An endpoint that sends a byte now and then is never silent.
 
         Args:
             call: The request.
@@ -102,9 +99,48 @@
             since: When it last completed one, or began to be read.
 
         Raises:
-            ResponseLostError: If it has taken too long.
+            StalledError: If it has taken too long.
         """
         limit_s = _MAX_EVENT_S + attempt.target.prefill_finish_s
         took_s = clocks.read_monotonic() - since
-        if _is_resumable(call) and took_s > limit_s:
-            raise http1.ResponseLostError(f"no event for {took_s:.1f} s")
+        if call.may_run_again and took_s > limit_s:
+            raise StalledError(f"no event for {took_s:.1f} s")
+
+    def _find_idle_timeout(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> float:
+        """Returns after how many seconds without data an endpoint is silent."""
+        if call.admitted.route.kind is not catalog.RouteKind.STREAM:
+            return call.deadline.remaining() * _STALL_SHARE
+        own_requests = self._loads.count_own(attempt.target.endpoint.id)
+        return (
+            balancing.find_idle_timeout(own_requests)
+            + attempt.target.prefill_finish_s
+        )
+
+    def _check_silence(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        began: float,
+        idle_timeout_s: float,
+    ) -> None:
+        """Checks whether an endpoint from which nothing was read is silent.
+
+        An engine is silent only if it sent nothing on any of this gateway's
+        connections meanwhile: a slow one may still respond.
+
+        Raises:
+            StalledError: If it is.
+        """
+        now = clocks.read_monotonic()
+        incarnation = attempt.target.endpoint.incarnation
+        if call.admitted.route.kind is not catalog.RouteKind.STREAM:
+            self._health.record_failure(incarnation, now)
+            raise StalledError(f"no answer for {now - began:.1f} s")
+        last_received_at = max(
+            began, self._health.read_last_response_at(incarnation)
+        )
+        if now - last_received_at >= idle_timeout_s:
+            self._health.record_unreachable(incarnation, now)
+            raise StalledError(f"silent for {now - last_received_at:.1f} s")
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -7,13 +7,12 @@
 from sardinewharf import http1
 from sardinewharf import records
 from sardinewharf.gateway import dispatcher as dispatcher_lib
+from sardinewharf.gateway import forwarding
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import readers
-from sardinewharf.gateway import refusals
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
-from sardinewharf.gateway import streams
 
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 
@@ -23,7 +22,7 @@
 
     Args:
         dispatcher: Sends requests to endpoints.
-        reader: Reads from endpoints, and detects unresponsive ones.
+        reader: Reads from endpoints, and detects stalled ones.
         log: Receives a record of how each response ended.
         metrics: Counts responses by how they ended.
     """
@@ -55,9 +54,10 @@
             is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
             try:
                 if is_stream and head.is_success:
-                    is_complete = await self._relay_stream(
-                        call, attempt, responder
+                    forwarder = forwarding.StreamForwarder(
+                        self._dispatcher, self._reader, call, attempt, responder
                     )
+                    is_complete = await forwarder.run()
                     self._log_end(call, head, is_complete)
                     return
                 body = await self._read_body(call, attempt)
@@ -95,46 +95,6 @@
             self._dispatcher.record_success(attempt)
         return b"".join(chunks)
 
-    async def _relay_stream(
-        self,
-        call: requests.Call,
-        attempt: requests.Attempt,
-        responder: responder_lib.Responder,
-    ) -> bool:
-        """Forwards a stream, and resumes it at another endpoint if it breaks.
-
-        Only a request that may run again is resumed.
-
-        Returns:
-            Whether the stream was forwarded to its end.
-        """
-        framer = streams.EventFramer()
-        await responder.start(attempt.head)
-        current = attempt
-        while not await self._copy_events(call, current, framer, responder):
-            if current is not attempt:
-                current.close()
-            framer.drop_partial_event()
-            if not call.may_run_again or call.deadline.is_past():
-                return False
-            call.resume_after = (
-                framer.last_id
-                if framer.last_id is not None
-                else call.request.headers.resume_after
-            )
-            try:
-                current = await self._dispatcher.open(call)
-            except refusals.RefusedError as error:
-                call.last_failure_detail = error.refusal.detail
-                return False
-            if not _is_resumed_stream(current.head):
-                current.close()
-                return False
-        await responder.finish()
-        if current is not attempt:
-            current.close()
-        return True
-
     def _log_end(
         self,
         call: requests.Call,
@@ -172,56 +132,3 @@
                 bytes=call.sent_bytes,
             )
         )
-
-    async def _copy_events(
-        self,
-        call: requests.Call,
-        attempt: requests.Attempt,
-        framer: streams.EventFramer,
-        responder: responder_lib.Responder,
-    ) -> bool:
-        """Forwards complete events until the stream ends or breaks.
-
-        Returns:
-            Whether the stream came to its end.
-        """
-        progress_at = clocks.read_monotonic()
-        try:
-            while True:
-                async with asyncio.timeout_at(call.deadline.at):
-                    chunk = await self._reader.read(
-                        call, attempt, attempt.exchange.read
-                    )
-                if not chunk:
-                    break
-                complete_events = framer.feed(chunk)
-                if complete_events:
-                    attempt.record_first_event()
-                    progress_at = clocks.read_monotonic()
-                    if call.first_byte_at is None:
-                        call.first_byte_at = clocks.read_monotonic()
-                    call.sent_bytes += len(complete_events)
-                    await responder.write(complete_events)
-                else:
-                    self._reader.check_progress(call, attempt, progress_at)
-        except (
-            http1.ResponseLostError,
-            streams.EventTooLargeError,
-        ) as error:
-            self._dispatcher.record_loss(call, attempt, str(error))
-            return False
-        except TimeoutError:
-            self._dispatcher.record_loss(
-                call, attempt, "stream not whole in time"
-            )
-            return False
-        if not framer.is_at_event_end:
-            self._dispatcher.record_loss(call, attempt, "ends within an event")
-            return False
-        self._dispatcher.record_success(attempt)
-        return True
-
-
-def _is_resumed_stream(head: messages.ResponseHead | None) -> bool:
-    """Returns whether a response can continue a broken stream."""
-    return head is not None and head.is_success and head.is_event_stream
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -175,6 +175,7 @@
         self.head: messages.ResponseHead | None = None
         self._pool = pool
         self._connection = connection
+        self._is_closed = False
 
     def record_first_event(self) -> None:
         """Records the first event of a stream, which ends the prefill.
@@ -213,8 +214,11 @@
         """Releases the connection and the attempt's share of the load.
 
         A connection whose response is not complete is closed. A prefill that
-        was not recorded as ended counts as failed.
+        was not recorded as ended counts as failed. Later calls have no effect.
         """
+        if self._is_closed:
+            return
+        self._is_closed = True
         self.exchange.close()
         self._pool.release(self._connection)
         self._running_request.end()
