Let an engine that accepts connections pause for a second before others are tried

Callers saw: prefill and retry budget spent on streams whose engine paused for a second; all of a paused engine's streams were run again elsewhere.

Cause: half a second without a byte counted as the loss of the engine.

Change: at that time the gateway only stops sending it new requests and tests, once for each silence, whether it accepts a connection.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -14,7 +14,6 @@
 from sardinewharf.balancing.engines import misses_deadline
 from sardinewharf.balancing.estimates import EngineEstimates
 from sardinewharf.balancing.estimates import EngineEstimator
-from sardinewharf.balancing.idle_timeouts import find_idle_timeout
 from sardinewharf.balancing.prefills import PrefillTable
 from sardinewharf.balancing.prefix_cache import PrefixCacheIndex
 from sardinewharf.balancing.prompt_lengths import LengthSplit
@@ -22,6 +21,8 @@
 from sardinewharf.balancing.rollouts import EngineRolloutState
 from sardinewharf.balancing.rollouts import RolloutPace
 from sardinewharf.balancing.rollouts import choose_engines_to_update
+from sardinewharf.balancing.silences import MAX_SILENCE_S
+from sardinewharf.balancing.silences import find_suspicious_silence
 
 __all__ = [
     "Choice",
@@ -29,6 +30,7 @@
     "EngineEstimator",
     "EngineState",
     "LengthSplit",
+    "MAX_SILENCE_S",
     "PrefixCacheIndex",
     "PromptSize",
     "PrefillTable",
@@ -39,7 +41,7 @@
     "choose_engine",
     "choose_engines_to_update",
     "choose_server",
-    "find_idle_timeout",
+    "find_suspicious_silence",
     "misses_deadline",
     "rank_preferred",
     "choose_priority",
--- a/sardinewharf/gateway/readers.py
+++ b/sardinewharf/gateway/readers.py
@@ -9,6 +9,7 @@
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
+from sardinewharf.gateway import reachability
 from sardinewharf.gateway import requests
 
 # Longest time between the ends of two events of a resumable stream while data
@@ -17,6 +18,8 @@
 # Share of the remaining time after which a response to an idempotent request
 # that is no stream counts as stalled; the rest is left for a second endpoint.
 _STALL_SHARE = 0.45
+# Interval at which a silent engine is checked, in seconds.
+_CHECK_INTERVAL_S = 0.1
 _ReadResult = TypeVar("_ReadResult")
 
 
@@ -35,6 +38,7 @@
     def __init__(self, loads: fleet.LoadTable, health: fleet.HealthTable):
         self._loads = loads
         self._health = health
+        self._prober = reachability.ReachabilityProber()
 
     async def read(
         self,
@@ -56,14 +60,15 @@
             ResponseLostError: If the connection ends.
             StalledError: If the endpoint is silent.
         """
+        began = clocks.read_monotonic()
+        check_after_s = self._find_suspicious_silence(call, attempt)
         while call.may_run_again:
-            idle_timeout_s = self._find_idle_timeout(call, attempt)
-            began = clocks.read_monotonic()
             try:
-                async with asyncio.timeout(idle_timeout_s):
+                async with asyncio.timeout(check_after_s):
                     return await self.read_patiently(attempt, read)
             except TimeoutError:
-                self._check_silence(call, attempt, began, idle_timeout_s)
+                self._check_silence(call, attempt, began)
+                check_after_s = _CHECK_INTERVAL_S
         return await self.read_patiently(attempt, read)
 
     async def read_patiently(
@@ -106,41 +111,63 @@
         if call.may_run_again and took_s > limit_s:
             raise StalledError(f"no event for {took_s:.1f} s")
 
-    def _find_idle_timeout(
+    def _find_suspicious_silence(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> float:
-        """Returns after how many seconds without data an endpoint is silent."""
+        """Returns after how many seconds without data to check an endpoint."""
         if call.admitted.route.kind is not catalog.RouteKind.STREAM:
             return call.deadline.remaining() * _STALL_SHARE
         own_requests = self._loads.count_own(attempt.target.endpoint.id)
         return (
-            balancing.find_idle_timeout(own_requests)
+            balancing.find_suspicious_silence(own_requests)
             + attempt.target.prefill_finish_s
         )
 
     def _check_silence(
-        self,
-        call: requests.Call,
-        attempt: requests.Attempt,
-        began: float,
-        idle_timeout_s: float,
+        self, call: requests.Call, attempt: requests.Attempt, began: float
     ) -> None:
-        """Checks whether an endpoint from which nothing was read is silent.
+        """Checks whether an endpoint from which nothing was read is stalled.
 
-        An engine is silent only if it sent nothing on any of this gateway's
-        connections meanwhile: a slow one may still respond.
+        Args:
+            call: The request.
+            attempt: The attempt that is read.
+            began: When it began to be read, on the monotonic clock.
 
         Raises:
             StalledError: If it is.
         """
         now = clocks.read_monotonic()
+        if call.admitted.route.kind is catalog.RouteKind.STREAM:
+            self._check_engine(call, attempt, began)
+            return
+        self._health.record_failure(attempt.target.endpoint.incarnation, now)
+        raise StalledError(f"no answer for {now - began:.1f} s")
+
+    def _check_engine(
+        self, call: requests.Call, attempt: requests.Attempt, began: float
+    ) -> None:
+        """Checks whether an engine has stopped.
+
+        It is silent only if it sent nothing on any of this gateway's
+        connections meanwhile: a slow one may still respond.
+
+        Raises:
+            StalledError: If it is silent and accepts no connections, or has
+                been silent for too long.
+        """
+        now = clocks.read_monotonic()
         incarnation = attempt.target.endpoint.incarnation
-        if call.admitted.route.kind is not catalog.RouteKind.STREAM:
-            self._health.record_failure(incarnation, now)
-            raise StalledError(f"no answer for {now - began:.1f} s")
-        last_received_at = max(
+        silent_since = max(
             began, self._health.read_last_response_at(incarnation)
         )
-        if now - last_received_at >= idle_timeout_s:
+        silent_s = now - silent_since
+        if silent_s < self._find_suspicious_silence(call, attempt):
+            return
+        if self._prober.start(incarnation, attempt.pool, silent_since):
             self._health.record_unreachable(incarnation, now)
-            raise StalledError(f"silent for {now - last_received_at:.1f} s")
+        detail = f"silent for {silent_s:.1f} s"
+        if self._prober.has_failed(incarnation, silent_since):
+            raise StalledError(f"{detail}, accepts no connections")
+        limit_s = balancing.MAX_SILENCE_S + attempt.target.prefill_finish_s
+        if silent_s > limit_s:
+            raise StalledError(detail)
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -173,7 +173,7 @@
         self._running_request = running_request
         self._prefill_handle = prefill_handle
         self.head: messages.ResponseHead | None = None
-        self._pool = pool
+        self.pool = pool
         self._connection = connection
         self._is_closed = False
 
@@ -220,6 +220,6 @@
             return
         self._is_closed = True
         self.exchange.close()
-        self._pool.release(self._connection)
+        self.pool.release(self._connection)
         self._running_request.end()
         self._prefill_handle.fail()
