Reject a body after an informational response

Callers got the body of an informational response (status 104 to 199 with a Content-Length or chunks) in front of the body of the final response, framed as one complete body with the final response's stamp.

The parser passes on such a body, for 100 to 103 it reports an error; Connection.on_body added it to the exchange although no final head had arrived.

on_body now rejects data before a final head, which ends the response as lost and closes the connection.

--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -309,7 +309,14 @@
             self._exchange.finish()
 
     def on_body(self, body: bytes) -> None:
-        """Passes received data of the body to the exchange."""
+        """Passes received data of the body to the exchange.
+
+        Raises:
+            ResponseLostError: If it follows an informational response, which
+                has no body.
+        """
+        if not self._has_head:
+            raise ResponseLostError("a body without a final status")
         self._overhead_bytes = 0
         if not self._exchange.is_complete:
             self._exchange.add_chunk(body)
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -129,3 +129,35 @@
         assert len(await exchange.read()) == 0x4000
     connection.data_received(b"0\r\n\r\n")
     assert await exchange.read() == b""
+
+
+async def read_all(exchange):
+    """Returns the status and the body of a response that has arrived."""
+    head = await exchange.read_head()
+    chunks = []
+    while chunk := await exchange.read():
+        chunks.append(chunk)
+    return head.status, b"".join(chunks)
+
+
+@pytest.mark.parametrize("status", [100, 101, 102, 103, 104, 150, 199])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"content-length: 3\r\n\r\nbad",
+        CHUNKED.partition(b"\r\n")[2] + b"3\r\nbad\r\n0\r\n\r\n",
+    ],
+    ids=["length", "chunked"],
+)
+async def test_a_body_of_an_interim_response_joins_nothing(status, rest):
+    """Guards against a body that begins with another response's bytes.
+
+    An interim response has no body. One that had was forwarded in front of the
+    body of the final response, which looked complete.
+    """
+    connection, exchange = open_exchange()
+    interim = b"HTTP/1.1 %d Interim\r\n" % status + rest
+    connection.data_received(interim + make_response(b"own", b"one"))
+    with pytest.raises(http1.ResponseLostError):
+        await read_all(exchange)
+    assert not connection.is_open
