Keep trailers out of a response's headers

A response whose server stamp, request id or not-run field stood in its trailers was believed as if these were headers: callers got a 200, and a request that had run would count as not run.

on_header is called for trailers too, and the list that it appends to is the one that the head had been given. Whether a trailer counted depended on whether the head had been read before it came.

Headers are now collected until the final head is complete, which also covers a second response on the same bytes.

--- a/sardinewharf/gateway/tests/test_broken_responses.py
+++ b/sardinewharf/gateway/tests/test_broken_responses.py
@@ -38,3 +38,23 @@
     response = await harness.send_request("/book/1", body=b"x")
     assert (response.status, response.is_complete) == (502, True)
     assert len(harness.list_executed()) == 1
+
+
+@pytest.mark.parametrize("has_id", [True, False])
+async def test_a_stamp_in_the_trailers_is_no_stamp(harness, has_id):
+    """Guards against a success that is believed for its trailers."""
+    fields = b"x-sardinewharf-request-id: {id}\r\n" if has_id else b""
+    raw_server.play_scripts(
+        harness.servers,
+        [
+            raw_server.Script(
+                (
+                    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+                    + fields
+                    + b"\r\n1\r\nx\r\n0\r\n{fields}\r\n",
+                )
+            )
+        ],
+    )
+    response = await harness.send_request("/book/1", body=b"x")
+    assert (response.status, response.is_complete) == (502, True)
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -283,10 +283,10 @@
             self._is_unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header of the response."""
+        """Collects a header of the response; trailers are dropped."""
         # The headers of an unrequested second response must not be added to
-        # those of the first.
-        if not self._exchange.is_complete:
+        # those of the first, nor trailers (RFC 9110, section 6.5.1).
+        if not self._has_head:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -186,3 +186,24 @@
         b"HTTP/1.1 %d Odd\r\ncontent-length: 1\r\n\r\n." % status
     )
     assert await read_all(exchange) == (status, b".")
+
+
+@pytest.mark.parametrize("parts", [1, 2])
+async def test_trailers_do_not_join_the_headers(parts):
+    """Guards against a stamp or a refusal that stands behind a body.
+
+    Trailers were added to the headers if they arrived before the headers had
+    been read, so that what a response said depended on its segments.
+    """
+    connection, exchange = open_exchange()
+    trailers = b"0\r\nstamp: late\r\nnot-run: 1\r\n\r\n"
+    if parts == 1:
+        connection.data_received(CHUNKED + b"1\r\n.\r\n" + trailers)
+        head = await exchange.read_head()
+    else:
+        connection.data_received(CHUNKED + b"1\r\n.\r\n")
+        head = await exchange.read_head()
+        connection.data_received(trailers)
+    assert head.headers == [(b"transfer-encoding", b"chunked")]
+    assert await read_all(exchange) == (200, b".")
+    assert connection.is_open
