Close a connection whose reading was paused when its response ended

A request whose connection came from the pool got no response until its deadline, although the endpoint had responded at once.

Reading pauses while over 256 KiB of a body are buffered. If the whole response had arrived by then and its reader left without reading it (its caller was gone, or the head was not accepted), the exchange was complete, so the connection went back to the pool, still paused; nothing was read from it for the next request.

A paused connection now counts as not usable and is closed: unread bytes may lie in it, which belong to no request.

--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -185,12 +185,16 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection is open and usable for another request."""
+        """Whether the connection is open and usable for another request.
+
+        It is not while reading is paused, as unread bytes may lie in it.
+        """
         transport = self._transport
         return (
             transport is not None
             and not transport.is_closing()
             and not self._is_unusable
+            and not self._is_paused
         )
 
     @property
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -20,6 +20,11 @@
 
     close = abort
 
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
     def is_closing(self):
         return self.is_ended
 
@@ -207,3 +212,25 @@
     assert head.headers == [(b"transfer-encoding", b"chunked")]
     assert await read_all(exchange) == (200, b".")
     assert connection.is_open
+
+
+async def test_a_connection_whose_reading_is_paused_is_not_used_again():
+    """Guards against a request whose response is never read.
+
+    The reader of a large response left before it had read all of it. The
+    connection went back to the pool, and nothing more was read from it.
+    """
+    connection, exchange = open_exchange()
+    connection.data_received(make_response(b"own", b"x" * 300_000))
+    assert exchange.is_complete
+    exchange.close()
+    assert not connection.is_open
+
+
+async def test_a_large_response_that_is_read_leaves_its_connection_usable():
+    connection, exchange = open_exchange()
+    connection.data_received(make_response(b"own", b"x" * 300_000))
+    status, body = await read_all(exchange)
+    exchange.close()
+    assert (status, len(body)) == (200, 300_000)
+    assert connection.is_open
