Split streams at each line end that server-sent events may have

A stream whose events ended with CR, or with LF and CRLF mixed, reached its caller only as a broken stream without an event; and a whole stream counted as broken off (and was run again elsewhere or cut) when a blank line after its last event came in a segment of its own.

EventFramer knew two ends of events, LF LF and CRLF CRLF, and took a further blank line for the begin of an event.

The framer now also ends events at CR CR and LF CRLF, and passes blank lines on at once. An event still passes with its last byte, and none is cut within CRLF.

--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -21,8 +21,10 @@
 import re
 
 _ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?\n")
-_EVENT_END = b"\n\n"
-_CRLF_EVENT_END = b"\r\n\r\n"
+# Ends of a line and of the blank line after it. CRLF and a blank line of CRLF
+# end with the second.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+_LINE_ENDS = b"\r\n"
 
 
 # Largest event that is buffered until it is complete.
@@ -56,10 +58,7 @@
             EventTooLargeError: If an event is too large to be buffered.
         """
         data = self._pending + chunk
-        end = max(
-            _find_end(data, _EVENT_END),
-            _find_end(data, _CRLF_EVENT_END),
-        )
+        end = _find_last_end(data)
         complete_events, self._pending = data[:end], data[end:]
         if len(self._pending) > _MAX_EVENT_BYTES:
             raise EventTooLargeError(
@@ -74,6 +73,17 @@
         self._pending = b""
 
 
+def _find_last_end(data: bytes) -> int:
+    """Returns the position after the last complete event, or 0.
+
+    Blank lines after it belong to no event, and are not held back.
+    """
+    end = max(_find_end(data, mark) for mark in _EVENT_ENDS)
+    while end < len(data) and data[end] in _LINE_ENDS:
+        end += 1
+    return end
+
+
 def _find_end(data: bytes, end: bytes) -> int:
     """Returns the position after the last occurrence of ``end``, or 0."""
     position = data.rfind(end)
--- a/sardinewharf/gateway/tests/test_streams.py
+++ b/sardinewharf/gateway/tests/test_streams.py
@@ -1,9 +1,30 @@
 """Tests how streams are split into events."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from sardinewharf.gateway import streams
 
+# Line ends that the standard allows.
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+
+
+def feed_in_parts(framer, data, cuts):
+    """Feeds bytes that are cut at positions; returns what comes out."""
+    edges = [0, *sorted(cuts), len(data)]
+    parts = zip(edges, edges[1:], strict=False)
+    return [framer.feed(data[a:b]) for a, b in parts if a < b]
+
+
+def make_events(line_end, count=3):
+    """Returns the bytes of events; each has an id and two lines of data."""
+    lines = (
+        (b"id: %d" % n, b"data: word", b"data:%d" % n, b"")
+        for n in range(1, count + 1)
+    )
+    return [line_end.join(event) + line_end for event in lines]
+
 
 def test_an_event_without_end_is_not_buffered_for_ever():
     """An endpoint may send bytes that are no event until it is closed."""
@@ -17,3 +38,60 @@
     framer = streams.EventFramer()
     event = b"id: 1\ndata: " + b"x" * 900_000 + b"\n\n"
     assert framer.feed(event * 3) == event * 3
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+@hypothesis.given(cuts=strategies.sets(strategies.integers(1, 90)))
+def test_events_cut_anywhere_pass_whole(line_end, cuts):
+    """Guards against streams with other line ends than LF.
+
+    Events that ended with CR were buffered until the stream ended, and then
+    counted as incomplete.
+    """
+    events = make_events(line_end)
+    whole = b"".join(events)
+    framer = streams.EventFramer()
+    passed = b""
+    for part in feed_in_parts(framer, whole, {c % len(whole) for c in cuts}):
+        passed += part
+        assert any(passed == b"".join(events[:n]) for n in range(4))
+    assert passed == whole
+    assert framer.is_at_event_end
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_an_event_passes_with_its_last_byte(line_end):
+    """Guards against events that are held back until the next one comes."""
+    framer = streams.EventFramer()
+    for event in make_events(line_end):
+        assert framer.feed(event[:-1]) == b""
+        assert framer.feed(event[-1:]) == event
+
+
+@pytest.mark.parametrize(
+    "end", [b"\n\n", b"\r\n\r\n", b"\r\r", b"\n\r\n", b"\r\n\n"]
+)
+@pytest.mark.parametrize("extra", [b"", b"\n", b"\r\n", b"\n\n", b"\r\n\r\n"])
+def test_blank_lines_between_events_pass(end, extra):
+    """Guards against a whole stream that counts as broken off.
+
+    A blank line after the last event came in a segment of its own and was
+    taken for the begin of an event.
+    """
+    whole = b"data: a" + end + extra + b"data: b" + end + extra
+    for cut in range(1, len(whole)):
+        framer = streams.EventFramer()
+        assert b"".join(feed_in_parts(framer, whole, [cut])) == whole, cut
+        assert framer.is_at_event_end, cut
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_stream_cut_within_an_event_is_not_at_its_end(line_end):
+    events = make_events(line_end)
+    whole = b"".join(events)
+    ends = {0, *(len(b"".join(events[:n])) for n in (1, 2, 3))}
+    for cut in range(len(whole)):
+        framer = streams.EventFramer()
+        passed = framer.feed(whole[:cut])
+        assert framer.is_at_event_end == (cut in ends), cut
+        assert len(passed) == max(end for end in ends if end <= cut)
