Find each id of a stream's events

A stream that broke after an event with two ids, or whose lines end with CR, was resumed behind the wrong event, so that events would have come twice; an id of over 4,300 digits raised ValueError, which ends the stream as a fault of the gateway.

The expression wanted LF in front of and behind an id and consumed both, so it skipped each second of two adjacent ids, and it had no limit.

Line ends are now looked at, not consumed, and a number has 18 digits at most.

--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -20,7 +20,8 @@
 
 import re
 
-_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?\n")
+# Longer numbers are no ids.
+_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d{1,18})(?=[\r\n])")
 # Ends of a line and of the blank line after it. CRLF and a blank line of CRLF
 # end with the second.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
--- a/sardinewharf/gateway/tests/test_streams.py
+++ b/sardinewharf/gateway/tests/test_streams.py
@@ -95,3 +95,34 @@
         passed = framer.feed(whole[:cut])
         assert framer.is_at_event_end == (cut in ends), cut
         assert len(passed) == max(end for end in ends if end <= cut)
+
+
+@pytest.mark.parametrize(
+    ("event", "last_id"),
+    [
+        (b"id:7\ndata:a\n\n", 7),
+        (b"id: 7\r\ndata: a\r\n\r\n", 7),
+        (b"id: 7\rdata: a\r\r", 7),
+        (b"data: a\nid: 7\n\n", 7),
+        (b"id: 6\nid: 7\ndata: a\n\n", 7),
+        (b"x-versions:2\nid: 7\ndata: a\n\n", 7),
+        (b"data: id: 7\n\n", None),
+        (b"data: a\ndata:id: 7\n\n", None),
+        (b"id: 7x\ndata: a\n\n", None),
+        (b"id: -7\ndata: a\n\n", None),
+        (b"id\ndata: a\n\n", None),
+        (b"id: " + b"9" * 5_000 + b"\ndata: a\n\n", None),
+    ],
+)
+def test_the_last_id_is_that_of_the_last_complete_event(event, last_id):
+    """Guards against a resumption behind the wrong event.
+
+    The second of two ids, and one that ended with CR, were not found, and one
+    with over 4,300 digits raised an exception.
+    """
+    for cut in range(1, min(len(event), 40)):
+        framer = streams.EventFramer()
+        feed_in_parts(framer, event, [cut])
+        assert framer.last_id == last_id, cut
+        framer.feed(b"id: 8\ndata")
+        assert framer.last_id == last_id, cut
