Give up a resumed stream that repeats events

Callers got events twice: a stream broke off, and the next server ignored Last-Event-Id and began again with event 1; all its events were forwarded, and the stream ended as if it were complete.

Nothing compared the ids of a resumed stream with those that had been forwarded. EventFramer now checks the first id behind a break: if it isn't higher than the last one forwarded, the attempt counts as lost, and the stream is resumed at the next server or ends as incomplete. The repeated events are not dropped to join the rest: that run doesn't go on at Last-Event-Id, so its later events may be of another answer.

A gap of ids still passes, since ids need only increase: a server that skips events can't be told from one whose ids do.

--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -20,6 +20,8 @@
 
 import re
 
+from sardinewharf import http1
+
 # Longer numbers are no ids.
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d{1,18})(?=[\r\n])")
 # Ends of a line and of the blank line after it. CRLF and a blank line of CRLF
@@ -36,6 +38,10 @@
     """Raised if an event does not end within the largest size."""
 
 
+class RepeatedEventError(http1.ResponseLostError):
+    """Raised if a resumed stream begins with events that came before."""
+
+
 class EventFramer:
     """Extracts complete events from the chunks of a stream.
 
@@ -45,6 +51,8 @@
 
     def __init__(self) -> None:
         self._pending = b""
+        # Whether the next id is the first one of a resumed stream.
+        self._is_resumed = False
         self.last_id: int | None = None
 
     @property
@@ -57,6 +65,8 @@
 
         Raises:
             EventTooLargeError: If an event is too large to be buffered.
+            RepeatedEventError: If a resumed stream doesn't go on after the last
+                event of the one before; no event is returned.
         """
         data = self._pending + chunk
         end = _find_last_end(data)
@@ -66,12 +76,27 @@
                 f"an event exceeds {_MAX_EVENT_BYTES} bytes"
             )
         for match in _ID.finditer(complete_events):
-            self.last_id = int(match.group(1))
+            self._record_id(int(match.group(1)))
         return complete_events
 
     def drop_partial_event(self) -> None:
-        """Drops a buffered event that will not be completed."""
+        """Prepares for a resumed stream: drops a buffered event."""
         self._pending = b""
+        self._is_resumed = True
+
+    def _record_id(self, event_id: int) -> None:
+        """Stores an event's id, and checks the first one after a break.
+
+        Raises:
+            RepeatedEventError: If a resumed stream repeats events.
+        """
+        is_repeated = self.last_id is not None and event_id <= self.last_id
+        if self._is_resumed and is_repeated:
+            raise RepeatedEventError(
+                f"resumed at event {event_id}, not after {self.last_id}"
+            )
+        self._is_resumed = False
+        self.last_id = event_id
 
 
 def _find_last_end(data: bytes) -> int:
--- a/sardinewharf/gateway/tests/test_streams.py
+++ b/sardinewharf/gateway/tests/test_streams.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import pytest
 
+from sardinewharf import http1
 from sardinewharf.gateway import streams
 
 # Line ends that the standard allows.
@@ -126,3 +127,27 @@
         assert framer.last_id == last_id, cut
         framer.feed(b"id: 8\ndata")
         assert framer.last_id == last_id, cut
+
+
+@pytest.mark.parametrize("first", [1, 2])
+@pytest.mark.parametrize("begin", [b"", b": ping\n\n"])
+def test_a_resumed_stream_may_not_repeat_events(first, begin):
+    """Guards against events that come twice after a resumption."""
+    framer = streams.EventFramer()
+    framer.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")
+    framer.drop_partial_event()
+    with pytest.raises(http1.ResponseLostError):
+        framer.feed(begin + b"id: %d\ndata: b\n\nid: 3\n\n" % first)
+    framer.drop_partial_event()
+    assert framer.last_id == 2
+    event = b"id: 3\ndata: c\n\n"
+    assert framer.feed(begin + event) == begin + event
+
+
+def test_a_resumed_stream_may_go_on_behind_a_gap_of_ids():
+    """Ids increase, not always by one."""
+    framer = streams.EventFramer()
+    framer.feed(b"id: 10\ndata: a\n\n")
+    framer.drop_partial_event()
+    assert framer.feed(b"id: 20\ndata: b\n\n")
+    assert framer.last_id == 20
