Do not resume a stream behind an event whose position is unknown

Callers got events twice: a stream broke off behind an event without an id, or behind ids that went back or came again, and was resumed behind the last id (or from the start if there was none); events that had been forwarded came once more and the stream ended as complete.

The last id is the position of the last event only if that event has an id and ids increase. EventFramer.is_resumable states this, and feed ends a resumed stream as lost where it doesn't hold, so that the response ends as incomplete.

--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -28,7 +28,8 @@
 # end with the second.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _LINE_ENDS = b"\r\n"
-
+_FIRST_END = re.compile(rb"\n\n|\n\r\n|\r\r")
+_DATA = re.compile(rb"(?:^|[\r\n])data[:\r\n]")
 
 # Largest event that is buffered until it is complete.
 _MAX_EVENT_BYTES = 1_048_576
@@ -42,6 +43,10 @@
     """Raised if a resumed stream begins with events that came before."""
 
 
+class UnknownPositionError(http1.ResponseLostError):
+    """Raised if a stream was resumed though it is not resumable."""
+
+
 class EventFramer:
     """Extracts complete events from the chunks of a stream.
 
@@ -53,6 +58,8 @@
         self._pending = b""
         # Whether the next id is the first one of a resumed stream.
         self._is_resumed = False
+        self._is_ordered = True
+        self._ends_without_id = False
         self.last_id: int | None = None
 
     @property
@@ -60,6 +67,14 @@
         """Whether no incomplete event is buffered."""
         return not self._pending
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether ``last_id`` is the position of the last complete event.
+
+        It is not if that event has data but no id, or if ids did not increase.
+        """
+        return self._is_ordered and not self._ends_without_id
+
     def feed(self, chunk: bytes) -> bytes:
         """Returns the events that are complete, and buffers the rest.
 
@@ -67,7 +82,10 @@
             EventTooLargeError: If an event is too large to be buffered.
             RepeatedEventError: If a resumed stream doesn't go on after the last
                 event of the one before; no event is returned.
+            UnknownPositionError: If a stream that is not resumable was resumed.
         """
+        if self._is_resumed and not self.is_resumable:
+            raise UnknownPositionError("the last event's id is not known")
         data = self._pending + chunk
         end = _find_last_end(data)
         complete_events, self._pending = data[:end], data[end:]
@@ -75,8 +93,8 @@
             raise EventTooLargeError(
                 f"an event exceeds {_MAX_EVENT_BYTES} bytes"
             )
-        for match in _ID.finditer(complete_events):
-            self._record_id(int(match.group(1)))
+        if complete_events:
+            self._record_ids(complete_events)
         return complete_events
 
     def drop_partial_event(self) -> None:
@@ -84,6 +102,26 @@
         self._pending = b""
         self._is_resumed = True
 
+    def _record_ids(self, complete_events: bytes) -> None:
+        """Stores the ids of events, and whether the last event has one.
+
+        Raises:
+            RepeatedEventError: If a resumed stream repeats events.
+        """
+        match = None
+        for match in _ID.finditer(complete_events):
+            self._record_id(int(match.group(1)))
+        if match is None:
+            if _DATA.search(complete_events):
+                self._ends_without_id = True
+            return
+        end = _FIRST_END.search(complete_events, match.end()).end()
+        # A line begins at ``end``, so the byte before it ends one.
+        self._ends_without_id = (
+            end < len(complete_events)
+            and _DATA.search(complete_events, end - 1) is not None
+        )
+
     def _record_id(self, event_id: int) -> None:
         """Stores an event's id, and checks the first one after a break.
 
@@ -95,6 +133,8 @@
             raise RepeatedEventError(
                 f"resumed at event {event_id}, not after {self.last_id}"
             )
+        if is_repeated:
+            self._is_ordered = False
         self._is_resumed = False
         self.last_id = event_id
 
--- a/sardinewharf/gateway/tests/test_broken_responses.py
+++ b/sardinewharf/gateway/tests/test_broken_responses.py
@@ -115,3 +115,33 @@
         "2",
         "2",
     ]
+
+
+@pytest.mark.parametrize(
+    "begin",
+    [
+        b"data: word\n\n",
+        b"id: 1\ndata: word\n\ndata: word\n\n",
+        b"id: 2\ndata: word\n\nid: 1\ndata: word\n\n",
+        b"id: 1\ndata: word\n\nid: 1\ndata: word\n\n",
+    ],
+    ids=["no id", "last without id", "id goes back", "id repeats"],
+)
+async def test_a_stream_whose_position_is_unknown_is_not_resumed(
+    harness, begin
+):
+    """Guards against events that come twice.
+
+    The stream was resumed behind its last id, though that of its last event
+    was unknown, or began again if there was none.
+    """
+    raw_server.play_scripts(
+        harness.engines,
+        [
+            raw_server.Script((STREAM_HEAD + make_chunk(begin),), RESET),
+            raw_server.Script((make_stream(2, 4),)),
+        ],
+    )
+    response = await harness.send_request("/ask/1", body=b"p")
+    assert response.body == begin
+    assert not response.is_complete
--- a/sardinewharf/gateway/tests/test_streams.py
+++ b/sardinewharf/gateway/tests/test_streams.py
@@ -151,3 +151,39 @@
     framer.drop_partial_event()
     assert framer.feed(b"id: 20\ndata: b\n\n")
     assert framer.last_id == 20
+
+
+@pytest.mark.parametrize(
+    ("begin", "is_resumable"),
+    [
+        (b"", True),
+        (b": ping\n\n", True),
+        (b"retry: 100\n\n", True),
+        (b"id: 1\ndata: a\n\n", True),
+        (b"data: a\nid: 1\n\n", True),
+        (b"id: 1\ndata: a\n\n: ping\n\n", True),
+        (b"data: a\n\nid: 1\ndata: a\n\n", True),
+        (b"id: 1\r\ndata: a\r\n\r\n", True),
+        (b"data: a\n\n", False),
+        (b"id: one\ndata: a\n\n", False),
+        (b"id: 1\ndata: a\n\ndata: b\n\n", False),
+        (b"id: 1\rdata: a\r\rdata: b\r\r", False),
+        (b"id: 2\ndata: a\n\nid: 1\ndata: b\n\n", False),
+        (b"id: 1\ndata: a\n\nid: 1\ndata: b\n\n", False),
+        (b"id: 2\n\nid: 1\n\nid: 3\n\n", False),
+    ],
+)
+def test_a_stream_is_resumable_only_behind_an_event_with_an_id(
+    begin, is_resumable
+):
+    """Guards against events that come twice after a resumption."""
+    for cut in range(max(1, len(begin))):
+        framer = streams.EventFramer()
+        feed_in_parts(framer, begin + b"id: 9\nda", [cut])
+        assert framer.is_resumable == is_resumable, cut
+        framer.drop_partial_event()
+        if is_resumable:
+            assert framer.feed(b"id: 10\n\n") == b"id: 10\n\n"
+        else:
+            with pytest.raises(http1.ResponseLostError):
+                framer.feed(b"id: 10\n\n")
