Test what follows a stream that broke off

Reported: clients found an error's text in the middle of their stream, or the stream ended as if it were complete, when a stream had broken off and the next server answered with an error.

Ruled out by these tests (resumable route, three engines, the first breaks off within event 3): status 400, 429, 500 and 503, each with Content-Length, a body shorter than it, without length with FIN and RST, chunked, cut in a size line, cut in the head, and a head alone, with and without the server's own fields and the not-run field; a status line or a part of it, other bytes or none, with FIN and RST; a success that is no event stream, has a Content-Encoding or no body; streams without stamp or id or with another id; a second break.

--- a/sardinewharf/gateway/tests/test_broken_responses.py
+++ b/sardinewharf/gateway/tests/test_broken_responses.py
@@ -145,3 +145,177 @@
     response = await harness.send_request("/ask/1", body=b"p")
     assert response.body == begin
     assert not response.is_complete
+
+
+ERROR_TEXT = b"id: 3\ndata: an error\n\n"
+STAY = raw_server.Ending.STAY
+# Fields, body and ending of an error response.
+FRAMINGS = {
+    "length": (b"content-length: %d\r\n\r\n" % 24 + ERROR_TEXT, STAY),
+    "short": (b"content-length: 99\r\n\r\n" + ERROR_TEXT, CLOSE),
+    "no length": (b"\r\n" + ERROR_TEXT, CLOSE),
+    "no length, reset": (b"\r\n" + ERROR_TEXT, RESET),
+    "chunked": (
+        CHUNKED + b"\r\n\r\n18\r\n" + ERROR_TEXT + b"\r\n0\r\n\r\n",
+        STAY,
+    ),
+    "cut in a size line": (
+        CHUNKED + b"\r\n\r\n18\r\n" + ERROR_TEXT + b"\r\n1",
+        CLOSE,
+    ),
+    "cut in a head": (b"content-type: text/pl", CLOSE),
+    "head alone": (b"\r\n", CLOSE),
+}
+OWN_FIELDS = {
+    "bare": b"",
+    "stamped": b"{fields}",
+    "not run": b"{fields}x-sardinewharf-not-run: 1\r\n",
+}
+
+
+def assert_is_prefix(response, sent_events):
+    """Checks that a stream is whole, or ends as incomplete where it broke."""
+    assert response.status == 200
+    if response.is_complete:
+        assert response.body == make_events(1, 4)
+    else:
+        assert response.body == make_events(1, sent_events)
+
+
+async def play_broken_stream(harness, *later):
+    """Sends a request whose stream breaks off after two events."""
+    return await play_streams(harness, BROKEN, *later)
+
+
+async def play_streams(harness, *scripts):
+    requests = raw_server.play_scripts(harness.engines, scripts)
+    response = await harness.send_request("/ask/1", body=b"p")
+    assert len(requests) <= 3
+    return response
+
+
+@pytest.mark.parametrize(
+    ("fields", "framing"),
+    [("stamped", framing) for framing in FRAMINGS]
+    + [("bare", "length"), ("not run", "length")],
+)
+@pytest.mark.parametrize("status", [b"400", b"429", b"500", b"503"])
+async def test_an_error_after_a_broken_stream_is_not_forwarded(
+    harness, status, fields, framing
+):
+    """Guards against an error's text within a stream."""
+    rest, ending = FRAMINGS[framing]
+    head = b"HTTP/1.1 " + status + b" Error\r\n" + OWN_FIELDS[fields]
+    error = raw_server.Script((head + rest,), ending)
+    response = await play_broken_stream(harness, error)
+    assert response.body == make_events(1, 2)
+    assert not response.is_complete
+
+
+@pytest.mark.parametrize(
+    ("sent_events", "framing"),
+    [(2, framing) for framing in FRAMINGS] + [(0, "length")],
+)
+async def test_a_stream_goes_on_behind_a_server_that_did_not_run_it(
+    harness, sent_events, framing
+):
+    begin = make_chunk(make_events(1, 2)) if sent_events else b""
+    rest, ending = FRAMINGS[framing]
+    head = b"HTTP/1.1 503 Busy\r\n" + OWN_FIELDS["not run"]
+    response = await play_streams(
+        harness,
+        raw_server.Script((STREAM_HEAD + begin,), RESET),
+        raw_server.Script((head + rest,), ending),
+        raw_server.Script((make_stream(sent_events + 1, 4),)),
+    )
+    assert_is_prefix(response, sent_events)
+    assert response.is_complete
+
+
+STATUS_LINES = [
+    b"HTTP/1.1 503 Busy",
+    b"HTTP/1.1 503 Busy\r\n",
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\nid: 3\ndata: word 3\n\n",
+    b"HTTP/1.1 ",
+    b"id: 3\ndata: word 3\n\n",
+    b"\0",
+    b"",
+]
+
+
+@pytest.mark.parametrize("ending", [CLOSE, RESET])
+@pytest.mark.parametrize("line", STATUS_LINES)
+async def test_a_status_line_alone_resumes_nothing(harness, line, ending):
+    """Guards against a stream that ends as complete within a head."""
+    response = await play_broken_stream(
+        harness, raw_server.Script((line,), ending)
+    )
+    assert response.body == make_events(1, 2)
+    assert not response.is_complete
+
+
+@pytest.mark.parametrize(
+    ("status", "line"),
+    [
+        (b"200 OK", b"content-type: text/plain"),
+        (b"200 OK", b"x-no-type: 1"),
+        (b"200 OK", EVENT_STREAM + b"\r\ncontent-encoding: gzip"),
+        (b"200 OK", EVENT_STREAM + b"\r\ncontent-encoding: identity"),
+        (b"204 Empty", b"x-no-type: 1"),
+        (b"206 Partial", b"content-type: text/plain"),
+        (b"302 Found", EVENT_STREAM),
+        (b"304 Same", EVENT_STREAM),
+    ],
+)
+async def test_a_success_that_is_no_plain_event_stream_resumes_nothing(
+    harness, status, line
+):
+    """Guards against another kind of body within a stream."""
+    has_body = status[:3] not in (b"204", b"304")
+    body = make_events(3, 4) if has_body else b""
+    response = await play_broken_stream(
+        harness,
+        raw_server.Script((make_response(body, status, line),)),
+    )
+    assert response.body == make_events(1, 2)
+    assert not response.is_complete
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        STREAM_HEAD.replace(b"{fields}", b""),
+        STREAM_HEAD.replace(b"{fields}", b"x-sardinewharf-server-stamp: s\r\n"),
+        STREAM_HEAD.replace(
+            b"{fields}", b"x-sardinewharf-request-id: {id}\r\n"
+        ),
+        STREAM_HEAD.replace(
+            b"{fields}",
+            b"x-sardinewharf-server-stamp: s\r\n"
+            b"x-sardinewharf-request-id: another\r\n",
+        ),
+    ],
+    ids=["bare", "no id", "no stamp", "another id"],
+)
+async def test_a_stream_that_is_not_the_servers_own_resumes_nothing(
+    harness, head
+):
+    """Guards against events of another request within a stream."""
+    stream = head + make_chunk(make_events(3, 4)) + LAST_CHUNK
+    response = await play_broken_stream(harness, raw_server.Script((stream,)))
+    assert response.body == make_events(1, 2)
+    assert not response.is_complete
+
+
+async def test_a_resumed_stream_that_breaks_again_goes_on(harness):
+    response = await play_broken_stream(
+        harness,
+        raw_server.Script(
+            (STREAM_HEAD + make_chunk(make_events(3, 3) + b"id: 4\n"),), CLOSE
+        ),
+        raw_server.Script((make_stream(4, 4),)),
+    )
+    assert response.body == make_events(1, 4)
+    assert response.is_complete
