Test responses that are cut at every byte

Reported: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

--- a/sardinewharf/gateway/tests/test_broken_responses.py
+++ b/sardinewharf/gateway/tests/test_broken_responses.py
@@ -319,3 +319,61 @@
     )
     assert response.body == make_events(1, 4)
     assert response.is_complete
+
+
+RESPONSE = make_response(b"an answer", b"200 OK", b"keep-alive: timeout=9")
+CHUNKED_RESPONSE = (
+    make_head(b"200 OK", CHUNKED)
+    + make_chunk(b"an ")
+    + make_chunk(b"answer")
+    + b"0\r\ntrailer: x\r\n\r\n"
+)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def forget_failures(harness):
+    """Lets servers that failed be chosen again, as if time had passed."""
+    harness.gateways[0]._health._known.clear()
+
+
+@pytest.mark.parametrize("ending", [CLOSE, RESET])
+@pytest.mark.parametrize(
+    "response",
+    [RESPONSE, CHUNKED_RESPONSE, CONTINUE + RESPONSE],
+    ids=["length", "chunked", "100"],
+)
+async def test_a_response_that_is_cut_is_not_forwarded(
+    harness, response, ending
+):
+    """Guards against a 200 with a short body that is framed as whole."""
+    head_end = response.index(b"\r\n\r\n", len(CONTINUE))
+    cuts = {*range(0, head_end, 9), *range(head_end, len(response))}
+    for cut in sorted(cuts):
+        parts = (
+            (response[:cut],) if cut % 2 else (response[:5], response[5:cut])
+        )
+        forget_failures(harness)
+        requests = raw_server.play_scripts(
+            harness.servers, [raw_server.Script(parts, ending)]
+        )
+        answer = await harness.send_request("/book/1", body=b"%d" % cut)
+        assert (answer.status, answer.is_complete) == (502, True), cut
+        assert len(requests) == 1
+
+
+@pytest.mark.parametrize("ending", [CLOSE, RESET])
+async def test_a_stream_that_is_cut_at_any_byte_is_not_whole(harness, ending):
+    """Guards against a stream whose break looks like its end."""
+    response = make_stream(1, 2)[:-5] + b"0\r\ntrailer: x\r\n\r\n"
+    events = make_events(1, 2)
+    head = response.index(b"\r\n\r\n") + 4
+    for cut in range(head, len(response)):
+        forget_failures(harness)
+        requests = raw_server.play_scripts(
+            harness.engines, [raw_server.Script((response[:cut],), ending)]
+        )
+        answer = await harness.send_request("/chat/1", body=b"%d" % cut)
+        assert answer.status == 200
+        assert not answer.is_complete, cut
+        assert answer.body in (b"", make_events(1, 1), events)
+        assert len(requests) == 1
