--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -20,10 +20,16 @@
 
 import re
 
-_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?\n")
-_EVENT_END = b"\n\n"
-_CRLF_EVENT_END = b"\r\n\r\n"
+from sardinewharf import http1
 
+# Longer numbers are no ids.
+_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d{1,18})(?=[\r\n])")
+# Ends of a line and of the blank line after it. CRLF and a blank line of CRLF
+# end with the second.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+_LINE_ENDS = b"\r\n"
+_FIRST_END = re.compile(rb"\n\n|\n\r\n|\r\r")
+_DATA = re.compile(rb"(?:^|[\r\n])data[:\r\n]")
 
 # Largest event that is buffered until it is complete.
 _MAX_EVENT_BYTES = 1_048_576
@@ -33,6 +39,14 @@
     """Raised if an event does not end within the largest size."""
 
 
+class RepeatedEventError(http1.ResponseLostError):
+    """Raised if a resumed stream begins with events that came before."""
+
+
+class UnknownPositionError(http1.ResponseLostError):
+    """Raised if a stream was resumed though it is not resumable."""
+
+
 class EventFramer:
     """Extracts complete events from the chunks of a stream.
 
@@ -42,6 +56,10 @@
 
     def __init__(self) -> None:
         self._pending = b""
+        # Whether the next id is the first one of a resumed stream.
+        self._is_resumed = False
+        self._is_ordered = True
+        self._ends_without_id = False
         self.last_id: int | None = None
 
     @property
@@ -49,29 +67,87 @@
         """Whether no incomplete event is buffered."""
         return not self._pending
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether ``last_id`` is the position of the last complete event.
+
+        It is not if that event has data but no id, or if ids did not increase.
+        """
+        return self._is_ordered and not self._ends_without_id
+
     def feed(self, chunk: bytes) -> bytes:
         """Returns the events that are complete, and buffers the rest.
 
         Raises:
             EventTooLargeError: If an event is too large to be buffered.
+            RepeatedEventError: If a resumed stream doesn't go on after the last
+                event of the one before; no event is returned.
+            UnknownPositionError: If a stream that is not resumable was resumed.
         """
+        if self._is_resumed and not self.is_resumable:
+            raise UnknownPositionError("the last event's id is not known")
         data = self._pending + chunk
-        end = max(
-            _find_end(data, _EVENT_END),
-            _find_end(data, _CRLF_EVENT_END),
-        )
+        end = _find_last_end(data)
         complete_events, self._pending = data[:end], data[end:]
         if len(self._pending) > _MAX_EVENT_BYTES:
             raise EventTooLargeError(
                 f"an event exceeds {_MAX_EVENT_BYTES} bytes"
             )
-        for match in _ID.finditer(complete_events):
-            self.last_id = int(match.group(1))
+        if complete_events:
+            self._record_ids(complete_events)
         return complete_events
 
     def drop_partial_event(self) -> None:
-        """Drops a buffered event that will not be completed."""
+        """Prepares for a resumed stream: drops a buffered event."""
         self._pending = b""
+        self._is_resumed = True
+
+    def _record_ids(self, complete_events: bytes) -> None:
+        """Stores the ids of events, and whether the last event has one.
+
+        Raises:
+            RepeatedEventError: If a resumed stream repeats events.
+        """
+        match = None
+        for match in _ID.finditer(complete_events):
+            self._record_id(int(match.group(1)))
+        if match is None:
+            if _DATA.search(complete_events):
+                self._ends_without_id = True
+            return
+        end = _FIRST_END.search(complete_events, match.end()).end()
+        # A line begins at ``end``, so the byte before it ends one.
+        self._ends_without_id = (
+            end < len(complete_events)
+            and _DATA.search(complete_events, end - 1) is not None
+        )
+
+    def _record_id(self, event_id: int) -> None:
+        """Stores an event's id, and checks the first one after a break.
+
+        Raises:
+            RepeatedEventError: If a resumed stream repeats events.
+        """
+        is_repeated = self.last_id is not None and event_id <= self.last_id
+        if self._is_resumed and is_repeated:
+            raise RepeatedEventError(
+                f"resumed at event {event_id}, not after {self.last_id}"
+            )
+        if is_repeated:
+            self._is_ordered = False
+        self._is_resumed = False
+        self.last_id = event_id
+
+
+def _find_last_end(data: bytes) -> int:
+    """Returns the position after the last complete event, or 0.
+
+    Blank lines after it belong to no event, and are not held back.
+    """
+    end = max(_find_end(data, mark) for mark in _EVENT_ENDS)
+    while end < len(data) and data[end] in _LINE_ENDS:
+        end += 1
+    return end
 
 
 def _find_end(data: bytes, end: bytes) -> int:
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -31,6 +31,9 @@
 # Idle timeout assumed if the endpoint states none.
 _DEFAULT_IDLE_TIMEOUT_S = 0.25
 
+# Range of statuses (RFC 9110, section 15).
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 # Most bytes that may arrive without completing the head or adding to the body.
 _MAX_OVERHEAD_BYTES = 65_536
 
@@ -182,12 +185,16 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection is open and usable for another request."""
+        """Whether the connection is open and usable for another request.
+
+        It is not while reading is paused, as unread bytes may lie in it.
+        """
         transport = self._transport
         return (
             transport is not None
             and not transport.is_closing()
             and not self._is_unusable
+            and not self._is_paused
         )
 
     @property
@@ -280,17 +287,23 @@
             self._is_unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header of the response."""
+        """Collects a header of the response; trailers are dropped."""
         # The headers of an unrequested second response must not be added to
-        # those of the first.
-        if not self._exchange.is_complete:
+        # those of the first, nor trailers (RFC 9110, section 6.5.1).
+        if not self._has_head:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Passes the complete status and headers to the exchange."""
+        """Passes the complete status and headers to the exchange.
+
+        Raises:
+            ResponseLostError: If the status is none that HTTP defines.
+        """
         if self._exchange.is_complete:
             return
         status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            raise ResponseLostError(f"status {status} is outside 100 to 599")
         if 100 <= status < 200:
             self._headers = []
             return
@@ -309,7 +322,14 @@
             self._exchange.finish()
 
     def on_body(self, body: bytes) -> None:
-        """Passes received data of the body to the exchange."""
+        """Passes received data of the body to the exchange.
+
+        Raises:
+            ResponseLostError: If it follows an informational response, which
+                has no body.
+        """
+        if not self._has_head:
+            raise ResponseLostError("a body without a final status")
         self._overhead_bytes = 0
         if not self._exchange.is_complete:
             self._exchange.add_chunk(body)
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -20,6 +20,11 @@
 
     close = abort
 
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
     def is_closing(self):
         return self.is_ended
 
@@ -129,3 +134,103 @@
         assert len(await exchange.read()) == 0x4000
     connection.data_received(b"0\r\n\r\n")
     assert await exchange.read() == b""
+
+
+async def read_all(exchange):
+    """Returns the status and the body of a response that has arrived."""
+    head = await exchange.read_head()
+    chunks = []
+    while chunk := await exchange.read():
+        chunks.append(chunk)
+    return head.status, b"".join(chunks)
+
+
+@pytest.mark.parametrize("status", [100, 101, 102, 103, 104, 150, 199])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"content-length: 3\r\n\r\nbad",
+        CHUNKED.partition(b"\r\n")[2] + b"3\r\nbad\r\n0\r\n\r\n",
+    ],
+    ids=["length", "chunked"],
+)
+async def test_a_body_of_an_interim_response_joins_nothing(status, rest):
+    """Guards against a body that begins with another response's bytes.
+
+    An interim response has no body. One that had was forwarded in front of the
+    body of the final response, which looked complete.
+    """
+    connection, exchange = open_exchange()
+    interim = b"HTTP/1.1 %d Interim\r\n" % status + rest
+    connection.data_received(interim + make_response(b"own", b"one"))
+    with pytest.raises(http1.ResponseLostError):
+        await read_all(exchange)
+    assert not connection.is_open
+
+
+@pytest.mark.parametrize("status", [0, 20, 99, 600, 700, 999])
+async def test_a_status_that_is_none_is_no_response(status):
+    """Guards against a status that cannot be sent to a caller.
+
+    Writing its status line failed, and the caller got a closed connection
+    without a byte.
+    """
+    connection, exchange = open_exchange()
+    connection.data_received(
+        b"HTTP/1.1 %03d Odd\r\ncontent-length: 1\r\n\r\n." % status
+    )
+    with pytest.raises(http1.ResponseLostError):
+        await exchange.read_head()
+    assert not connection.is_open
+
+
+@pytest.mark.parametrize("status", [200, 299, 300, 451, 599])
+async def test_an_unknown_status_passes(status):
+    connection, exchange = open_exchange()
+    connection.data_received(
+        b"HTTP/1.1 %d Odd\r\ncontent-length: 1\r\n\r\n." % status
+    )
+    assert await read_all(exchange) == (status, b".")
+
+
+@pytest.mark.parametrize("parts", [1, 2])
+async def test_trailers_do_not_join_the_headers(parts):
+    """Guards against a stamp or a refusal that stands behind a body.
+
+    Trailers were added to the headers if they arrived before the headers had
+    been read, so that what a response said depended on its segments.
+    """
+    connection, exchange = open_exchange()
+    trailers = b"0\r\nstamp: late\r\nnot-run: 1\r\n\r\n"
+    if parts == 1:
+        connection.data_received(CHUNKED + b"1\r\n.\r\n" + trailers)
+        head = await exchange.read_head()
+    else:
+        connection.data_received(CHUNKED + b"1\r\n.\r\n")
+        head = await exchange.read_head()
+        connection.data_received(trailers)
+    assert head.headers == [(b"transfer-encoding", b"chunked")]
+    assert await read_all(exchange) == (200, b".")
+    assert connection.is_open
+
+
+async def test_a_connection_whose_reading_is_paused_is_not_used_again():
+    """Guards against a request whose response is never read.
+
+    The reader of a large response left before it had read all of it. The
+    connection went back to the pool, and nothing more was read from it.
+    """
+    connection, exchange = open_exchange()
+    connection.data_received(make_response(b"own", b"x" * 300_000))
+    assert exchange.is_complete
+    exchange.close()
+    assert not connection.is_open
+
+
+async def test_a_large_response_that_is_read_leaves_its_connection_usable():
+    connection, exchange = open_exchange()
+    connection.data_received(make_response(b"own", b"x" * 300_000))
+    status, body = await read_all(exchange)
+    exchange.close()
+    assert (status, len(body)) == (200, 300_000)
+    assert connection.is_open
