Send each order to an engine over a connection of its own

What callers saw: an engine counted as having loaded the target weights while it was loading them, or after it had refused the order. Requests were sent there and refused, and a refused engine was left on the old weights.

Cause: the answer to an order is a status without a name. Orders went over the kept connection that had just carried a report. If the engine sent the report's 200 again, late, it was read as "the order already holds", and was also spread to the other gateways. A late 412 ended a tenure that the engine had obeyed, and a late 202 was read as a report that cannot be read, which ejected the engine.

Why the fix works: the first response on a connection can be to no other call. The connection is closed after the order, so the order's own late answer meets no call either. Reports and cache events stay on kept connections: their bodies say whose they are, or they may be old anyway.

Cost: one more connection for each order.

--- a/sardinewharf/platform/calls.py
+++ b/sardinewharf/platform/calls.py
@@ -45,9 +45,13 @@
     body: bytes,
     deadline: clocks.Deadline,
     headers: http1.Headers = (),
+    is_alone: bool = False,
 ) -> Reply:
     """Sends one call and returns its response.
 
+    A response does not name its call. On a connection that carried another
+    call, the response to that one may arrive again, late.
+
     Args:
         pool: Connections to the server.
         method: HTTP method.
@@ -55,12 +59,14 @@
         body: JSON body; empty for none.
         deadline: When to stop waiting for the response.
         headers: Headers in addition to the host and the body's type and length.
+        is_alone: Whether no other call may use the connection, so that the
+            first response on it is surely the one to this call.
 
     Raises:
         CallError: If no complete response arrived by the deadline.
     """
     try:
-        connection = await pool.acquire(deadline)
+        connection = await pool.acquire(deadline, must_be_new=is_alone)
     except http1.ConnectError as error:
         raise CallError(str(error), was_sent=False) from error
     request_headers = [(b"host", pool.address.encode()), *headers]
@@ -83,6 +89,8 @@
         raise CallError("no answer in time", was_sent=True) from error
     finally:
         exchange.close()
+        if is_alone:
+            connection.close()
         pool.release(connection)
 
 
--- a/sardinewharf/platform/engines.py
+++ b/sardinewharf/platform/engines.py
@@ -49,7 +49,11 @@
         order: control.WeightsOrder,
         deadline: clocks.Deadline,
     ) -> control.OrderResult:
-        """Sends an order to load weights to an engine."""
+        """Sends an order to load weights to an engine.
+
+        The order's result is only its status, which a late response to another
+        call could have as well.
+        """
         body = msgspec.json.encode(
             wire.Order(
                 op="version",
@@ -69,6 +73,7 @@
                 body,
                 deadline,
                 [(headers.EXPECT_ENDPOINT, endpoint.id.encode())],
+                is_alone=True,
             )
         except calls.CallError as error:
             if error.was_sent:
