Ignore the response to a renewal once its tenure has ended

What callers saw: a model whose weights were no longer updated by a gateway that had been refused once. Its task "office" ended with a TypeError, and it never became the leader again; with all gateways so, no engine is updated.

Cause: the lease's calls wrote their result into whatever the leadership was when the response came. An engine's 412 (step_down) or a resignation may end the tenure while a renewal is in flight; the renewal then replaced a field of None. A resignation during an acquisition found nothing to give up, and the acquisition's late response began a tenure that nobody ended: the next leader waited until the lease expired.

Why the fix works: a renewal's response is compared with the tenure that it was sent for, and a resignation waits for the call in progress, so that it gives up what that call acquired.

--- a/sardinewharf/leases/leader_lease.py
+++ b/sardinewharf/leases/leader_lease.py
@@ -4,6 +4,7 @@
 process may act as the leader, and only while its lease lasts.
 """
 
+import asyncio
 import dataclasses
 
 import msgspec
@@ -107,6 +108,9 @@
         self._holder = holder
         self._leadership: _Leadership | None = None
         self._last_action_at: float | None = None
+        # A resignation waits until no acquisition or renewal is in progress,
+        # whose response would come after it.
+        self._calls = asyncio.Lock()
 
     @property
     def epoch(self) -> int:
@@ -129,24 +133,27 @@
 
     async def acquire_or_renew(self) -> None:
         """Acquires the lease if nobody holds it, or renews it when due."""
-        if self._leadership is None:
-            await self._acquire()
-            return
-        if (
-            self._leadership.lease.expires.remaining()
-            > self._settings.renew_before_s
-        ):
+        async with self._calls:
+            if self._leadership is None:
+                await self._acquire()
+            else:
+                await self._renew(self._leadership)
+
+    async def _renew(self, leadership: _Leadership) -> None:
+        """Renews the lease of a tenure, unless the tenure ends meanwhile."""
+        expires = leadership.lease.expires
+        if expires.remaining() > self._settings.renew_before_s:
             return
         renewed = await self._kv.renew_lease(
-            self._leadership.lease.lease,
+            leadership.lease.lease,
             self._settings.lease_s,
             clocks.Deadline.after(self._settings.call_timeout_s),
         )
+        if self._leadership is not leadership:
+            return
         if isinstance(renewed, keyvalue.Lease):
-            self._leadership = dataclasses.replace(
-                self._leadership, lease=renewed
-            )
-        elif self._leadership.lease.expires.is_past():
+            self._leadership = dataclasses.replace(leadership, lease=renewed)
+        elif expires.is_past():
             self._leadership = None
 
     async def _acquire(self) -> None:
@@ -182,17 +189,17 @@
 
     async def resign(self) -> None:
         """Gives up the lease, so that another process can take it at once."""
-        leadership, self._leadership = self._leadership, None
-        if leadership is None:
-            return
-        await self._kv.write(
-            self._key,
-            msgspec.json.encode(
-                LeaseRecord("", self._measure_idle_ms(leadership))
-            ),
-            leadership.epoch,
-            clocks.Deadline.after(self._settings.call_timeout_s),
-        )
+        async with self._calls:
+            leadership, self._leadership = self._leadership, None
+            if leadership is None:
+                return
+            idle_ms = self._measure_idle_ms(leadership)
+            await self._kv.write(
+                self._key,
+                msgspec.json.encode(LeaseRecord("", idle_ms)),
+                leadership.epoch,
+                clocks.Deadline.after(self._settings.call_timeout_s),
+            )
 
     def _measure_idle_ms(self, leadership: _Leadership) -> int:
         """Returns a lower bound of the time since any holder last acted."""
