Believe the store's answers only as answers to their own calls

What callers saw: nothing yet; the fault was found by reading. A late answer on a kept connection was believed for the next call: a key had another key's record, a write had an older write's revision (a fencing token that a former holder may have had), a lease had the number 0, so that the leader's record would never have expired, and a watch took older changes for its own.

Cause: the client decoded any status 200 with default values for what was missing, and no answer was compared with what had been asked for. A value that is no base64 raised an error in the task that read it.

Why the fix works: an answer to a read shows what it is about, so its keys, its revisions and the store's revision (never below one that was seen before the call was sent) are compared. Else the connection is closed with it, since it may be one answer behind. Answers to writes, grants and renewals are a status or a number that others could have as well: these calls, which are rare, have connections of their own, and no field has a default.

Not covered: an answer without changes to the same watch, sent again. It is equal in all bytes. A status 404, 410 or 412 is not compared either; what follows from them (a write that is conditional, a full listing) is checked by the store.

--- a/sardinewharf/platform/calls.py
+++ b/sardinewharf/platform/calls.py
@@ -1,6 +1,7 @@
 """Sends the gateway's own HTTP calls to the platform's store and servers."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 from typing import TypeVar
 
@@ -11,6 +12,7 @@
 
 _JSON = (b"content-type", b"application/json")
 _Body = TypeVar("_Body")
+_Result = TypeVar("_Result")
 
 
 class CallError(Exception):
@@ -38,6 +40,10 @@
     body: bytes
 
 
+def _return_reply(reply: Reply) -> Reply:
+    return reply
+
+
 async def call(
     pool: http1.Pool,
     method: bytes,
@@ -46,8 +52,9 @@
     deadline: clocks.Deadline,
     headers: http1.Headers = (),
     is_alone: bool = False,
-) -> Reply:
-    """Sends one call and returns its response.
+    read: Callable[[Reply], _Result] = _return_reply,
+) -> _Result:
+    """Sends one call and returns what its response holds.
 
     A response does not name its call. On a connection that carried another
     call, the response to that one may arrive again, late.
@@ -61,9 +68,12 @@
         headers: Headers in addition to the host and the body's type and length.
         is_alone: Whether no other call may use the connection, so that the
             first response on it is surely the one to this call.
+        read: Returns what a response holds. It raises ``CallError`` if that
+            does not show that it is the response to this call; its connection
+            is then closed.
 
     Raises:
-        CallError: If no complete response arrived by the deadline.
+        CallError: If no complete response to this call arrived by the deadline.
     """
     try:
         connection = await pool.acquire(deadline, must_be_new=is_alone)
@@ -82,7 +92,10 @@
             chunks = []
             while chunk := await exchange.read():
                 chunks.append(chunk)
-        return Reply(head.status, b"".join(chunks))
+        return read(Reply(head.status, b"".join(chunks)))
+    except CallError:
+        connection.abort()
+        raise
     except http1.ResponseLostError as error:
         raise CallError(str(error), was_sent=True) from error
     except TimeoutError as error:
--- a/sardinewharf/platform/store.py
+++ b/sardinewharf/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TypeVar
 import urllib.parse
 
@@ -18,7 +20,7 @@
 _RESPONSE_GRACE_S = 0.6
 _MAX_WAIT_MS = 30_000
 _MIN_LEASE_MS = 1_000
-_Body = TypeVar("_Body")
+_Result = TypeVar("_Result")
 
 
 class StoreClient(keyvalue.PrefixStore):
@@ -34,22 +36,27 @@
     def __init__(self, address: str):
         self._pool = http1.Pool(address, _MAX_CONNECTIONS)
         self.calls = 0
+        # The store's newest revision in a response. Calls that are sent later
+        # read that one or a later one.
+        self._revision = 0
 
     async def read(
         self, key: str, deadline: clocks.Deadline
     ) -> keyvalue.ReadResult:
         """Returns the record of a key."""
         query = urllib.parse.urlencode({"key": key})
-        try:
-            status, body = await self._call(
-                b"GET", f"/-/kv-key?{query}", None, deadline
-            )
-            if status == 404:
+        revision = self._revision
+
+        def read_item(reply: calls.Reply) -> keyvalue.ReadResult:
+            if reply.status == 404:
                 return keyvalue.Absent()
-            if status != 200:
-                return keyvalue.Unavailable(f"status {status}")
-            item = calls.decode(body, wire.Item)
-            return keyvalue.Record(base64.b64decode(item.value), item.rev)
+            item = _decode_success(reply, wire.StoredItem)
+            _check_keys([item.key], key, is_prefix=False)
+            self._check_revision(item.store_revision, revision)
+            return keyvalue.Record(_decode_value(item), item.rev)
+
+        try:
+            return await self._get(f"/-/kv-key?{query}", read_item, deadline)
         except calls.CallError as error:
             return keyvalue.Unavailable(str(error))
 
@@ -97,13 +104,8 @@
         revision: int | None = None
         after = ""
         while True:
-            query = urllib.parse.urlencode(
-                {"prefix": prefix} | ({"after": after} if after else {})
-            )
             try:
-                page = await self._get(
-                    f"/-/kv-range?{query}", wire.Range, deadline
-                )
+                page = await self._read_page(prefix, after, deadline)
             except calls.CallError as error:
                 return keyvalue.Unavailable(str(error))
             items += page.items
@@ -115,6 +117,28 @@
                 return keyvalue.Listing(_decode_entries(items), revision)
             after = page.items[-1].key
 
+    async def _read_page(
+        self, prefix: str, after: str, deadline: clocks.Deadline
+    ) -> wire.Range:
+        """Returns the page of keys that begins after a key.
+
+        Raises:
+            CallError: If there is no such response.
+        """
+        query = urllib.parse.urlencode(
+            {"prefix": prefix} | ({"after": after} if after else {})
+        )
+        revision = self._revision
+
+        def read_page(reply: calls.Reply) -> wire.Range:
+            page = _decode_success(reply, wire.Range)
+            keys = [item.key for item in page.items]
+            _check_keys(keys, prefix, after=after)
+            self._check_revision(page.store_revision, revision)
+            return page
+
+        return await self._get(f"/-/kv-range?{query}", read_page, deadline)
+
     async def watch_prefix(
         self, prefix: str, revision: int, until: clocks.Deadline
     ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable:
@@ -123,21 +147,30 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
         )
-        response_deadline = clocks.Deadline(until.at + _RESPONSE_GRACE_S)
+
+        def read_changes(
+            reply: calls.Reply,
+        ) -> keyvalue.Changes | keyvalue.HistoryLost:
+            if reply.status == 410:
+                return keyvalue.HistoryLost()
+            found = _decode_success(reply, wire.Watch)
+            _check_keys([event.key for event in found.events], prefix)
+            # It need not be the store's newest revision.
+            self._check_revision(found.store_revision, revision)
+            if any(event.rev <= revision for event in found.events):
+                raise _make_mismatch("older changes")
+            return keyvalue.Changes(
+                _decode_entries(found.events), found.store_revision
+            )
+
         try:
-            status, body = await self._call(
-                b"GET", f"/-/kv-watch?{query}", None, response_deadline
+            return await self._get(
+                f"/-/kv-watch?{query}",
+                read_changes,
+                clocks.Deadline(until.at + _RESPONSE_GRACE_S),
             )
-            if status == 410:
-                return keyvalue.HistoryLost()
-            if status != 200:
-                return keyvalue.Unavailable(f"status {status}")
-            found = calls.decode(body, wire.Watch)
         except calls.CallError as error:
             return keyvalue.Unavailable(str(error))
-        return keyvalue.Changes(
-            _decode_entries(found.events), found.store_revision
-        )
 
     async def grant_lease(
         self, seconds: float, deadline: clocks.Deadline
@@ -150,15 +183,13 @@
         expires = clocks.Deadline.after(seconds)
         ttl_ms = max(_MIN_LEASE_MS, int(seconds * 1000))
         try:
-            lease_response = await self._post(
-                "/-/kv-lease",
-                wire.LeaseRequest(ttl_ms),
-                wire.LeaseResponse,
-                deadline,
+            reply = await self._post(
+                "/-/kv-lease", wire.LeaseRequest(ttl_ms), deadline
             )
+            granted = _decode_success(reply, wire.GrantResponse)
         except calls.CallError as error:
             return keyvalue.Unavailable(str(error))
-        return keyvalue.Lease(str(lease_response.lease), expires)
+        return keyvalue.Lease(str(granted.lease), expires)
 
     async def renew_lease(
         self, lease: str, seconds: float, deadline: clocks.Deadline
@@ -166,9 +197,8 @@
         """Returns the renewed lease."""
         expires = clocks.Deadline.after(seconds)
         try:
-            await self._post(
-                f"/-/kv-keep/{lease}", None, wire.LeaseResponse, deadline
-            )
+            reply = await self._post(f"/-/kv-keep/{lease}", None, deadline)
+            _decode_success(reply, wire.RenewalResponse)
         except calls.CallError as error:
             return keyvalue.Unavailable(str(error))
         return keyvalue.Lease(lease, expires)
@@ -182,69 +212,108 @@
     ) -> keyvalue.WriteResult:
         """Sends a transaction and returns whether it took effect."""
         try:
-            status, body = await self._call(
-                b"POST", "/-/kv-txn", msgspec.json.encode(txn), deadline
-            )
-            if status == 200:
-                return keyvalue.Written(
-                    calls.decode(body, wire.TxnResponse).rev
-                )
+            reply = await self._post("/-/kv-txn", txn, deadline)
+            if reply.status == 200:
+                committed = calls.decode(reply.body, wire.TxnResponse)
+                self._revision = max(self._revision, committed.rev)
+                return keyvalue.Written(committed.rev)
         except calls.CallError as error:
             if error.was_sent:
                 return keyvalue.WriteUnknown(str(error))
             return keyvalue.Rejected(str(error))
-        if status == 412:
+        if reply.status == 412:
             return keyvalue.Conflict(0)
-        if status in (400, 403, 404, 429, 503):
-            return keyvalue.Rejected(f"status {status}")
-        return keyvalue.WriteUnknown(f"status {status}")
+        if reply.status in (400, 403, 404, 429, 503):
+            return keyvalue.Rejected(f"status {reply.status}")
+        return keyvalue.WriteUnknown(f"status {reply.status}")
 
-    async def _get(
-        self, path: str, kind: type[_Body], deadline: clocks.Deadline
-    ) -> _Body:
-        return await self._exchange(b"GET", path, None, kind, deadline)
+    def _check_revision(self, found: int, oldest: int) -> None:
+        """Records the store's revision in a response.
 
-    async def _post(
+        Raises:
+            CallError: If the store had a newer one when the call was sent.
+        """
+        if found < oldest:
+            raise _make_mismatch(f"revision {found} is older than {oldest}")
+        self._revision = max(self._revision, found)
+
+    async def _get(
         self,
         path: str,
-        message: msgspec.Struct | None,
-        kind: type[_Body],
+        read: Callable[[calls.Reply], _Result],
         deadline: clocks.Deadline,
-    ) -> _Body:
-        request_body = None if message is None else msgspec.json.encode(message)
-        return await self._exchange(b"POST", path, request_body, kind, deadline)
+    ) -> _Result:
+        """Sends a call whose response shows what it is about."""
+        self.calls += 1
+        return await calls.call(
+            self._pool, b"GET", path, b"", deadline, read=read
+        )
 
-    async def _exchange(
+    async def _post(
         self,
-        method: bytes,
         path: str,
-        request_body: bytes | None,
-        kind: type[_Body],
+        message: msgspec.Struct | None,
         deadline: clocks.Deadline,
-    ) -> _Body:
-        """Returns the decoded body of a response with status 200.
+    ) -> calls.Reply:
+        """Sends a call whose response does not show what it is about.
 
-        Raises:
-            CallError: If there is no such response.
+        The call has a connection of its own.
         """
-        status, body = await self._call(method, path, request_body, deadline)
-        if status != 200:
-            raise calls.CallError(f"status {status}", was_sent=False)
-        return calls.decode(body, kind)
-
-    async def _call(
-        self,
-        method: bytes,
-        path: str,
-        body: bytes | None,
-        deadline: clocks.Deadline,
-    ) -> tuple[int, bytes]:
-        """Sends a call; returns the status and the body of its response."""
         self.calls += 1
-        reply = await calls.call(
-            self._pool, method, path, body or b"", deadline
+        body = b"" if message is None else msgspec.json.encode(message)
+        return await calls.call(
+            self._pool, b"POST", path, body, deadline, is_alone=True
         )
-        return reply.status, reply.body
+
+
+def _make_mismatch(detail: str) -> calls.CallError:
+    """Returns the error that a response is not the one to its call."""
+    return calls.CallError(f"the response to another call: {detail}", True)
+
+
+def _check_keys(
+    keys: Iterable[str], asked: str, after: str = "", is_prefix: bool = True
+) -> None:
+    """Checks that a response is about the keys that were asked for.
+
+    Args:
+        keys: The keys in the response.
+        asked: The key, or the prefix of the keys.
+        after: The keys begin after this one.
+        is_prefix: Whether ``asked`` is a prefix.
+
+    Raises:
+        CallError: If it is about others.
+    """
+    for key in keys:
+        is_asked = key.startswith(asked) if is_prefix else key == asked
+        if not is_asked or key <= after:
+            raise _make_mismatch(f"key {key}")
+
+
+def _decode_success(reply: calls.Reply, kind: type[_Result]) -> _Result:
+    """Returns the message in a response with status 200.
+
+    Raises:
+        CallError: If the response has another status or holds no such message.
+    """
+    if reply.status != 200:
+        raise calls.CallError(f"status {reply.status}", was_sent=False)
+    return calls.decode(reply.body, kind)
+
+
+def _decode_value(item: wire.Item) -> bytes:
+    """Returns an item's value.
+
+    Raises:
+        CallError: If it is no base64.
+    """
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise calls.CallError(
+            f"cannot decode the value of {item.key}: {error}", was_sent=True
+        ) from error
 
 
 def _decode_entries(items: list[wire.Item]) -> tuple[keyvalue.Entry, ...]:
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -21,6 +21,12 @@
     deleted: bool = False
 
 
+class StoredItem(Item):
+    """A key that was read, and the store's revision at that time."""
+
+    store_revision: int = 0
+
+
 class Range(msgspec.Struct):
     """A page of keys; ``more_pages`` states whether more keys follow."""
 
@@ -65,7 +71,7 @@
 class TxnResponse(msgspec.Struct):
     """The revision of a transaction that took effect."""
 
-    rev: int = 0
+    rev: int
 
 
 class LeaseRequest(msgspec.Struct):
@@ -74,11 +80,17 @@
     ttl_ms: int
 
 
-class LeaseResponse(msgspec.Struct):
-    """A lease that was granted or renewed, and its duration."""
+class GrantResponse(msgspec.Struct):
+    """A lease that was granted, and its duration."""
+
+    ttl_ms: int
+    lease: int
+
+
+class RenewalResponse(msgspec.Struct):
+    """The duration of a lease that was renewed."""
 
     ttl_ms: int
-    lease: int = 0
 
 
 class SplitRow(msgspec.Struct):
