Number a feed's requests from a random number

What callers saw: nothing yet; the fault was found by reading. A gateway that had just restarted could take a peer's late response to a request of its former process for that to its own. The response was dated from the new request, so that the replica looked more current than it was (keys pass only while it is), and it held the changes since another revision.

Cause: a response is matched by its number alone, and each process numbered its requests 1, 2, 3.

Evidence: test_a_response_to_a_former_process_confirms_nothing failed before: 3 of 3 runs. test_a_late_response_is_not_that_to_the_next_request passed before too: within a process late responses were always dropped (ruled out).

Why the fix works: a process starts from a random number of 60 bits, so that no number of a former process is pending.

Measured: 23 of 23 tests of the feed and the synchronizer pass.

--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -130,7 +130,8 @@
     """Requests the changes of the store after a revision.
 
     Attributes:
-        number: Identifies the request; the response repeats it.
+        number: Identifies the request, also among those of the sender's former
+            processes; the response repeats it.
         revision: Revision of the sender's replica of the store.
     """
 
--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -50,6 +50,8 @@
 _MAX_RESPONSE_BYTES = 24_576
 _CHUNK_BYTES = 1_200
 _ENTRY_OVERHEAD_BYTES = 16
+# Size of the random number from which a process numbers its requests.
+_FIRST_NUMBER_BITS = 60
 
 
 class ChangeLog:
@@ -175,7 +177,8 @@
         self._settings = settings
         self._replica = replica
         self._limits = freshness.split_guarantees(settings.guarantees)
-        self._number = 0
+        # A late response to a request of a former process must match none.
+        self._number = random.getrandbits(_FIRST_NUMBER_BITS)
         self._pending: dict[int, _PendingRequest] = {}
         self._last_responder = ""
         self.has_store_contact = False
