Read an engine's report again after a conflict of orders

What callers saw: requests at an engine while it loaded weights, refused there and sent on.

Cause: reports are some hundred milliseconds old. After an order whose answer was lost, the report still showed the state before it; the next order stated that number of orders and got 409 for the sender's own accepted order. The 409 was taken for the end of the update, and the drain ended while the engine loaded.

Why the fix works: a conflict says only that the report was old or that an order is in progress. As after a lost answer, the next report decides, within the same number of attempts.

--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -42,6 +42,10 @@
 # An order without a response by then is sent again, up to a limit.
 _ORDER_TIMEOUT_S = 0.25
 _MAX_ORDER_ATTEMPTS = 5
+# After these, the engine's next report shows what it does.
+_UNSETTLED_RESULTS = frozenset(
+    {control_lib.OrderResult.UNKNOWN, control_lib.OrderResult.CONFLICT}
+)
 _FAILURE_BACKOFF_S = 0.5
 # An engine that sent data within this time can be reached; others are probed
 # before they are drained.
@@ -317,7 +321,8 @@
 
         Retries are safe: each order states how many orders the engine has
         accepted so far, so at most one of them is carried out and one that
-        arrives late is not.
+        arrives late is not. A conflict shows that the report was old: the
+        engine may have accepted an order whose response was lost.
         """
         for _ in range(_MAX_ORDER_ATTEMPTS):
             report = await self._read_report(endpoint)
@@ -332,7 +337,7 @@
             )
             if result is control_lib.OrderResult.HOLDS_ALREADY:
                 self._exchange.record_weights(endpoint.id, model, target)
-            if result is not control_lib.OrderResult.UNKNOWN:
+            if result not in _UNSETTLED_RESULTS:
                 return result
             await asyncio.sleep(_POLL_INTERVAL_S)
         return None
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -360,3 +360,65 @@
         ) as response:
             assert response.status == 409
     assert await has_version(harness, 3)
+
+
+async def test_an_order_that_an_old_report_follows_keeps_its_drain(harness):
+    """A conflict with the sender's own lost order ended the engine's drain.
+
+    Reports are some hundred milliseconds old. After an order whose answer was
+    lost, the next one stated the number of orders before it, was refused for
+    that, and requests were sent to the engine while it loaded.
+    """
+    engine = harness.engines[0]
+    engine.load_duration_s = 1.5
+    delay_reports(engine, seconds=0.4)
+    accept_order = engine._handle_order
+
+    def lose_acceptance(connection, order):
+        if not engine.orders:
+            connection = DiscardingConnection()
+        accept_order(connection, order)
+
+    engine._handle_order = lose_acceptance
+    await asyncio.sleep(0.5)
+    await set_target_version(harness, 2)
+    undrained = []
+
+    async def has_loaded() -> bool:
+        if engine._is_busy() and not any(
+            g._drains.is_draining(engine.id) for g in harness.gateways
+        ):
+            undrained.append(clocks.read_monotonic())
+        return bool(engine.orders) and not engine._is_busy()
+
+    await gateway_harness.wait_for(has_loaded)
+    assert not undrained
+    assert len(engine.orders) == 1
+
+
+class DiscardingConnection:
+    """Discards the answer to an order."""
+
+    def reply(self, status, headers, body=b""):
+        pass
+
+
+def delay_reports(engine, seconds):
+    """Makes an engine report its state of some time ago."""
+    make_report = engine._make_report
+    made = []
+
+    async def record():
+        while True:
+            made.append((clocks.read_monotonic(), make_report()))
+            await asyncio.sleep(0.02)
+
+    task = asyncio.ensure_future(record())
+
+    def report():
+        assert not task.cancelled()
+        until = clocks.read_monotonic() - seconds
+        old = [found for at, found in made if at <= until]
+        return old[-1] if old else made[0][1]
+
+    engine._make_report = report
