Compare a refusal's id before it is believed

What callers saw: nothing yet; the same fault as in the gateway, found by reading. An engine or application server that sent an earlier refusal (503 with Not-Run) again, late, and then ran the request: the daemon took the refusal for the later request's. The attempt was not cancelled at its engine and ran again at another; the caller of a repeatable call could be told that it had not run.

Cause: a refusal was believed before the id in the response was compared.

Why the fix works: an id that differs decides before the status does. A refusal without an id is believed as before, since servers need not send it; on a kept connection (streams, repeatable calls) it proves nothing, which stays open.

--- a/sardinewharf/endpoints/applications.py
+++ b/sardinewharf/endpoints/applications.py
@@ -140,11 +140,16 @@
         EndpointError: If the server refused the call, or the response belongs
             to another call or is too large.
     """
-    if response.status == 503 and response.headers.get("Not-Run") == "1":
+    answered = response.headers.get("X-Request-Id")
+    is_refusal = response.status == 503 and (
+        response.headers.get("Not-Run") == "1"
+    )
+    # A refusal need not name the request.
+    if is_refusal and answered in (None, call.request):
         raise failures.EndpointError(
             failures.FailureKind.NOT_RUN, "refused by the server"
         )
-    if response.headers.get("X-Request-Id") != call.request:
+    if answered != call.request:
         response.close()
         raise failures.EndpointError(
             failures.FailureKind.MISMATCH, "answer to another request"
--- a/sardinewharf/endpoints/engine_http.py
+++ b/sardinewharf/endpoints/engine_http.py
@@ -294,7 +294,17 @@
 def _check_response(
     response: aiohttp.ClientResponse, attempt: ids.AttemptId
 ) -> None:
-    """Raises an error unless the response begins the stream of an attempt."""
+    """Raises an error unless the response begins the stream of an attempt.
+
+    A refusal need not name the attempt, but one that names another is an
+    earlier attempt's.
+    """
+    answered = response.headers.get("X-Attempt-Id")
+    if answered is not None and answered != attempt:
+        response.close()
+        raise failures.EndpointError(
+            failures.FailureKind.MISMATCH, "answer to another attempt"
+        )
     if response.status == 503 and response.headers.get("Not-Run") == "1":
         response.release()
         raise failures.EndpointError(
@@ -305,10 +315,10 @@
         raise failures.EndpointError(
             failures.FailureKind.LOST, f"status {response.status}"
         )
-    if response.headers.get("X-Attempt-Id") != attempt:
+    if answered is None:
         response.close()
         raise failures.EndpointError(
-            failures.FailureKind.MISMATCH, "answer to another attempt"
+            failures.FailureKind.MISMATCH, "answer without an attempt"
         )
 
 
--- a/sardinewharf/platform/tests/test_control_answers.py
+++ b/sardinewharf/platform/tests/test_control_answers.py
@@ -14,7 +14,7 @@
 from sardinewharf import ids
 from sardinewharf import platform
 from sardinewharf.gateway import control as control_lib
-from sardinewharf.platform.tests import late_answers
+from sardinewharf.testbed import late_answers
 
 _REPORT = {
     "models": [{"name": "m", "version": 1}],
--- a/sardinewharf/platform/tests/test_store_answers.py
+++ b/sardinewharf/platform/tests/test_store_answers.py
@@ -10,7 +10,7 @@
 from sardinewharf import clocks
 from sardinewharf import keyvalue
 from sardinewharf import platform
-from sardinewharf.platform.tests import late_answers
+from sardinewharf.testbed import late_answers
 
 
 class FakeStore:
--- a/sardinewharf/platform/tests/late_answers.py
+++ b/sardinewharf/testbed/late_answers.py
@@ -18,22 +18,29 @@
     Attributes:
         method: HTTP method.
         target: Path and query.
+        headers: Headers; their names are in lower case.
         body: Body of the call.
     """
 
     method: str
     target: str
+    headers: dict[str, str]
     body: bytes
 
 
-def make_answer(status: int, body: object = None) -> bytes:
-    """Returns the bytes of a response; a body is encoded as JSON."""
+def make_answer(status: int, body: object = None, **headers: str) -> bytes:
+    """Returns the bytes of a response.
+
+    Args:
+        status: HTTP status.
+        body: Body, which is encoded as JSON; None for an empty one.
+        **headers: Headers to add, with underscores for dashes.
+    """
     content = b"" if body is None else msgspec.json.encode(body)
-    head = (
-        f"HTTP/1.1 {status} X\r\nkeep-alive: timeout=10\r\n"
-        f"content-length: {len(content)}\r\n\r\n"
-    )
-    return head.encode() + content
+    lines = [f"HTTP/1.1 {status} X", "keep-alive: timeout=10"]
+    lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
+    lines.append(f"content-length: {len(content)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + content
 
 
 class RepeatingServer:
@@ -95,4 +102,4 @@
     names = (line.partition(":") for line in head[1:])
     fields = {name.lower(): value.strip() for name, _, value in names}
     body = await reader.readexactly(int(fields.get("content-length", "0")))
-    return Call(method, target, body)
+    return Call(method, target, fields, body)
