Continue a stream by the weights that began it only

What callers saw: during a rollout, a text whose parts two versions of the weights had made, in a stream that looked whole.

Cause: design 0003 allows a continuation by the same version only, but the version was only used to look up cached blocks; if the chosen engine had another one loaded, that one was sent the text so far and passed the check of its response.

Why the fix works: a continuation chooses among the engines that report the version that began the stream, also for a suspect's slot, and the version in the response is compared as before.

--- a/sardinewharf/relay/openers.py
+++ b/sardinewharf/relay/openers.py
@@ -50,6 +50,8 @@
         self._had_engine_crashed = False
         self._may_have_run = False
         self._has_continued = False
+        # The weights version that an engine must have loaded; None for any.
+        self._required_weights: str | None = None
 
     async def open(
         self, continued_text: str, continued_chunks: int, weights: str | None
@@ -61,13 +63,14 @@
         Args:
             continued_text: The text so far; empty for a new response.
             continued_chunks: Number of chunks of that text.
-            weights: Weights version under which cached prefix blocks are looked
-                up to choose an engine; None for the target version. During a
-                rollout, the chosen engine may have another version loaded.
+            weights: Weights version of the text so far, which alone may go on
+                with it; None for a new response. During a rollout, that may
+                begin under another version than the target version.
 
         Raises:
             RequestError: If the request is refused or no engine responds.
         """
+        self._required_weights = weights
         try:
             return await self._open(continued_text, continued_chunks, weights)
         except BaseException:
@@ -160,12 +163,13 @@
     async def _find_pool(self) -> routing.Pool:
         """Returns the engines to choose from.
 
-        A suspect request waits for a slot, which admits one suspect at a time
-        to an engine, and gets only the engine of its slot.
+        A response that is continued gets only engines with its weights. A
+        suspect request waits for a slot, which admits one suspect at a time to
+        an engine, and gets only the engine of its slot.
         """
         relay = self._relay
         now = clocks.read_monotonic()
-        pool = relay.pools.get_pool(self._request.target)
+        pool = self._find_loaded_pool()
         if pool.members <= self._excluded.keys():
             self._readmit()
         if not relay.suspects.is_suspect(self._request.fingerprint, now):
@@ -176,6 +180,18 @@
         self._check_quarantine_and_deadline()
         return routing.Pool([self._slot] if self._slot else [])
 
+    def _find_loaded_pool(self) -> routing.Pool:
+        """Returns the engines with the required weights version loaded."""
+        pool = self._relay.pools.get_pool(self._request.target)
+        required = self._required_weights
+        if required is None:
+            return pool
+        return routing.Pool(
+            engine
+            for engine in pool.engines
+            if self._find_loaded_version(engine) == required
+        )
+
     def _exclude(self, engine: str) -> None:
         self._excluded[engine] = clocks.read_monotonic()
 
@@ -195,7 +211,7 @@
 
     def _list_engines(self) -> list[str]:
         """Returns the engines that have not failed the request."""
-        pool = self._relay.pools.get_pool(self._request.target)
+        pool = self._find_loaded_pool()
         return [name for name in pool.engines if name not in self._excluded]
 
     def _list_local(self) -> list[str]:
--- a/sardinewharf/relay/streams.py
+++ b/sardinewharf/relay/streams.py
@@ -67,9 +67,9 @@
         Args:
             continued_text: The text so far; empty for a new response.
             continued_chunks: Number of chunks of that text.
-            weights: Weights version under which cached prefix blocks are looked
-                up to choose an engine; None for the target version. During a
-                rollout, the chosen engine may have another version loaded.
+            weights: Weights version of the text so far, which alone may go on
+                with it; None for a new response. During a rollout, that may
+                begin under another version than the target version.
 
         Raises:
             RequestError: If no engine responds.
