Send nothing into a response that is being written

A caller that sent the start of a second request, or a stray line end behind a body, while its stream ran got "HTTP/1.1 408" in the middle of the stream after the header timeout; an oversized head gave a 431 there and garbage a 400. Bytes behind a request in its own segment were not timed at all, and garbage there took the place of the first request's response. A caller that left with requests queued was not noticed: only the newest one was told of the end of its connection, and nothing was read while a request was queued.

The head's timer ran from any byte received between two requests, and rejections were written at once.

A head now begins with its request line (RFC 9112, 2.2). Its time counts only while no response is outstanding, a rejection waits until the last outstanding response is complete, and up to four queued requests do not stop reading. The idle timer runs on through stray line ends, which had switched it off.

The size of a head that begins behind another request in one segment is counted without a header that is not complete.

--- /dev/null
+++ b/sardinewharf/http1/protocol.py
@@ -0,0 +1,251 @@
+"""The server's side of HTTP/1.1 connections, with limits on request heads.
+
+Responses are sent in the order of their requests, and nothing else is sent
+before or within one. What comes behind a request is read while its response is
+outstanding, so that the end of the connection is noticed.
+
+References:
+    RFC 9112, "HTTP/1.1", sections 2.2 (line ends before a request line) and
+    9.3.2 (pipelining).
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+import httptools
+from uvicorn.protocols.http import httptools_impl
+
+from sardinewharf.http1 import client
+
+_HEADERS_TOO_LARGE_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+_TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+_MALFORMED_RESPONSE = (
+    b"HTTP/1.1 400 Bad Request\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+# While more requests are queued behind the one that is being answered, nothing
+# is read.
+_MAX_QUEUED_REQUESTS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Limits of a connection.
+
+    Attributes:
+        header_bytes: Maximum size of all headers of a request.
+        header_s: Time in which the headers must arrive, in seconds.
+        idle_s: Time for which a connection may stay idle, in seconds.
+    """
+
+    header_bytes: int
+    header_s: float
+    idle_s: float
+
+
+class LimitedProtocol(httptools_impl.HttpToolsProtocol):
+    """Protocol of uvicorn with limits on the headers' size and duration.
+
+    A head begins with the first byte of its request line. Its time counts only
+    while no response is outstanding, and it is rejected only then: a caller
+    that waits for a response owes nothing, and a rejection must not get into a
+    response.
+
+    The size of a head that begins behind another request in one segment is
+    counted without a header that is not complete.
+
+    Attributes:
+        read_limits: Returns the limits in force.
+    """
+
+    read_limits: Callable[[], ServerLimits]
+
+    # Called by asyncio.
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Starts the timer of the first head."""
+        super().connection_made(transport)
+        client.set_tcp_options(transport.get_extra_info("socket"))
+        # The request whose response is due next, or was sent last.
+        self._current_cycle: httptools_impl.RequestResponseCycle | None = None
+        self._is_in_head = False
+        self._is_in_message = False
+        self._head_bytes = 0
+        # Messages of which a part lies in the latest received segment.
+        self._messages_in_segment = 0
+        # Sent once no response is outstanding; nothing is read any more.
+        self._rejection = b""
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the application, and stops the timer."""
+        self._stop_head_timer()
+        if self._has_outstanding_response():
+            _disconnect(self._current_cycle)
+        self.pipeline.clear()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes and checks the size of the head."""
+        if self._rejection or self.transport.is_closing():
+            return
+        if self._is_in_head:
+            self._head_bytes += len(data)
+        self._messages_in_segment = int(self._is_in_message)
+        self._feed(data)
+        if self._is_in_head:
+            self._check_head_size(len(data))
+        elif self._is_in_message and self.timeout_keep_alive_task is not None:
+            # The body of a request that was refused before its end.
+            self._restart_idle_timer()
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Starts the timer of a head, unless a response is outstanding."""
+        super().on_message_begin()
+        self._unset_keepalive_if_required()
+        self._is_in_message = True
+        self._is_in_head = True
+        self._head_bytes = 0
+        self._messages_in_segment += 1
+        if self._head_timer is None and not self._has_outstanding_response():
+            self._start_head_timer()
+
+    def on_headers_complete(self) -> None:
+        """Stops the timer and stores the time at which the headers arrived."""
+        self._stop_head_timer()
+        self.scope["state"]["arrived"] = self.loop.time()
+        super().on_headers_complete()
+        self._is_in_head = False
+        if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
+            # Else it would not be noticed that the caller leaves.
+            self.flow.resume_reading()
+
+    def on_message_complete(self) -> None:
+        """Prepares for the head of the next request."""
+        self._is_in_message = False
+        super().on_message_complete()
+
+    # Called by uvicorn.
+
+    def on_response_complete(self) -> None:
+        """Goes on with what came behind the request.
+
+        If that is nothing, the idle timeout in force applies.
+        """
+        self.timeout_keep_alive = type(self).read_limits().idle_s
+        super().on_response_complete()
+        if self.transport.is_closing() or self._has_outstanding_response():
+            return
+        if self._rejection:
+            self._reject(self._rejection)
+        elif self._is_in_head:
+            self._unset_keepalive_if_required()
+            self._start_head_timer()
+
+    def _start_asgi_task(
+        self,
+        cycle: httptools_impl.RequestResponseCycle,
+        app: Callable[..., object],
+    ) -> None:
+        self._current_cycle = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _has_outstanding_response(self) -> bool:
+        cycle = self._current_cycle
+        return cycle is not None and not cycle.response_complete
+
+    def _feed(self, data: bytes) -> None:
+        """Parses received bytes."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._unsupported_upgrade_warning()
+        except httptools.HttpParserError:
+            self._reject_malformed()
+
+    def _check_head_size(self, segment_bytes: int) -> None:
+        """Rejects a head that is too large, though it is not complete."""
+        if not self._head_bytes:
+            self._head_bytes = (
+                segment_bytes
+                if self._messages_in_segment == 1
+                else _count_head_bytes(self.url, self.headers)
+            )
+        if self._head_bytes > type(self).read_limits().header_bytes:
+            self._reject(_HEADERS_TOO_LARGE_RESPONSE)
+
+    def _reject_malformed(self) -> None:
+        """Rejects what cannot be parsed, unless it was answered already."""
+        cycle = self.cycle
+        is_in_body = self._is_in_message and not self._is_in_head
+        if not is_in_body:
+            self._reject(_MALFORMED_RESPONSE)
+        elif cycle is not self._current_cycle:
+            self.pipeline.popleft()
+            self._reject(_MALFORMED_RESPONSE)
+        elif cycle.response_started:
+            self.transport.close()
+        else:
+            _disconnect(cycle)
+            self.transport.write(_MALFORMED_RESPONSE)
+            self.transport.close()
+
+    def _reject(self, response: bytes) -> None:
+        """Sends a rejection and closes, once no response is outstanding."""
+        self._stop_head_timer()
+        if self._has_outstanding_response():
+            self._rejection = response
+        elif not self.transport.is_closing():
+            self.transport.write(response)
+            self.transport.close()
+
+    def _start_head_timer(self) -> None:
+        seconds = type(self).read_limits().header_s
+        self._head_timer = self.loop.call_later(seconds, self._end_slow_head)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _end_slow_head(self) -> None:
+        """Closes the connection, as the headers did not arrive in time."""
+        self._head_timer = None
+        # A connection on which no request begins is idle, not slow, and gets
+        # no response.
+        if self._is_in_head:
+            self._reject(_TIMEOUT_RESPONSE)
+        else:
+            self.transport.close()
+
+    def _restart_idle_timer(self) -> None:
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+
+def _disconnect(cycle: httptools_impl.RequestResponseCycle) -> None:
+    """Tells the application that the request's caller is gone."""
+    cycle.disconnected = True
+    cycle.message_event.set()
+
+
+def _count_head_bytes(url: bytes, headers: client.Headers) -> int:
+    r"""Returns the size of an incomplete head, as far as it was parsed.
+
+    Examples:
+        >>> _count_head_bytes(b"/a", [(b"host", b"h")])
+        11
+    """
+    return len(url) + sum(len(n) + len(v) + 4 for n, v in headers)
