Read the body of a request that offers to change the protocol

What came behind such a request in one segment was lost without an answer.

httptools ends the message at the head if the head asks for an upgrade, and uvicorn drops the rest of the segment.

The parser is now replaced by one that stands behind the same head, framed by the same headers, so that the body and further requests are read as they are without the offer (RFC 9110, section 7.8: a server may ignore it).

--- a/sardinewharf/gateway/tests/test_callers.py
+++ b/sardinewharf/gateway/tests/test_callers.py
@@ -208,3 +208,54 @@
         response = await caller.read_response()
         assert response.status == 200
         assert response.headers["x-sardinewharf-request-id"] == request_id
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_request_to_upgrade_is_answered(harness, connect, method):
+    """Guards against losing its body, and what comes behind it.
+
+    Clients offer HTTP/2 so; RFC 9110, section 7.8: a server may ignore it. The
+    body was taken for the next request.
+    """
+    caller = await connect()
+    body = b"x" if method == "POST" else b""
+    first, _ = callers.encode(
+        harness,
+        "/look/1",
+        body,
+        method,
+        connection="Upgrade, HTTP2-Settings",
+        upgrade="h2c",
+        http2_settings="AAMAAABkAAQAoAAAAAIAAAAA",
+    )
+    second, _ = callers.encode(harness, "/look/2")
+    await caller.send(first + second)
+    for _ in range(2):
+        response = await caller.read_response()
+        assert (response.status, response.body) == (200, b"an answer")
+    await caller.send(first[:-1])
+    await asyncio.sleep(0.05)
+    await caller.send(first[-1:])
+    assert (await caller.read_response()).status == 200
+    ran = harness.list_executed()
+    assert [r.body for r in ran] == [body, b"x", body]
+    assert not any("upgrade" in r.headers for r in ran)
+
+
+async def test_a_chunked_body_behind_an_upgrade_is_forwarded(harness, connect):
+    """Guards against taking the chunks for the next request."""
+    caller = await connect()
+    request, _ = callers.encode(
+        harness,
+        "/look/1",
+        b"",
+        connection="upgrade",
+        upgrade="h2c",
+        transfer_encoding="chunked",
+    )
+    request = request.replace(b"content-length: 0\r\n", b"")
+    await caller.send(request + b"2\r\nab\r\n")
+    await asyncio.sleep(0.05)
+    await caller.send(b"1\r\nc\r\n0\r\n\r\n")
+    assert (await caller.read_response()).status == 200
+    assert [r.body for r in harness.list_executed()] == [b"abc"]
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -30,6 +30,7 @@
     b"HTTP/1.1 400 Bad Request\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # While more requests are queued behind the one that is being answered, nothing
 # is read.
 _MAX_QUEUED_REQUESTS = 4
@@ -132,6 +133,9 @@
 
     def on_message_complete(self) -> None:
         """Prepares for the head of the next request."""
+        if self.parser.should_upgrade():
+            # Only the head is complete.
+            return
         self._is_in_message = False
         super().on_message_complete()
 
@@ -165,13 +169,34 @@
         return cycle is not None and not cycle.response_complete
 
     def _feed(self, data: bytes) -> None:
-        """Parses received bytes."""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._unsupported_upgrade_warning()
-        except httptools.HttpParserError:
-            self._reject_malformed()
+        """Parses received bytes; a protocol is never changed on request."""
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                data = data[error.args[0] :]
+                self._parse_on_in_http()
+            except httptools.HttpParserError:
+                self._reject_malformed()
+                return
+
+    def _parse_on_in_http(self) -> None:
+        """Replaces the parser by one that is behind the same head.
+
+        A parser takes all that follows a request to change the protocol for
+        that protocol, though the request's body comes first and the protocol
+        need not be changed (RFC 9110, section 7.8).
+        """
+        version = self.parser.get_http_version().encode()
+        lines = [b"POST / HTTP/" + version]
+        lines += [
+            name + b": " + value
+            for name, value in self.headers
+            if name in _FRAMING_HEADERS
+        ]
+        self.parser = _make_parser(_BehindHead(self))
+        self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
 
     def _check_head_size(self, segment_bytes: int) -> None:
         """Rejects a head that is too large, though it is not complete."""
@@ -235,6 +260,40 @@
         )
 
 
+class _BehindHead:
+    """Passes on what a parser finds behind its first head."""
+
+    def __init__(self, protocol: LimitedProtocol):
+        self._protocol = protocol
+        self._is_behind_head = False
+        self.on_body = protocol.on_body
+        self.on_message_complete = protocol.on_message_complete
+
+    def on_message_begin(self) -> None:
+        if self._is_behind_head:
+            self._protocol.on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        if self._is_behind_head:
+            self._protocol.on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._is_behind_head:
+            self._protocol.on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        if self._is_behind_head:
+            self._protocol.on_headers_complete()
+        self._is_behind_head = True
+
+
+def _make_parser(callbacks: object) -> httptools.HttpRequestParser:
+    parser = httptools.HttpRequestParser(callbacks)
+    # The request before a "connection: close" is answered in any case.
+    parser.set_dangerous_leniencies(lenient_data_after_close=True)
+    return parser
+
+
 def _disconnect(cycle: httptools_impl.RequestResponseCycle) -> None:
     """Tells the application that the request's caller is gone."""
     cycle.disconnected = True
