Answer a caller that closes only its sending side

A whole request, then a FIN, then waiting for the response: the connection was closed without a byte, whatever became of the request. uvicorn's protocol lets asyncio close the transport at the end of the input.

A caller that leaves sends the same FIN, and its work must end within half a second, so a half-close still counts as leaving. But no request that was read whole ends silently now: its work is ended, and it gets 503 half_closed if it has not run, 502 if it may have, each with "connection: close" and the remedy in its message. A stream that has begun ends as incomplete. An unsafe request that may have run is finished and answered, as its work cannot be taken back; a reset still ends it at once. Requests queued behind it are answered in order, a partial one is dropped.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -1,12 +1,24 @@
-"""Serves callers' requests as an ASGI application."""
+"""Serves callers' requests as an ASGI application.
+
+A caller that closes its connection and one that closes only its sending side
+send the same FIN, and work for a caller that left must end soon. So a
+half-close counts as leaving, but no request that was read ends silently:
+
+- The work is ended, and the caller gets a refusal: 503 if the request has not
+  run, 502 if it may have. A stream that has begun ends as incomplete.
+- The work of an unsafe request that was sent cannot be taken back, so that it
+  is finished and its response delivered.
+"""
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Mapping
 import contextlib
 import dataclasses
 
+from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import limits
 from sardinewharf import records
@@ -19,6 +31,7 @@
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import selection
+from sardinewharf.http1 import protocol as http_protocol
 
 Receive = Callable[[], Awaitable[Mapping[str, object]]]
 
@@ -26,6 +39,10 @@
 # Retry-After while the gateway shuts down, in seconds; other gateways are ready
 # at once.
 _SHUTDOWN_RETRY_AFTER_S = 0.1
+_HALF_CLOSED_DETAIL = (
+    "you closed your sending side, which counts as leaving; keep it open while"
+    " you wait"
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,6 +68,10 @@
     """The caller closed its connection before its response was complete."""
 
 
+class _CallerHalfClosedError(Exception):
+    """The caller closed its sending side, and its request was ended."""
+
+
 class GatewayApp:
     """Implements the ASGI application that callers send requests to.
 
@@ -130,11 +151,14 @@
             context.headers = headers
             body = await self._read_body(receive)
             request = _make_request(scope, headers, body, arrived)
-            await self._respond(request, context, receive, responder)
+            caller = _Caller(receive, scope["state"]["caller"])
+            await self._respond(request, context, caller, responder)
         except refusals.RefusedError as error:
             await self._refuse(error.refusal, context, responder)
         except _CallerDisconnectedError:
             self._log_disconnect(context, responder)
+        except _CallerHalfClosedError:
+            await self._refuse_half_closed(context, responder)
         except Exception as error:
             self._log.write(
                 records.events.GatewayFault(
@@ -160,6 +184,23 @@
             ),
         )
 
+    async def _refuse_half_closed(
+        self, context: "_RequestContext", responder: responder_lib.Responder
+    ) -> None:
+        """Logs a half-close, and answers it unless a response has begun."""
+        self._log_disconnect(context, responder, is_half_close=True)
+        if responder.has_started:
+            return
+        reason = (
+            refusals.Reason.LOST
+            if context.call.may_have_run
+            else refusals.Reason.HALF_CLOSED
+        )
+        await responder.refuse(
+            refusals.Refusal(reason, _HALF_CLOSED_DETAIL),
+            self._header_codec.write_refusal(context.request_id, None),
+        )
+
     def _log_refusal(
         self, refusal: refusals.Refusal, context: "_RequestContext"
     ) -> None:
@@ -189,7 +230,10 @@
         )
 
     def _log_disconnect(
-        self, context: "_RequestContext", responder: responder_lib.Responder
+        self,
+        context: "_RequestContext",
+        responder: responder_lib.Responder,
+        is_half_close: bool = False,
     ) -> None:
         """Logs a caller that disconnected before its response was complete."""
         now = clocks.read_monotonic()
@@ -202,6 +246,8 @@
                 endpoint=call.endpoint if call else "",
                 waited_ms=int((now - context.arrived) * 1000),
                 has_started=responder.has_started,
+                is_half_close=is_half_close,
+                may_have_run=bool(call and call.may_have_run),
             )
         )
 
@@ -243,14 +289,16 @@
         self,
         request: requests.Request,
         context: "_RequestContext",
-        receive: Receive,
+        caller: "_Caller",
         responder: responder_lib.Responder,
     ) -> None:
-        """Admits a request and responds, unless the caller disconnects first.
+        """Admits a request and responds, unless the caller leaves first.
 
         Raises:
             RefusedError: If the request is refused.
             _CallerDisconnectedError: If the caller disconnects meanwhile.
+            _CallerHalfClosedError: If it closes its sending side meanwhile,
+                and the request was ended.
         """
         if self.rejects_new_requests:
             raise refusals.refuse(
@@ -273,26 +321,109 @@
         )
         context.call = call
         response_task = asyncio.ensure_future(
-            self._relay.respond(call, responder)
+            self._relay_unless_half_closed(call, caller, responder)
         )
-        disconnect_task = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
-            await asyncio.wait(
-                {response_task, disconnect_task},
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not response_task.done():
-                raise _CallerDisconnectedError
+            await caller.wait_while_present(response_task)
+            if not response_task.done() and not _must_finish(call, responder):
+                await _cancel(response_task)
+                if response_task.cancelled():
+                    raise _CallerHalfClosedError
+            await caller.wait_while_connected(response_task)
             response_task.result()
         finally:
             response_task.cancel()
-            disconnect_task.cancel()
+
+    async def _relay_unless_half_closed(
+        self,
+        call: requests.Call,
+        caller: "_Caller",
+        responder: responder_lib.Responder,
+    ) -> None:
+        # A half-close right behind the request arrives before this task runs.
+        if caller.is_half_closed:
+            raise _CallerHalfClosedError
+        await self._relay.respond(call, responder)
+
+
+class _Caller:
+    """Watches a caller while it waits for its response.
+
+    Args:
+        receive: The ASGI receive callable of the request.
+        side: What the server knows of the caller's side of the connection.
+    """
+
+    def __init__(self, receive: Receive, side: http_protocol.CallerSide):
+        self._receive = receive
+        self._side = side
+        self._has_disconnected = False
+
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the caller closed its sending side."""
+        return self._side.is_half_closed
+
+    async def wait_while_present(self, task: asyncio.Task[None]) -> None:
+        """Waits for a task until the caller leaves or half-closes.
+
+        Raises:
+            _CallerDisconnectedError: If the connection is closed first.
+        """
+        await self._wait(task, self._wait_for_departure())
+
+    async def wait_while_connected(self, task: asyncio.Task[None]) -> None:
+        """Waits for a task until the connection is closed.
+
+        Raises:
+            _CallerDisconnectedError: If the connection is closed first.
+        """
+        if not task.done():
+            await self._wait(task, self._wait_for_disconnect())
+
+    async def _wait(
+        self, task: asyncio.Task[None], departure: Coroutine[None, None, None]
+    ) -> None:
+        departure_task = asyncio.ensure_future(departure)
+        try:
+            await asyncio.wait(
+                {task, departure_task}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            departure_task.cancel()
+        if self._has_disconnected and not task.done():
+            raise _CallerDisconnectedError
+
+    async def _wait_for_departure(self) -> None:
+        while not self.is_half_closed and not self._has_disconnected:
+            await self._receive_from_caller()
+
+    async def _wait_for_disconnect(self) -> None:
+        while not self._has_disconnected:
+            await self._receive_from_caller()
+
+    async def _receive_from_caller(self) -> None:
+        message = await self._receive()
+        self._has_disconnected = message["type"] == "http.disconnect"
+
+
+def _must_finish(
+    call: requests.Call, responder: responder_lib.Responder
+) -> bool:
+    """Returns whether a request of a half-closed caller is finished.
+
+    A response that was begun in one piece costs its endpoint nothing more.
+    """
+    kind = call.admitted.route.kind
+    if kind is catalog.RouteKind.UNSAFE:
+        return call.may_have_run
+    return kind is not catalog.RouteKind.STREAM and responder.has_started
 
 
-async def _wait_for_disconnect(receive: Receive) -> None:
-    """Returns when the caller has closed its connection."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
+async def _cancel(task: asyncio.Task[None]) -> None:
+    """Cancels a task and waits until it has ended."""
+    task.cancel()
+    await asyncio.wait({task})
 
 
 def _make_request(
--- a/sardinewharf/gateway/refusals.py
+++ b/sardinewharf/gateway/refusals.py
@@ -20,6 +20,7 @@
         QUARANTINED: Several endpoints crashed while they ran the request.
         NO_TIME: The deadline passed before the request ran.
         LEAVING: The gateway is shutting down.
+        HALF_CLOSED: The caller closed its sending side before the request ran.
         LOST: The request may have run, but no valid response arrived.
         TIMED_OUT: The same, and the deadline has passed.
     """
@@ -35,6 +36,7 @@
     QUARANTINED = "quarantined"
     NO_TIME = "no_time"
     LEAVING = "leaving"
+    HALF_CLOSED = "half_closed"
     LOST = "lost"
     TIMED_OUT = "timed_out"
 
@@ -51,6 +53,7 @@
     Reason.QUARANTINED: 503,
     Reason.NO_TIME: 503,
     Reason.LEAVING: 503,
+    Reason.HALF_CLOSED: 503,
     Reason.LOST: 502,
     Reason.TIMED_OUT: 504,
 }
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -51,6 +51,20 @@
     idle_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class CallerSide:
+    """What is known of the caller's side of a connection.
+
+    It is in the state of each request's scope, as ``caller``.
+
+    Attributes:
+        is_half_closed: Whether the caller has closed its sending side. The
+            application is woken up to see it.
+    """
+
+    is_half_closed: bool = False
+
+
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
     """Protocol of uvicorn with limits on the headers' size and duration.
 
@@ -62,6 +76,9 @@
     The size of a head that begins behind another request in one segment is
     counted without a header that is not complete.
 
+    A caller may close its sending side and wait for the responses to the whole
+    requests that it sent; the application decides on each what it gets.
+
     Attributes:
         read_limits: Returns the limits in force.
     """
@@ -76,6 +93,7 @@
         client.set_tcp_options(transport.get_extra_info("socket"))
         # The request whose response is due next, or was sent last.
         self._current_cycle: httptools_impl.RequestResponseCycle | None = None
+        self._caller = CallerSide()
         self._is_in_head = False
         self._is_in_message = False
         self._head_bytes = 0
@@ -108,6 +126,24 @@
             # The body of a request that was refused before its end.
             self._restart_idle_timer()
 
+    def eof_received(self) -> bool:
+        """Drops a request that is not whole, and tells the application.
+
+        Returns:
+            Whether the connection stays open, since a response is outstanding.
+        """
+        is_in_body = self._is_in_message and not self._is_in_head
+        if is_in_body and self.cycle is self._current_cycle:
+            return False
+        self._drop_partial_request()
+        if not self._has_outstanding_response():
+            return False
+        self._caller.is_half_closed = True
+        last = self.pipeline[0][0] if self.pipeline else self._current_cycle
+        last.keep_alive = False
+        self._current_cycle.message_event.set()
+        return True
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -125,6 +161,7 @@
         """Stops the timer and stores the time at which the headers arrived."""
         self._stop_head_timer()
         self.scope["state"]["arrived"] = self.loop.time()
+        self.scope["state"]["caller"] = self._caller
         super().on_headers_complete()
         self._is_in_head = False
         if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
@@ -168,6 +205,14 @@
         cycle = self._current_cycle
         return cycle is not None and not cycle.response_complete
 
+    def _drop_partial_request(self) -> None:
+        """Forgets a request behind others whose rest will not come."""
+        is_in_body = self._is_in_message and not self._is_in_head
+        if is_in_body:
+            self.pipeline.popleft()
+        self._is_in_message = self._is_in_head = False
+        self._stop_head_timer()
+
     def _feed(self, data: bytes) -> None:
         """Parses received bytes; a protocol is never changed on request."""
         while data:
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -325,12 +325,17 @@
     """A caller disconnected before its response was complete.
 
     ``has_started`` states whether a part of the response had been sent.
+    ``is_half_close`` states that only the caller's sending side is known to be
+    closed; the caller was told so unless the response had started.
+    ``may_have_run`` states whether an endpoint may have run the request.
     """
 
     request: str
     endpoint: str
     waited_ms: int
     has_started: bool
+    is_half_close: bool = False
+    may_have_run: bool = False
 
 
 class GatewayFault(Record, tag="gateway_fault"):
