Refuse an endpoint's status that cannot be sent on

An endpoint that answered with a status outside 100 to 599 (799, 600, 999, 099, 000) left the caller without a byte: the server raises KeyError once it has marked the response as started, so that neither a refusal nor its own 500 could follow.

The responder now checks the status before anything is sent, and the caller gets 502 lost. Header names and values need no check: the client's parser admits no others than the server sends.

--- a/sardinewharf/gateway/responder.py
+++ b/sardinewharf/gateway/responder.py
@@ -8,6 +8,9 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import refusals
 
+# Statuses that the server can send; HTTP defines no others.
+_STATUSES = range(100, 600)
+
 Send = Callable[[Mapping[str, object]], Awaitable[None]]
 
 
@@ -52,7 +55,12 @@
     async def send_response(
         self, head: messages.ResponseHead, body: bytes
     ) -> None:
-        """Sends a complete response of an endpoint."""
+        """Sends a complete response of an endpoint.
+
+        Raises:
+            RefusedError: If it cannot be forwarded; nothing was sent then.
+        """
+        _check_status(head)
         length = (b"content-length", b"%d" % len(body))
         if head.status in (204, 304):
             await self._start(head.status, head.forwarded_headers)
@@ -61,7 +69,12 @@
         await self.finish(body)
 
     async def start(self, head: messages.ResponseHead) -> None:
-        """Sends status and headers of a response of unknown length."""
+        """Sends status and headers of a response of unknown length.
+
+        Raises:
+            RefusedError: If it cannot be forwarded; nothing was sent then.
+        """
+        _check_status(head)
         await self._start(head.status, head.forwarded_headers)
 
     async def write(self, chunk: bytes) -> None:
@@ -89,3 +102,20 @@
                 "headers": sent_headers,
             }
         )
+
+
+def _check_status(head: messages.ResponseHead) -> None:
+    """Checks that the server can send a status.
+
+    Header names and values need no check, since the client's parser admits no
+    others than the server does.
+
+    Raises:
+        RefusedError: If it cannot.
+    """
+    if head.status not in _STATUSES:
+        raise refusals.refuse(
+            refusals.Reason.LOST,
+            f"the endpoint answered with status {head.status}; it must be"
+            f" {_STATUSES[0]} to {_STATUSES[-1]}",
+        )
--- a/sardinewharf/gateway/tests/callers.py
+++ b/sardinewharf/gateway/tests/callers.py
@@ -36,20 +36,29 @@
 
     async def read_response(self):
         """Returns the next response; its status is 0 if there is none."""
-        async with asyncio.timeout(_READ_S):
-            try:
+        response = await self.read_head()
+        if response.status:
+            async with asyncio.timeout(_READ_S):
+                response.body, response.is_complete = await self._read_body(
+                    response.status, response.headers
+                )
+        return response
+
+    async def read_head(self):
+        """Returns a response without its body; status 0 if none comes."""
+        try:
+            async with asyncio.timeout(_READ_S):
                 head = await self.reader.readuntil(b"\r\n\r\n")
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return gateway_harness.Response(0, {}, b"", False)
-            lines = head.decode().split("\r\n")
-            assert lines[0].startswith("HTTP/1.1 "), lines[0]
-            status = int(lines[0].split()[1])
-            headers = {}
-            for line in lines[1:-2]:
-                name, _, value = line.partition(": ")
-                headers[name.lower()] = value
-            body, is_complete = await self._read_body(status, headers)
-            return gateway_harness.Response(status, headers, body, is_complete)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return gateway_harness.Response(0, {}, b"", False)
+        lines = head.decode().split("\r\n")
+        assert lines[0].startswith("HTTP/1.1 "), lines[0]
+        headers = {}
+        for line in lines[1:-2]:
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        status = int(lines[0].split()[1])
+        return gateway_harness.Response(status, headers, b"", False)
 
     async def read_to_end(self):
         """Returns all that comes until the gateway closes the connection."""
