State no content length of zero in response to HEAD

A response to HEAD had "content-length: 0", though a GET would have got a body (RFC 9110, section 8.6): clients and caches take it for the resource's length. The responder gave the length of the body that the endpoint left out.

It now states none in response to HEAD.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -121,7 +121,9 @@
     ) -> None:
         """Handles one request."""
         self.running += 1
-        responder = responder_lib.Responder(send, lambda: self.is_shutting_down)
+        responder = responder_lib.Responder(
+            send, scope["method"], lambda: self.is_shutting_down
+        )
         try:
             await self._handle(scope, receive, responder)
         finally:
--- a/sardinewharf/gateway/responder.py
+++ b/sardinewharf/gateway/responder.py
@@ -22,6 +22,7 @@
 
     Args:
         send: The ASGI send callable of the request.
+        method: HTTP method of the request.
         is_shutting_down: Returns whether the gateway is shutting down.
 
     Attributes:
@@ -29,8 +30,11 @@
         is_finished: Whether the last part of the body was sent.
     """
 
-    def __init__(self, send: Send, is_shutting_down: Callable[[], bool]):
+    def __init__(
+        self, send: Send, method: str, is_shutting_down: Callable[[], bool]
+    ):
         self._send = send
+        self._method = method
         self._is_shutting_down = is_shutting_down
         self.has_started = False
         self.is_finished = False
@@ -61,11 +65,11 @@
             RefusedError: If it cannot be forwarded; nothing was sent then.
         """
         _check_status(head)
-        length = (b"content-length", b"%d" % len(body))
-        if head.status in (204, 304):
-            await self._start(head.status, head.forwarded_headers)
-        else:
-            await self._start(head.status, [*head.forwarded_headers, length])
+        headers = list(head.forwarded_headers)
+        # In response to HEAD, the length would be that of the body left out.
+        if head.status not in (204, 304) and self._method != "HEAD":
+            headers.append((b"content-length", b"%d" % len(body)))
+        await self._start(head.status, headers)
         await self.finish(body)
 
     async def start(self, head: messages.ResponseHead) -> None:
--- a/sardinewharf/gateway/tests/test_forwarding.py
+++ b/sardinewharf/gateway/tests/test_forwarding.py
@@ -100,3 +100,21 @@
         assert response.status == int(status[:3])
         assert "content-length" not in response.headers
         assert "transfer-encoding" not in response.headers
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/look/1", "/chat/1"])
+@pytest.mark.parametrize("body", [b"", b"ok"])
+async def test_a_response_to_head_states_no_wrong_length(
+    harness, caller, path, body
+):
+    """Guards against "content-length: 0" where a GET would give a body.
+
+    RFC 9110, section 8.6.
+    """
+    answer_with([*harness.servers, *harness.engines], b"200 OK", LENGTH_2, body)
+    for _ in range(2):
+        request, _ = callers.encode(harness, path, b"", "HEAD")
+        await caller.send(request)
+        response = await caller.read_head()
+        assert response.status == 200
+        assert response.headers.get("content-length", "2") == "2"
