--- a/sardinewharf/gateway/responder.py
+++ b/sardinewharf/gateway/responder.py
@@ -8,6 +8,9 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import refusals
 
+# Statuses that the server can send; HTTP defines no others.
+_STATUSES = range(100, 600)
+
 Send = Callable[[Mapping[str, object]], Awaitable[None]]
 
 
@@ -19,6 +22,7 @@
 
     Args:
         send: The ASGI send callable of the request.
+        method: HTTP method of the request.
         is_shutting_down: Returns whether the gateway is shutting down.
 
     Attributes:
@@ -26,8 +30,11 @@
         is_finished: Whether the last part of the body was sent.
     """
 
-    def __init__(self, send: Send, is_shutting_down: Callable[[], bool]):
+    def __init__(
+        self, send: Send, method: str, is_shutting_down: Callable[[], bool]
+    ):
         self._send = send
+        self._method = method
         self._is_shutting_down = is_shutting_down
         self.has_started = False
         self.is_finished = False
@@ -52,16 +59,26 @@
     async def send_response(
         self, head: messages.ResponseHead, body: bytes
     ) -> None:
-        """Sends a complete response of an endpoint."""
-        length = (b"content-length", b"%d" % len(body))
-        if head.status in (204, 304):
-            await self._start(head.status, head.forwarded_headers)
-        else:
-            await self._start(head.status, [*head.forwarded_headers, length])
+        """Sends a complete response of an endpoint.
+
+        Raises:
+            RefusedError: If it cannot be forwarded; nothing was sent then.
+        """
+        _check_status(head)
+        headers = list(head.forwarded_headers)
+        # In response to HEAD, the length would be that of the body left out.
+        if head.status not in (204, 304) and self._method != "HEAD":
+            headers.append((b"content-length", b"%d" % len(body)))
+        await self._start(head.status, headers)
         await self.finish(body)
 
     async def start(self, head: messages.ResponseHead) -> None:
-        """Sends status and headers of a response of unknown length."""
+        """Sends status and headers of a response of unknown length.
+
+        Raises:
+            RefusedError: If it cannot be forwarded; nothing was sent then.
+        """
+        _check_status(head)
         await self._start(head.status, head.forwarded_headers)
 
     async def write(self, chunk: bytes) -> None:
@@ -89,3 +106,20 @@
                 "headers": sent_headers,
             }
         )
+
+
+def _check_status(head: messages.ResponseHead) -> None:
+    """Checks that the server can send a status.
+
+    Header names and values need no check, since the client's parser admits no
+    others than the server does.
+
+    Raises:
+        RefusedError: If it cannot.
+    """
+    if head.status not in _STATUSES:
+        raise refusals.refuse(
+            refusals.Reason.LOST,
+            f"the endpoint answered with status {head.status}; it must be"
+            f" {_STATUSES[0]} to {_STATUSES[-1]}",
+        )
