Let test servers repeat refusals, pause, cut heads and answer resumptions wrongly

Change: faults for these. Connections have a module of their own, since what a silent server writes has to wait in order, with the end of the connection, and a refusal behind a response has to go out in its segment. True refusals name their request, as the protocol of the servers says.

--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -1,19 +1,87 @@
 """Test doubles of the application and model servers of the users' platform.
 
 They record every request that they execute. Their faults make them truncate
-responses, respond twice or with invalid bytes, refuse requests, or not respond.
+responses, respond twice or with invalid bytes, refuse requests, repeat earlier
+refusals, be silent for a while, or not respond.
 """
 
 import asyncio
 import dataclasses
-import itertools
+import enum
+import random
 import time
 
-import httptools
 import msgspec
 
+from sardinewharf import clocks
+from sardinewharf.standins import server_connections
+
 # Time between the bytes of a stream that trickles, in seconds.
 _TRICKLE_INTERVAL_S = 0.05
+# Time after a complete response at which an earlier refusal follows it.
+_LATE_REFUSAL_S = 0.02
+# A server that repeats refusals truly refuses one in so many requests.
+_REQUESTS_PER_REFUSAL = 5
+
+ServerRequest = server_connections.ServerRequest
+
+
+class RefusalPlace(enum.Enum):
+    """Where an earlier refusal is sent once more on a connection in use."""
+
+    INSTEAD = "instead"
+    BEFORE = "before"
+    BEHIND = "behind"
+    LATER = "later"
+
+
+@dataclasses.dataclass
+class StaleRefusal:
+    """Refuses now and then, and repeats the refusal to requests that it runs.
+
+    Attributes:
+        status: Status of the refusals.
+        place: Whether the repeated refusal comes instead of the true response
+            to a later request, before it, right behind it in the same segment,
+            or a little later.
+        is_named: Whether it bears the id of the earlier request.
+    """
+
+    status: int = 503
+    place: RefusalPlace = RefusalPlace.BEFORE
+    is_named: bool = True
+
+
+class Framing(enum.Enum):
+    """How an error response ends."""
+
+    LENGTH = "length"
+    CLOSE = "close"
+    CHUNK_SIZE = "chunk_size"
+    STATUS_LINE = "status_line"
+
+
+@dataclasses.dataclass
+class ResumeError:
+    """Responds to the resumption of a stream with something else.
+
+    Attributes:
+        status: Status of the response; 200 is not an event stream.
+        framing: Whether the body has a length, ends with the connection, is
+            cut within the size of a chunk, or the response within its head
+            after the status line.
+    """
+
+    status: int = 500
+    framing: Framing = Framing.LENGTH
+
+
+class HeadEnd(enum.Enum):
+    """How a response ends that has no body or not even a whole head."""
+
+    FIN = "fin"
+    RESET = "reset"
+    NO_BODY = "no_body"
 
 
 @dataclasses.dataclass
@@ -38,6 +106,10 @@
         is_unsigned: Responds without the header that identifies the server.
         unframed: Sends no content length and closes the connection at the
             end of the body.
+        stale_refusal: Repeats earlier refusals on connections in use.
+        cut_head: Executes the request and ends the connection after a random
+            byte of the head, or after a head that announces a body.
+        resume_error: Responds to requests that resume a stream with an error.
     """
 
     refuse: bool = False
@@ -54,33 +126,9 @@
     no_id: bool = False
     is_unsigned: bool = False
     unframed: bool = False
-
-
-@dataclasses.dataclass
-class ServerRequest:
-    """A request to a server.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query.
-        headers: Headers; their names are in lower case.
-        body: Body.
-        ended: "whole" if the response was sent completely, "cut" if a fault
-            aborted its stream, "left" if the connection was closed first;
-            empty while the request runs, and if another fault kept the
-            response from being complete.
-    """
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    ended: str = ""
-
-    @property
-    def request_id(self) -> str:
-        """The id that the caller gave the request; empty if there is none."""
-        return self.headers.get("x-sardinewharf-request-id", "")
+    stale_refusal: StaleRefusal | None = None
+    cut_head: HeadEnd | None = None
+    resume_error: ResumeError | None = None
 
 
 class PlatformServer:
@@ -100,6 +148,8 @@
             refuses. An engine doesn't count requests that it refuses because
             of their weights version or a load.
         version: Version of the weights; 0 for none.
+        silent_until: Until then it sends nothing, but reads and executes; what
+            it has to send follows then.
     """
 
     version = 0
@@ -112,8 +162,10 @@
         self.request_duration_s = 0.0
         self.address = ""
         self.arrivals = 0
+        self.silent_until = clocks.Deadline(0.0)
+        self._refused_id = ""
         self._server: asyncio.Server | None = None
-        self._connections: set[_Connection] = set()
+        self._connections: set[server_connections.ServerConnection] = set()
 
     async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
         """Starts to listen.
@@ -124,7 +176,11 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), host, port
+            lambda: server_connections.ServerConnection(
+                self, self._connections
+            ),
+            host,
+            port,
         )
         host, bound_port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{bound_port}"
@@ -137,7 +193,9 @@
             connection.transport.abort()
 
     async def handle_request(
-        self, connection: "_Connection", request: ServerRequest
+        self,
+        connection: server_connections.ServerConnection,
+        request: ServerRequest,
     ) -> None:
         """Executes one request and responds to it."""
         self.arrivals += 1
@@ -146,21 +204,68 @@
             "x-sardinewharf-expect-instance", self.id
         )
         if faults.moved or expected != self.id:
-            connection.reply(421, [("x-sardinewharf-instance-id", "other")])
+            self._refuse(connection, request, 421)
             return
         if faults.refuse:
-            connection.reply(503, [("x-sardinewharf-not-run", "1")])
+            self._refuse(connection, request, 503)
+            return
+        stale = faults.stale_refusal
+        if stale and (
+            not self._refused_id or self.arrivals % _REQUESTS_PER_REFUSAL == 0
+        ):
+            self._refused_id = request.request_id
+            self._refuse(connection, request, stale.status)
             return
         self.record_start(request)
         try:
             await asyncio.sleep(self.request_duration_s)
-            await self.respond(connection, request)
+            if stale and connection.handled:
+                await self._respond_beside_refusal(connection, request, stale)
+            else:
+                await self.respond(connection, request)
         except asyncio.CancelledError:
             request.ended = "left"
             raise
         finally:
             self.record_end(request)
 
+    def pause(self, seconds: float) -> None:
+        """Sends nothing for some seconds, then goes on with all it has."""
+        self.silent_until = clocks.Deadline.after(seconds)
+
+    def _refuse(
+        self,
+        connection: server_connections.ServerConnection,
+        request: ServerRequest,
+        status: int,
+    ) -> None:
+        """Refuses a request that is not executed."""
+        headers = [] if self.faults.no_id else [_make_id(request.request_id)]
+        connection.reply(status, _make_refusal_headers(status) + headers)
+
+    async def _respond_beside_refusal(
+        self,
+        connection: server_connections.ServerConnection,
+        request: ServerRequest,
+        stale: StaleRefusal,
+    ) -> None:
+        """Responds to a request, and repeats the refusal of an earlier one."""
+        headers = _make_refusal_headers(stale.status)
+        if stale.is_named:
+            headers.append(_make_id(self._refused_id))
+        if stale.place in (RefusalPlace.INSTEAD, RefusalPlace.BEFORE):
+            connection.reply(stale.status, headers)
+            if stale.place is RefusalPlace.BEFORE:
+                await self.respond(connection, request)
+        elif stale.place is RefusalPlace.BEHIND:
+            with connection.join_writes():
+                await self.respond(connection, request)
+                connection.reply(stale.status, headers)
+        else:
+            await self.respond(connection, request)
+            await asyncio.sleep(_LATE_REFUSAL_S)
+            connection.reply(stale.status, headers)
+
     def record_start(self, request: ServerRequest) -> None:
         """Records that the execution of a request starts."""
         self.executed.append(request)
@@ -173,29 +278,34 @@
         return self.body
 
     async def respond(
-        self, connection: "_Connection", request: ServerRequest
+        self,
+        connection: server_connections.ServerConnection,
+        request: ServerRequest,
     ) -> None:
         """Responds to a request that is being executed."""
         faults = self.faults
         if faults.hang:
             await asyncio.Event().wait()
         if faults.reset:
-            connection.transport.abort()
+            connection.abort()
             return
         if faults.garbage:
-            connection.transport.write(b"\x00\x01 this is no answer\r\n\r\n")
+            connection.write(b"\x00\x01 this is no answer\r\n\r\n")
             return
         headers = self.make_headers(request)
         body = self.make_body(request)
+        if faults.cut_head is not None:
+            _write_cut_head(connection, request, headers, faults.cut_head)
+            return
         if faults.short_body:
             connection.write_head(200, headers, len(body))
-            connection.transport.write(body[:-2])
-            connection.transport.close()
+            connection.write(body[:-2])
+            connection.close()
             return
         if faults.unframed:
             connection.write_head(200, headers, None)
-            connection.transport.write(body)
-            connection.transport.close()
+            connection.write(body)
+            connection.close()
         else:
             connection.reply(faults.status or 200, headers, body)
         request.ended = "whole"
@@ -212,7 +322,7 @@
             ("keep-alive", "timeout=10"),
         ]
         if not self.faults.no_id:
-            headers.append(("x-sardinewharf-request-id", request_id))
+            headers.append(_make_id(request_id))
         if not self.faults.is_unsigned:
             headers.append(("x-sardinewharf-server-stamp", f"{self.id}.stamp"))
         return headers
@@ -251,7 +361,9 @@
         self._highest_fence = 0
 
     async def handle_request(
-        self, connection: "_Connection", request: ServerRequest
+        self,
+        connection: server_connections.ServerConnection,
+        request: ServerRequest,
     ) -> None:
         """Executes a request, reports the state, or handles an order."""
         if request.target == "/-/report":
@@ -265,18 +377,23 @@
             expected_version is not None
             and int(expected_version) != self.version
         ):
-            headers = [("x-sardinewharf-weight-versions", str(self.version))]
+            headers = [
+                ("x-sardinewharf-weight-versions", str(self.version)),
+                _make_id(request.request_id),
+            ]
             self.refused += 1
             connection.reply(421, headers)
             return
         if self._is_busy():
             self.refused += 1
-            connection.reply(503, [("x-sardinewharf-not-run", "1")])
+            self._refuse(connection, request, 503)
             return
         await super().handle_request(connection, request)
 
     async def respond(
-        self, connection: "_Connection", request: ServerRequest
+        self,
+        connection: server_connections.ServerConnection,
+        request: ServerRequest,
     ) -> None:
         """Responds to a request with a stream of events.
 
@@ -284,7 +401,17 @@
         the event after that one.
         """
         faults = self.faults
-        if faults.hang or faults.reset or faults.garbage or faults.status:
+        if faults.resume_error and "last-event-id" in request.headers:
+            headers = self.make_headers(request)
+            _write_error(connection, headers, faults.resume_error)
+            return
+        if (
+            faults.hang
+            or faults.reset
+            or faults.garbage
+            or faults.status
+            or faults.cut_head
+        ):
             await super().respond(connection, request)
             return
         headers = self.make_headers(request)
@@ -300,7 +427,7 @@
             if faults.cut_after and number > faults.cut_after:
                 connection.write_chunk(event[:7])
                 await asyncio.sleep(self.event_interval_s)
-                connection.transport.abort()
+                connection.abort()
                 request.ended = "cut"
                 return
             connection.write_chunk(event)
@@ -326,7 +453,9 @@
         """Called with each received order; subclasses may override it."""
 
     def _handle_order(
-        self, connection: "_Connection", order: dict[str, object]
+        self,
+        connection: server_connections.ServerConnection,
+        order: dict[str, object],
     ) -> None:
         self.record_order(order)
         if self.checks_fences and order["fence"] < self._highest_fence:
@@ -343,87 +472,52 @@
             connection.reply(202, [])
 
 
-class _Connection(asyncio.Protocol):
-    """A connection to a server, which parses and handles its requests."""
-
-    def __init__(self, server: PlatformServer):
-        self._server = server
-        self._parser = httptools.HttpRequestParser(self)
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._request = ServerRequest("", "", {}, b"")
-        self._numbers = itertools.count()
-        self.transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport of a new connection."""
-        self.transport = transport
-        self._server._connections.add(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the requests of a connection that was closed."""
-        self._server._connections.discard(self)
-        for task in self._tasks:
-            task.cancel()
-
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
-        self._parser.feed_data(data)
-
-    def on_message_begin(self) -> None:
-        """Starts a new request."""
-        self._request = ServerRequest("", "", {}, b"")
-
-    def on_url(self, url: bytes) -> None:
-        """Appends a part of the target."""
-        self._request.target += url.decode()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header."""
-        self._request.headers[name.decode().lower()] = value.decode()
-
-    def on_body(self, body: bytes) -> None:
-        """Appends a part of the body."""
-        self._request.body += body
-
-    def on_message_complete(self) -> None:
-        """Starts to handle a request that was received completely."""
-        self._request.method = self._parser.get_method().decode()
-        task = asyncio.ensure_future(
-            self._server.handle_request(self, self._request)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def reply(
-        self, status: int, headers: list[tuple[str, str]], body: bytes = b""
-    ) -> None:
-        """Writes a complete response."""
-        self.write_head(status, headers, len(body))
-        self.transport.write(body)
-
-    def write_head(
-        self,
-        status: int,
-        headers: list[tuple[str, str]],
-        length: int | None,
-        is_chunked: bool = False,
-    ) -> None:
-        """Writes the status line and the headers.
-
-        Args:
-            status: HTTP status.
-            headers: Names and values of the headers.
-            length: Length of the body; None to send no content length.
-            is_chunked: Whether the body is sent in HTTP chunks.
-        """
-        lines = [f"HTTP/1.1 {status} X"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        if is_chunked:
-            lines.append("transfer-encoding: chunked")
-        elif length is not None:
-            lines.append(f"content-length: {length}")
-        self.transport.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-
-    def write_chunk(self, chunk: bytes) -> None:
-        """Writes an HTTP chunk of a body; an empty chunk ends the body."""
-        self.transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+def _make_id(request_id: str) -> tuple[str, str]:
+    return "x-sardinewharf-request-id", request_id
+
+
+def _make_refusal_headers(status: int) -> list[tuple[str, str]]:
+    if status == 421:
+        return [("x-sardinewharf-instance-id", "other")]
+    return [("x-sardinewharf-not-run", "1")]
+
+
+def _write_cut_head(
+    connection: server_connections.ServerConnection,
+    request: ServerRequest,
+    headers: list[tuple[str, str]],
+    end: HeadEnd,
+) -> None:
+    """Writes a head, or the start of one, and ends the connection."""
+    head = server_connections.make_head(200, headers, len(b"an answer"))
+    if end is not HeadEnd.NO_BODY:
+        # The same request is cut at the same byte in each run of a test.
+        kept = random.Random(request.request_id).randrange(1, len(head))
+        head = head[:kept]
+    connection.write(head)
+    if end is HeadEnd.RESET:
+        connection.abort()
+    else:
+        connection.close()
+
+
+def _write_error(
+    connection: server_connections.ServerConnection,
+    headers: list[tuple[str, str]],
+    error: ResumeError,
+) -> None:
+    """Writes a response that does not continue a stream."""
+    body = b"cannot go on"
+    match error.framing:
+        case Framing.LENGTH:
+            connection.reply(error.status, headers, body)
+            return
+        case Framing.CLOSE:
+            connection.write_head(error.status, headers, None)
+            connection.write(body)
+        case Framing.CHUNK_SIZE:
+            connection.write_head(error.status, headers, None, is_chunked=True)
+            connection.write(b"0")
+        case Framing.STATUS_LINE:
+            connection.write(b"HTTP/1.1 %d X\r\n" % error.status)
+    connection.close()
