Let the soak take a half-close for leaving

A caller that closes its sending direction may have left: any answer or refusal will do, but never a bare close. What it asked for ends within half a second where it may be repeated, as for callers that disconnect (GONE, more strict), and such requests count neither as served nor as owed at the end (RECOVERY).

--- a/sardinewharf/soak/invariants.py
+++ b/sardinewharf/soak/invariants.py
@@ -337,9 +337,11 @@
                 self._add_finding(
                     Invariant.LOST, f"{name} {verb} but got no response {end}"
                 )
-        elif not self._timeline.is_fault_free(
+        elif attempt.is_half_closed or not self._timeline.is_fault_free(
             attempt.sent_at, attempt.ended_at
         ):
+            # A caller that closes its sending direction may have left, so that
+            # any answer will do.
             return
         elif not attempt.is_complete:
             self._add_finding(Invariant.CALM, f"{name} was cut {end}")
@@ -485,8 +487,11 @@
     def _check_cancellations(self) -> None:
         uncancelled, disconnected = 0, 0
         for attempt in self._pool.attempts:
-            end = attempt.disconnected_at + _CANCEL_S
-            if not attempt.disconnected_at or not attempt.is_repeatable:
+            left_at = attempt.disconnected_at or (
+                attempt.sent_at if attempt.is_half_closed else 0.0
+            )
+            end = left_at + _CANCEL_S
+            if not left_at or not attempt.is_repeatable:
                 continue
             if not self._timeline.is_fault_free(attempt.sent_at, end):
                 continue
@@ -528,7 +533,7 @@
             for a in self._pool.attempts
             if since < a.sent_at < until
             and a.key in operators.PERMANENT_KEYS
-            and not a.disconnected_at
+            and not (a.disconnected_at or a.is_half_closed)
         ]
         served = [a for a in eligible if a.status == 200 and a.is_complete]
         if len(served) < _MIN_SERVED_SHARE * len(eligible) or not eligible:
