--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -3,8 +3,11 @@
 import asyncio
 import dataclasses
 import itertools
+import pathlib
 import random
 
+import msgspec
+
 from sardinewharf import clocks
 from sardinewharf.soak import connections
 from sardinewharf.soak import deployment as deployment_lib
@@ -117,6 +120,10 @@
         self.attempts: list[Attempt] = []
         self.strays: list[str] = []
 
+    def write_attempts(self, path: pathlib.Path) -> None:
+        """Writes all attempts to a file, one a line."""
+        path.write_bytes(msgspec.json.Encoder().encode_lines(self.attempts))
+
     async def run(self) -> None:
         """Sends requests until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/sardinewharf/soak/program.py
+++ b/sardinewharf/soak/program.py
@@ -87,6 +87,7 @@
             self.line(
                 f"seed {seed}: {len(outcome.faults)} faults,"
                 f" {outcome.served} of {outcome.requests} requests served,"
+                f" {outcome.unanswered} without a byte, {outcome.cut} cut,"
                 f" {len(outcome.findings)} findings"
             )
             if not outcome.findings:
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -43,12 +43,16 @@
         faults: Injected faults.
         requests: Number of requests sent.
         served: Number of requests served.
+        unanswered: Number of requests whose connection ended without a byte.
+        cut: Number of requests whose response was incomplete.
         findings: Violated invariants.
     """
 
     faults: list[faults_lib.Fault]
     requests: int
     served: int
+    unanswered: int
+    cut: int
     findings: list[invariants.Finding]
 
 
@@ -87,10 +91,14 @@
             task.cancel()
         await asyncio.gather(sending, checking, return_exceptions=True)
     checker.check_final(clocks.read_monotonic())
+    pool.write_attempts(deployment.folder / "attempts.jsonl")
+    ended = [a for a in pool.attempts if a.ended_at and not a.disconnected_at]
     return Outcome(
         faults,
         len(pool.attempts),
         checker.count_served(),
+        sum(a.was_sent and not a.status for a in ended),
+        sum(a.status > 0 and not a.is_complete for a in ended),
         list(checker.findings),
     )
 
