Ask the store to keep a watch waiting until its time, not a millisecond less

Cause: the wait was rounded down to whole milliseconds. A watch that ended up to 1 ms before its time confirmed the replica only up to its start, so that the next one was short (0.36 s).

Change: the wait is rounded up.

--- a/sardinewharf/platform/store.py
+++ b/sardinewharf/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 from typing import TypeVar
 import urllib.parse
 
@@ -143,7 +144,8 @@
         self, prefix: str, revision: int, until: clocks.Deadline
     ) -> keyvalue.Changes | keyvalue.HistoryLost | keyvalue.Unavailable:
         """Waits for changes after a revision and returns them."""
-        wait_ms = min(_MAX_WAIT_MS, max(1, int(until.remaining() * 1000)))
+        # A watch that ends before `until` confirms nothing up to it.
+        wait_ms = min(_MAX_WAIT_MS, max(1, math.ceil(until.remaining() * 1000)))
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
         )
