Take no lease once a gateway stops

What callers saw: no engine was updated for two seconds and the handover pause after a rolling restart.

Cause: gateways wait for their turn before they acquire a free lease. One that was stopped meanwhile resigned, and then acquired the lease, which nobody gave up.

Why the fix works: whether the gateway stops is checked again after the wait, with what else has to hold for an acquisition.

--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -152,8 +152,15 @@
         )
 
     def _may_acquire(self) -> bool:
-        """Returns whether the lease is free, as far as the replica shows."""
-        return self._replica.is_filled and not self._replica.rollout_leader
+        """Returns whether the lease is free, as far as the replica shows.
+
+        A gateway that stops has resigned, and takes no lease.
+        """
+        return (
+            self._replica.is_filled
+            and not self._replica.rollout_leader
+            and not self._is_stopping
+        )
 
     def _start_updates(self) -> None:
         """Starts updates of engines that lack their models' target versions."""
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -5,6 +5,7 @@
 import pytest_asyncio
 
 from sardinewharf import clocks
+from sardinewharf import leases
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.testbed import gateway_harness
 
@@ -193,6 +194,24 @@
     assert min(o["fence"] for o in orders) > min(fences)
 
 
+async def test_a_gateway_that_stops_takes_no_free_lease(harness):
+    """A gateway that stopped while it waited for its turn took the lease.
+
+    It had resigned by then, so that nobody was the leader until it expired.
+    """
+    controllers = [g._rollout_controller for g in harness.gateways]
+    controllers.sort(key=lambda c: bool(c._leader_lease.epoch))
+    other, leader = controllers
+    other._choose_acquire_delay = lambda: 0.6
+    await leader.stop()
+    await asyncio.sleep(0.4)
+    await other.stop()
+    await asyncio.sleep(0.8)
+    assert not other._leader_lease.epoch
+    record = harness.store.find_value(LEASE_KEY)
+    assert leases.decode_lease_record(record).holder == ""
+
+
 async def test_a_leader_whose_lease_ended_gives_no_order(harness):
     leader = next(
         g
