Tell the answers of a new cache store from those of the former one

What callers saw: nothing measured; found by reading. After a configuration gave the cache store another address, engines were told to fetch from the new one and to save to it before it had ever responded, which costs some hundred milliseconds if it is down.

Cause: the time of the last response was kept over the change of the address, and peers' reports of it named no cache store, so that a peer with an older configuration vouched for the new one.

Evidence: test_a_new_store_does_not_live_by_the_former_one failed before: 3 of 3 runs. The two tests of the digest need the field that is added; before, the report of any peer was believed. test_repeated_answers_leave_the_index_true passed before too: repeated answers of a cache store do no lasting harm, since all later events follow (ruled out).

Why the fix works: a new address forgets the parts and the time, and a digest names the cache store that it reports of.

Measured: 16 of 16 tests of caches, prompts and peers pass.

--- a/sardinewharf/gateway/caches.py
+++ b/sardinewharf/gateway/caches.py
@@ -63,7 +63,7 @@
             if self._prompts.store.is_watched:
                 await self._poll(stores[0])
             else:
-                self._prompts.store.address = stores[0].address
+                self._prompts.store.set_address(stores[0].address)
                 await asyncio.sleep(_RECHECK_S)
 
     def _may_watch(self, store: catalog.CacheStore) -> bool:
@@ -89,8 +89,7 @@
         """
         index = self._prompts.store
         if index.address != store.address:
-            index.address = store.address
-            index.clear()
+            index.set_address(store.address)
             self._since = 0
         update = await self._control.read_cache(
             store.address, self._since, clocks.Deadline.after(_LONG_POLL_S)
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -218,6 +218,7 @@
         cache_store_age_ms: Time since the cache store's last response to it;
             None if it does not read the cache store's updates, or has had no
             response for so long that the store counts as unresponsive.
+        cache_store: ``IP:PORT`` of that cache store; empty if there is none.
     """
 
     sender: str
@@ -233,6 +234,7 @@
     prefills: list[PrefillUpdate] = []
     cache_uses: list[CacheUseUpdate] = []
     cache_store_age_ms: int | None = None
+    cache_store: str = ""
 
 
 Message = Digest | UrgentUpdate | FeedRequest | FeedResponse
--- a/sardinewharf/gateway/exchange.py
+++ b/sardinewharf/gateway/exchange.py
@@ -184,6 +184,7 @@
             prefills=self._list_prefills(now),
             cache_uses=self._list_cache_uses(now),
             cache_store_age_ms=self._read_cache_store_age(),
+            cache_store=self._prompts.store.address,
         )
 
     def make_urgent_update(self) -> digests.UrgentUpdate:
@@ -306,9 +307,7 @@
                 now - target.age_ms / 1000,
                 target.slack_ms / 1000,
             )
-        store = self._prompts.store
-        if digest.cache_store_age_ms is not None and not store.is_watched:
-            store.record_response(digest.cache_store_age_ms / 1000)
+        self._merge_cache_store(digest)
         for update in digest.crashes:
             crash = limits.Crash(
                 update.fingerprint,
@@ -316,3 +315,14 @@
                 now - update.age_ms / 1000,
             )
             self._crashes.merge(crash, now)
+
+    def _merge_cache_store(self, digest: digests.Digest) -> None:
+        """Merges when the cache store responded to a peer that watches it.
+
+        A peer with another configuration may watch another store.
+        """
+        store = self._prompts.store
+        if digest.cache_store_age_ms is None or store.is_watched:
+            return
+        if digest.cache_store == store.address:
+            store.record_response(digest.cache_store_age_ms / 1000)
--- a/sardinewharf/gateway/prompts.py
+++ b/sardinewharf/gateway/prompts.py
@@ -106,6 +106,13 @@
             clocks.read_monotonic() - self._last_response_at < _STORE_TIMEOUT_S
         )
 
+    def set_address(self, address: str) -> None:
+        """Forgets all that was learned if it is another store's address."""
+        if address != self.address:
+            self.address = address
+            self._last_response_at = float("-inf")
+            self.clear()
+
     def record_response(self, age_s: float = 0.0) -> None:
         """Records that the cache store responded to this gateway or a peer.
 
