Tell callers how long an idle connection is kept

Responses now have "keep-alive: timeout=N" if the limit, less half a second for requests on their way, is a second or more. The connection is not closed earlier than the time told last, whatever the limit becomes; a response that tells another time replaces it. Below that nothing is told, and the limit in force applies as before.

--- a/sardinewharf/gateway/tests/test_callers.py
+++ b/sardinewharf/gateway/tests/test_callers.py
@@ -259,3 +259,79 @@
     await caller.send(b"1\r\nc\r\n0\r\n\r\n")
     assert (await caller.read_response()).status == 200
     assert [r.body for r in harness.list_executed()] == [b"abc"]
+
+
+async def set_limits(harness, version, **limits):
+    manifest = gateway_harness.make_manifest(version)
+    manifest["limits"] |= limits
+    await harness.store.put("op/config", manifest)
+    await asyncio.sleep(0.25)
+
+
+async def ask_on(harness, caller, path="/book/1"):
+    request, _ = callers.encode(harness, path)
+    await caller.send(request)
+    return await caller.read_response()
+
+
+async def test_an_idle_connection_is_kept_for_the_time_told(harness, connect):
+    """Guards against closing a connection that its caller may still use.
+
+    Callers were told no time, and a lowered limit closed the connections of
+    those that relied on the older one.
+    """
+    await set_limits(harness, 2, idle_timeout_ms=2_000)
+    caller = await connect()
+    first = await ask_on(harness, caller)
+    told_s = int(first.headers.get("keep-alive", "timeout=1").split("=")[1])
+    await set_limits(harness, 3, idle_timeout_ms=100)
+    assert (await ask_on(harness, caller)).status == 200
+    await asyncio.sleep(0.8 * told_s)
+    assert (await ask_on(harness, caller)).status == 200
+
+
+async def test_a_limit_lowered_during_a_response_keeps_its_promise(
+    harness, connect
+):
+    """Guards against closing sooner than the response itself told."""
+    await set_limits(harness, 2, idle_timeout_ms=2_000)
+    for server in harness.servers:
+        server.request_duration_s = 0.5
+    caller = await connect()
+    asking = asyncio.ensure_future(ask_on(harness, caller))
+    await asyncio.sleep(0.1)
+    await set_limits(harness, 3, idle_timeout_ms=100)
+    assert (await asking).headers["keep-alive"] == "timeout=1"
+    await asyncio.sleep(0.8)
+    assert (await ask_on(harness, caller)).status == 200
+
+
+@pytest.mark.parametrize(
+    ("limit_ms", "told"),
+    [
+        (5_000, "timeout=4"),
+        (1_500, "timeout=1"),
+        (1_400, None),
+        (100, None),
+    ],
+)
+async def test_the_time_told_leaves_a_margin(harness, connect, limit_ms, told):
+    """Guards against requests that cross the close of their connection."""
+    await set_limits(harness, 2, idle_timeout_ms=limit_ms)
+    caller = await connect()
+    response = await ask_on(harness, caller)
+    assert response.headers.get("keep-alive") == told
+
+
+async def test_a_lowered_limit_closes_connections_promised_nothing(
+    harness, connect
+):
+    """Guards against connections that ignore the limit in force."""
+    await set_limits(harness, 2, idle_timeout_ms=400)
+    caller = await connect()
+    assert (await ask_on(harness, caller)).status == 200
+    await set_limits(harness, 3, idle_timeout_ms=100)
+    caller = await connect()
+    assert (await ask_on(harness, caller)).status == 200
+    async with asyncio.timeout(0.3):
+        assert await caller.read_to_end() == b""
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -31,6 +31,9 @@
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+# The idle time that callers are told is shorter than the real one by this, in
+# seconds: a request on its way must not meet the close.
+_IDLE_MARGIN_S = 0.5
 # While more requests are queued behind the one that is being answered, nothing
 # is read.
 _MAX_QUEUED_REQUESTS = 4
@@ -73,6 +76,10 @@
     that waits for a response owes nothing, and a rejection must not get into a
     response.
 
+    Responses tell in Keep-Alive how long the connection may stay idle, if that
+    is a second or more. A limit that is lowered later does not close it
+    earlier, until a response tells another time.
+
     The size of a head that begins behind another request in one segment is
     counted without a header that is not complete.
 
@@ -99,6 +106,8 @@
         self._head_bytes = 0
         # Messages of which a part lies in the latest received segment.
         self._messages_in_segment = 0
+        # Whole seconds of Keep-Alive that were told last; 0 for none.
+        self._told_idle_s = 0
         # Sent once no response is outstanding; nothing is read any more.
         self._rejection = b""
         self._head_timer: asyncio.TimerHandle | None = None
@@ -181,9 +190,14 @@
     def on_response_complete(self) -> None:
         """Goes on with what came behind the request.
 
-        If that is nothing, the idle timeout in force applies.
+        If that is nothing, the idle timeout in force applies, or the one told
+        if it is longer.
         """
         self.timeout_keep_alive = type(self).read_limits().idle_s
+        if self._told_idle_s:
+            self.timeout_keep_alive = max(
+                self.timeout_keep_alive, self._told_idle_s + _IDLE_MARGIN_S
+            )
         super().on_response_complete()
         if self.transport.is_closing() or self._has_outstanding_response():
             return
@@ -199,8 +213,21 @@
         app: Callable[..., object],
     ) -> None:
         self._current_cycle = cycle
+        if cycle.keep_alive:
+            self._tell_idle_time(cycle)
         super()._start_asgi_task(cycle, app)
 
+    def _tell_idle_time(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Adds to a response how long the connection may stay idle."""
+        idle_s = int(type(self).read_limits().idle_s - _IDLE_MARGIN_S)
+        if idle_s < 1:
+            return
+        self._told_idle_s = idle_s
+        told = (b"keep-alive", b"timeout=%d" % idle_s)
+        cycle.default_headers = [*cycle.default_headers, told]
+
     def _has_outstanding_response(self) -> bool:
         cycle = self._current_cycle
         return cycle is not None and not cycle.response_complete
