Answer queued requests before a shutdown closes their connection

Requests that a caller sent one behind the other while the gateway shut down were read whole and dropped: the first response said "connection: close", which ends the connection behind it.

Responses now say so only if no further request was read behind them; the last one does.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -121,8 +121,11 @@
     ) -> None:
         """Handles one request."""
         self.running += 1
+        side = scope["state"]["caller"]
         responder = responder_lib.Responder(
-            send, scope["method"], lambda: self.is_shutting_down
+            send,
+            scope["method"],
+            lambda: self.is_shutting_down and not side.queued_requests,
         )
         try:
             await self._handle(scope, receive, responder)
--- a/sardinewharf/gateway/responder.py
+++ b/sardinewharf/gateway/responder.py
@@ -17,13 +17,14 @@
 class Responder:
     """Sends the response to one request.
 
-    Responses tell the caller to close the connection while the gateway is
-    shutting down.
+    While the gateway is shutting down, the last response on a connection tells
+    the caller to close it.
 
     Args:
         send: The ASGI send callable of the request.
         method: HTTP method of the request.
-        is_shutting_down: Returns whether the gateway is shutting down.
+        closes_connection: Returns whether this is the last response on its
+            connection.
 
     Attributes:
         has_started: Whether status and headers were sent.
@@ -31,11 +32,11 @@
     """
 
     def __init__(
-        self, send: Send, method: str, is_shutting_down: Callable[[], bool]
+        self, send: Send, method: str, closes_connection: Callable[[], bool]
     ):
         self._send = send
         self._method = method
-        self._is_shutting_down = is_shutting_down
+        self._closes_connection = closes_connection
         self.has_started = False
         self.is_finished = False
 
@@ -97,7 +98,7 @@
     async def _start(self, status: int, headers: http1.Headers) -> None:
         self.has_started = True
         sent_headers = list(headers)
-        if self._is_shutting_down():
+        if self._closes_connection():
             sent_headers.append((b"connection", b"close"))
         await self._send(
             {
--- a/sardinewharf/gateway/tests/test_shutdown.py
+++ b/sardinewharf/gateway/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 
 import pytest_asyncio
 
+from sardinewharf.gateway.tests import callers
 from sardinewharf.testbed import gateway_harness
 
 
@@ -42,3 +43,20 @@
     response = await harness.send_request("/chat/1", body=b"p")
     assert response.status == 503
     assert harness.list_executed() == []
+
+
+async def test_queued_requests_are_answered_during_the_stop(harness):
+    """Guards against a "connection: close" that drops requests already read."""
+    for server in harness.servers:
+        server.request_duration_s = 0.3
+    harness.gateways[0].stop()
+    await asyncio.sleep(0.05)
+    caller = await callers.RawCaller.connect(harness)
+    requests = [callers.encode(harness, "/book/1")[0] for _ in range(3)]
+    await caller.send(b"".join(requests))
+    responses = [await caller.read_response() for _ in requests]
+    assert [response.status for response in responses] == [200, 200, 200]
+    closes = [r.headers.get("connection") == "close" for r in responses]
+    assert closes == [False, False, True]
+    assert await caller.read_to_end() == b""
+    caller.close()
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -63,9 +63,13 @@
     Attributes:
         is_half_closed: Whether the caller has closed its sending side. The
             application is woken up to see it.
+        queued_requests: Number of requests that were read behind the one that
+            is being answered; a response that closes the connection would
+            leave them unanswered.
     """
 
     is_half_closed: bool = False
+    queued_requests: int = 0
 
 
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
@@ -173,6 +177,7 @@
         self.scope["state"]["caller"] = self._caller
         super().on_headers_complete()
         self._is_in_head = False
+        self._caller.queued_requests = len(self.pipeline)
         if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
             # Else it would not be noticed that the caller leaves.
             self.flow.resume_reading()
@@ -213,6 +218,7 @@
         app: Callable[..., object],
     ) -> None:
         self._current_cycle = cycle
+        self._caller.queued_requests = len(self.pipeline)
         if cycle.keep_alive:
             self._tell_idle_time(cycle)
         super()._start_asgi_task(cycle, app)
@@ -236,10 +242,14 @@
         """Forgets a request behind others whose rest will not come."""
         is_in_body = self._is_in_message and not self._is_in_head
         if is_in_body:
-            self.pipeline.popleft()
+            self._drop_last_queued()
         self._is_in_message = self._is_in_head = False
         self._stop_head_timer()
 
+    def _drop_last_queued(self) -> None:
+        self.pipeline.popleft()
+        self._caller.queued_requests = len(self.pipeline)
+
     def _feed(self, data: bytes) -> None:
         """Parses received bytes; a protocol is never changed on request."""
         while data:
@@ -288,7 +298,7 @@
         if not is_in_body:
             self._reject(_MALFORMED_RESPONSE)
         elif cycle is not self._current_cycle:
-            self.pipeline.popleft()
+            self._drop_last_queued()
             self._reject(_MALFORMED_RESPONSE)
         elif cycle.response_started:
             self.transport.close()
