Let a request that begins at a shutdown get its response

A gateway that shut down closed each connection without a response outstanding, also if the head of a request was half read on it, or if it had just been made and its first request was on its way: the caller got nothing.

Such a connection is now left to the timer of its head. The request is refused as the others are (503 leaving, "connection: close"), and the connection closed behind it. Idle connections are closed at once as before.

--- a/sardinewharf/gateway/tests/test_shutdown.py
+++ b/sardinewharf/gateway/tests/test_shutdown.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import pytest
 import pytest_asyncio
 
 from sardinewharf.gateway.tests import callers
 from sardinewharf.testbed import gateway_harness
 
+# When a stopped gateway closes idle connections, in seconds.
+_CLOSES_IDLE_S = 2.4
+
 
 @pytest_asyncio.fixture
 async def harness():
@@ -45,6 +49,52 @@
     assert harness.list_executed() == []
 
 
+@pytest.mark.parametrize("sent", [10, -1])
+async def test_a_head_half_read_at_the_stop_gets_a_response(harness, sent):
+    """Guards against closing a connection on which a request begins."""
+    caller = await callers.RawCaller.connect(harness)
+    request, _ = callers.encode(harness, "/book/1", body=b"")
+    await caller.send(request)
+    assert (await caller.read_response()).status == 200
+    harness.gateways[0].stop()
+    await asyncio.sleep(_CLOSES_IDLE_S - 0.1)
+    await caller.send(request[:sent])
+    await asyncio.sleep(0.25)
+    await caller.send(request[sent:])
+    response = await caller.read_response()
+    assert response.status == 503
+    assert response.headers["connection"] == "close"
+    assert await caller.read_to_end() == b""
+    caller.close()
+
+
+async def test_a_connection_made_at_the_stop_gets_a_response(harness):
+    """Guards against closing a connection whose first request is on its way."""
+    harness.gateways[0].stop()
+    await asyncio.sleep(_CLOSES_IDLE_S - 0.1)
+    caller = await callers.RawCaller.connect(harness)
+    await asyncio.sleep(0.25)
+    request, _ = callers.encode(harness, "/book/1")
+    await caller.send(request)
+    assert (await caller.read_response()).status == 503
+    assert await caller.read_to_end() == b""
+    caller.close()
+
+
+async def test_an_idle_connection_is_closed_at_the_stop(harness):
+    """Guards against a stop that waits for callers that send nothing."""
+    caller = await callers.RawCaller.connect(harness)
+    request, _ = callers.encode(harness, "/book/1")
+    await caller.send(request)
+    assert (await caller.read_response()).status == 200
+    harness.gateways[0].stop()
+    await asyncio.sleep(_CLOSES_IDLE_S + 0.2)
+    async with asyncio.timeout(0.5):
+        assert await caller.read_to_end() == b""
+        await harness._tasks[0]
+    caller.close()
+
+
 async def test_queued_requests_are_answered_during_the_stop(harness):
     """Guards against a "connection: close" that drops requests already read."""
     for server in harness.servers:
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -112,6 +112,8 @@
         self._messages_in_segment = 0
         # Whole seconds of Keep-Alive that were told last; 0 for none.
         self._told_idle_s = 0
+        # Whether it is closed as soon as no request is being read or answered.
+        self._is_shutting_down = False
         # Sent once no response is outstanding; nothing is read any more.
         self._rejection = b""
         self._head_timer: asyncio.TimerHandle | None = None
@@ -211,6 +213,21 @@
         elif self._is_in_head:
             self._unset_keepalive_if_required()
             self._start_head_timer()
+        elif self._is_shutting_down:
+            self.transport.close()
+
+    def shutdown(self) -> None:
+        """Closes the connection, once what was begun on it is answered.
+
+        A connection without a request yet counts as begun; the timer of its
+        first head limits that.
+        """
+        self._is_shutting_down = True
+        if self._has_outstanding_response():
+            last = self.pipeline[0][0] if self.pipeline else self._current_cycle
+            last.keep_alive = False
+        elif self._head_timer is None:
+            self.transport.close()
 
     def _start_asgi_task(
         self,
