Send what was written before the process of a gateway ends

A caller that read a large body slowly while its gateway was stopped got a part of it: the gateway waited only until no request was running, and what still lay in the buffers of its connections was discarded at the exit.

It now also waits, within the grace period, until the connections are closed, and a connection is closed once all that was written to it was sent.

--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -346,6 +346,8 @@
     async def _shut_down(self) -> None:
         """Finishes the running requests, as far as the grace period allows.
 
+        A request is finished when its response was sent, not only written.
+
         The leader lease is given up first. New requests are served until the
         load balancer should have noticed that the gateway is not ready, and
         are refused from then on.
@@ -360,6 +362,7 @@
         self._server.stop_listening()
         self._server.close_idle()
         await self._app.wait_until_idle(end)
+        await self._server.wait_until_closed(end)
 
 
 def _make_text_app(render: Callable[[], bytes]) -> Callable[..., object]:
--- a/sardinewharf/gateway/tests/callers.py
+++ b/sardinewharf/gateway/tests/callers.py
@@ -1,6 +1,7 @@
 """Raw connections of callers, for what an HTTP client would not send."""
 
 import asyncio
+import socket
 
 from sardinewharf.testbed import gateway_harness
 
@@ -21,10 +22,17 @@
         self.writer = writer
 
     @classmethod
-    async def connect(cls, harness, gateway=0, limit=2**16):
-        host, _, port = harness.urls[gateway].rpartition(":")
-        host = host.removeprefix("http://")
-        return cls(*await asyncio.open_connection(host, int(port), limit=limit))
+    async def connect(cls, harness, receive_buffer_bytes=0):
+        host, _, port = harness.urls[0].rpartition(":")
+        address = host.removeprefix("http://"), int(port)
+        sock = socket.socket()
+        if receive_buffer_bytes:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        return cls(*await asyncio.open_connection(sock=sock))
 
     async def send(self, data):
         self.writer.write(data)
--- a/sardinewharf/gateway/tests/test_shutdown.py
+++ b/sardinewharf/gateway/tests/test_shutdown.py
@@ -49,6 +49,42 @@
     assert harness.list_executed() == []
 
 
+async def end_process(harness):
+    """Waits until the gateway stops, and ends connections as its exit does."""
+    await harness._tasks[0]
+    for connection in list(harness.gateways[0]._server._state.connections):
+        connection.transport.abort()
+
+
+async def test_a_slow_reader_gets_its_whole_response_before_the_exit(harness):
+    """Guards against discarding what is written but not yet sent at the exit.
+
+    The gateway waited only until no request was running.
+    """
+    body = b"z" * 15 * 2**20
+    for server in harness.servers:
+        server.body = body
+    caller = await callers.RawCaller.connect(
+        harness, receive_buffer_bytes=65_536
+    )
+    request, _ = callers.encode(harness, "/book/1")
+    await caller.send(request)
+    head = await caller.read_head()
+    assert head.status == 200
+    harness.gateways[0].stop()
+    ending = asyncio.ensure_future(end_process(harness))
+    received = b""
+    # The gateway would close a connection on which nothing is read for long.
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        received += await caller.reader.readexactly(100_000)
+    received += await caller.reader.readexactly(len(body) - len(received))
+    assert received == body
+    caller.close()
+    async with asyncio.timeout(0.5):
+        await ending
+
+
 @pytest.mark.parametrize("sent", [10, -1])
 async def test_a_head_half_read_at_the_stop_gets_a_response(harness, sent):
     """Guards against closing a connection on which a request begins."""
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -92,9 +92,11 @@
 
     Attributes:
         read_limits: Returns the limits in force.
+        closed: Is set when a connection was closed.
     """
 
     read_limits: Callable[[], ServerLimits]
+    closed: asyncio.Event
 
     # Called by asyncio.
 
@@ -126,6 +128,7 @@
             _disconnect(self._current_cycle)
         self.pipeline.clear()
         super().connection_lost(exc)
+        type(self).closed.set()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and checks the size of the head."""
--- a/sardinewharf/http1/server.py
+++ b/sardinewharf/http1/server.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 
 from uvicorn import config as uvicorn_config
 from uvicorn import server as uvicorn_server
 
+from sardinewharf import clocks
 from sardinewharf.http1 import protocol
 
 ServerLimits = protocol.ServerLimits
@@ -38,10 +40,14 @@
         )
         self._config.load()
         self._state = uvicorn_server.ServerState()
+        self._closed = asyncio.Event()
         self._protocol = type(
             "Protocol",
             (protocol.LimitedProtocol,),
-            {"read_limits": staticmethod(read_limits)},
+            {
+                "read_limits": staticmethod(read_limits),
+                "closed": self._closed,
+            },
         )
         self._server: asyncio.Server | None = None
 
@@ -71,6 +77,18 @@
         for connection in list(self._state.connections):
             connection.shutdown()
 
+    async def wait_until_closed(self, deadline: clocks.Deadline) -> None:
+        """Waits until no connection is open, or until the deadline.
+
+        A connection that is being closed is open until all that was written to
+        it is sent.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline.at):
+                while self._state.connections:
+                    self._closed.clear()
+                    await self._closed.wait()
+
     def _make_protocol(self) -> asyncio.Protocol:
         return self._protocol(
             config=self._config, server_state=self._state, app_state={}
