Record connections that are closed with a request on them

connection_ended now states the reason (slow_head, head_too_large, malformed, earlier_response), the request's id if its header was read, the bytes of the head, the number of queued requests, and whether a response was begun before. Connections that callers close, and idle ones, have no such record.

--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -176,7 +176,9 @@
             settings.name, platform.control, self._replica, self._prompts, log
         )
         self._rollout_controller = self._make_rollout_controller()
-        self._server = http_server.HttpServer(self._app, self._read_limits)
+        self._server = http_server.HttpServer(
+            self._app, self._read_limits, self._log_close
+        )
         self._ready_server = http_server.HttpServer(
             _make_probe_app(self._is_ready), self._read_limits
         )
@@ -292,6 +294,25 @@
             configured.idle_ms / 1000,
         )
 
+    def _log_close(self, report: http_server.CloseReport) -> None:
+        """Logs a connection that was closed with a request on it."""
+        try:
+            request_id = self._platform.header_codec.read_request(
+                report.headers, clocks.read_monotonic()
+            ).request_id
+        except (messages.MalformedError, UnicodeDecodeError):
+            # The head may have ended anywhere.
+            request_id = ""
+        self._log.write(
+            records.events.ConnectionEnded(
+                request=request_id,
+                reason=report.reason.value,
+                head_bytes=report.head_bytes,
+                queued=report.queued,
+                has_responded=report.has_responded,
+            )
+        )
+
     def _make_budget_share(self) -> limits.BudgetShare:
         guarantees = self._settings.guarantees
         gateways = max(1, len(self._replica.members))
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import enum
 
 import httptools
 from uvicorn.protocols.http import httptools_impl
@@ -54,6 +55,49 @@
     idle_s: float
 
 
+class CloseReason(enum.Enum):
+    """Reason why the server closed a connection with a request on it.
+
+    Attributes:
+        SLOW_HEAD: The head did not arrive in time.
+        HEAD_TOO_LARGE: The head exceeds its limit.
+        MALFORMED: The request cannot be parsed.
+        EARLIER_RESPONSE: An earlier response closed the connection.
+    """
+
+    SLOW_HEAD = "slow_head"
+    HEAD_TOO_LARGE = "head_too_large"
+    MALFORMED = "malformed"
+    EARLIER_RESPONSE = "earlier_response"
+
+
+_REJECTIONS = {
+    CloseReason.SLOW_HEAD: _TIMEOUT_RESPONSE,
+    CloseReason.HEAD_TOO_LARGE: _HEADERS_TOO_LARGE_RESPONSE,
+    CloseReason.MALFORMED: _MALFORMED_RESPONSE,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseReport:
+    """Describes a connection that the server closed with a request on it.
+
+    Attributes:
+        reason: Why it was closed.
+        headers: The headers of the first such request, as far as they were
+            read.
+        head_bytes: What was read of the head of the last one.
+        queued: Number of requests that were read whole and not begun.
+        has_responded: Whether a response was begun on the connection before.
+    """
+
+    reason: CloseReason
+    headers: client.Headers
+    head_bytes: int
+    queued: int
+    has_responded: bool
+
+
 @dataclasses.dataclass(slots=True)
 class CallerSide:
     """What is known of the caller's side of a connection.
@@ -93,10 +137,13 @@
     Attributes:
         read_limits: Returns the limits in force.
         closed: Is set when a connection was closed.
+        report_close: Receives connections that are closed with a request on
+            them, other than by their caller.
     """
 
     read_limits: Callable[[], ServerLimits]
     closed: asyncio.Event
+    report_close: Callable[[CloseReport], None]
 
     # Called by asyncio.
 
@@ -116,14 +163,19 @@
         self._told_idle_s = 0
         # Whether it is closed as soon as no request is being read or answered.
         self._is_shutting_down = False
-        # Sent once no response is outstanding; nothing is read any more.
-        self._rejection = b""
+        # Whether the caller closed its sending side, whatever it had sent.
+        self._has_caller_ended = False
+        # Why a request is rejected once no response is outstanding; nothing is
+        # read any more.
+        self._rejection: CloseReason | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the application, and stops the timer."""
         self._stop_head_timer()
+        if exc is None and not self._has_caller_ended:
+            self._report_close()
         if self._has_outstanding_response():
             _disconnect(self._current_cycle)
         self.pipeline.clear()
@@ -132,7 +184,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and checks the size of the head."""
-        if self._rejection or self.transport.is_closing():
+        if self._rejection is not None or self.transport.is_closing():
             return
         if self._is_in_head:
             self._head_bytes += len(data)
@@ -150,6 +202,7 @@
         Returns:
             Whether the connection stays open, since a response is outstanding.
         """
+        self._has_caller_ended = True
         is_in_body = self._is_in_message and not self._is_in_head
         if is_in_body and self.cycle is self._current_cycle:
             return False
@@ -211,7 +264,7 @@
         super().on_response_complete()
         if self.transport.is_closing() or self._has_outstanding_response():
             return
-        if self._rejection:
+        if self._rejection is not None:
             self._reject(self._rejection)
         elif self._is_in_head:
             self._unset_keepalive_if_required()
@@ -309,32 +362,50 @@
                 else _count_head_bytes(self.url, self.headers)
             )
         if self._head_bytes > type(self).read_limits().header_bytes:
-            self._reject(_HEADERS_TOO_LARGE_RESPONSE)
+            self._reject(CloseReason.HEAD_TOO_LARGE)
 
     def _reject_malformed(self) -> None:
         """Rejects what cannot be parsed, unless it was answered already."""
         cycle = self.cycle
         is_in_body = self._is_in_message and not self._is_in_head
         if not is_in_body:
-            self._reject(_MALFORMED_RESPONSE)
+            self._reject(CloseReason.MALFORMED)
         elif cycle is not self._current_cycle:
             self._drop_last_queued()
-            self._reject(_MALFORMED_RESPONSE)
+            self._reject(CloseReason.MALFORMED)
         elif cycle.response_started:
             self.transport.close()
         else:
             _disconnect(cycle)
+            self._rejection = CloseReason.MALFORMED
             self.transport.write(_MALFORMED_RESPONSE)
             self.transport.close()
 
-    def _reject(self, response: bytes) -> None:
+    def _reject(self, reason: CloseReason) -> None:
         """Sends a rejection and closes, once no response is outstanding."""
         self._stop_head_timer()
-        if self._has_outstanding_response():
-            self._rejection = response
-        elif not self.transport.is_closing():
-            self.transport.write(response)
-            self.transport.close()
+        self._rejection = reason
+        if self._has_outstanding_response() or self.transport.is_closing():
+            return
+        self.transport.write(_REJECTIONS[reason])
+        self.transport.close()
+
+    def _report_close(self) -> None:
+        """Reports the end of a connection if a request was left on it."""
+        is_on_its_way = self._is_in_head or self._rejection is not None
+        if not is_on_its_way and not self.pipeline:
+            return
+        first = self.pipeline[-1][0].scope if self.pipeline else self.scope
+        cycle = self._current_cycle
+        type(self).report_close(
+            CloseReport(
+                reason=self._rejection or CloseReason.EARLIER_RESPONSE,
+                headers=first["headers"] if first else [],
+                head_bytes=self._head_bytes,
+                queued=len(self.pipeline),
+                has_responded=cycle is not None and cycle.response_started,
+            )
+        )
 
     def _start_head_timer(self) -> None:
         seconds = type(self).read_limits().header_s
@@ -351,7 +422,7 @@
         # A connection on which no request begins is idle, not slow, and gets
         # no response.
         if self._is_in_head:
-            self._reject(_TIMEOUT_RESPONSE)
+            self._reject(CloseReason.SLOW_HEAD)
         else:
             self.transport.close()
 
--- a/sardinewharf/http1/server.py
+++ b/sardinewharf/http1/server.py
@@ -10,6 +10,7 @@
 from sardinewharf import clocks
 from sardinewharf.http1 import protocol
 
+CloseReport = protocol.CloseReport
 ServerLimits = protocol.ServerLimits
 
 _BACKLOG = 1024
@@ -21,12 +22,15 @@
     Args:
         app: The ASGI application.
         read_limits: Returns the limits in force.
+        report_close: Receives connections that the server closes with a request
+            on them; by default they are not reported.
     """
 
     def __init__(
         self,
         app: Callable[..., object],
         read_limits: Callable[[], ServerLimits],
+        report_close: Callable[[CloseReport], None] = lambda report: None,
     ):
         self._config = uvicorn_config.Config(
             app,
@@ -47,6 +51,7 @@
             {
                 "read_limits": staticmethod(read_limits),
                 "closed": self._closed,
+                "report_close": staticmethod(report_close),
             },
         )
         self._server: asyncio.Server | None = None
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -338,6 +338,23 @@
     may_have_run: bool = False
 
 
+class ConnectionEnded(Record, tag="connection_ended"):
+    """The gateway closed a connection while a request was read or queued.
+
+    ``reason`` is a value of ``http1.protocol.CloseReason``. ``request`` is the
+    id of that request, empty if it was not read yet; ``head_bytes`` is what was
+    read of its head, and ``queued`` the number of requests that were read whole
+    and not begun. ``has_responded`` states whether a response was begun on the
+    connection before.
+    """
+
+    request: str
+    reason: str
+    head_bytes: int
+    queued: int
+    has_responded: bool
+
+
 class GatewayFault(Record, tag="gateway_fault"):
     """A request failed with an unexpected exception in the gateway."""
 
