--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -176,7 +176,9 @@
             settings.name, platform.control, self._replica, self._prompts, log
         )
         self._rollout_controller = self._make_rollout_controller()
-        self._server = http_server.HttpServer(self._app, self._read_limits)
+        self._server = http_server.HttpServer(
+            self._app, self._read_limits, self._log_close
+        )
         self._ready_server = http_server.HttpServer(
             _make_probe_app(self._is_ready), self._read_limits
         )
@@ -292,6 +294,25 @@
             configured.idle_ms / 1000,
         )
 
+    def _log_close(self, report: http_server.CloseReport) -> None:
+        """Logs a connection that was closed with a request on it."""
+        try:
+            request_id = self._platform.header_codec.read_request(
+                report.headers, clocks.read_monotonic()
+            ).request_id
+        except (messages.MalformedError, UnicodeDecodeError):
+            # The head may have ended anywhere.
+            request_id = ""
+        self._log.write(
+            records.events.ConnectionEnded(
+                request=request_id,
+                reason=report.reason.value,
+                head_bytes=report.head_bytes,
+                queued=report.queued,
+                has_responded=report.has_responded,
+            )
+        )
+
     def _make_budget_share(self) -> limits.BudgetShare:
         guarantees = self._settings.guarantees
         gateways = max(1, len(self._replica.members))
@@ -346,6 +367,8 @@
     async def _shut_down(self) -> None:
         """Finishes the running requests, as far as the grace period allows.
 
+        A request is finished when its response was sent, not only written.
+
         The leader lease is given up first. New requests are served until the
         load balancer should have noticed that the gateway is not ready, and
         are refused from then on.
@@ -360,6 +383,7 @@
         self._server.stop_listening()
         self._server.close_idle()
         await self._app.wait_until_idle(end)
+        await self._server.wait_until_closed(end)
 
 
 def _make_text_app(render: Callable[[], bytes]) -> Callable[..., object]:
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import enum
 
 import httptools
 from uvicorn.protocols.http import httptools_impl
@@ -31,6 +32,9 @@
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+# The idle time that callers are told is shorter than the real one by this, in
+# seconds: a request on its way must not meet the close.
+_IDLE_MARGIN_S = 0.5
 # While more requests are queued behind the one that is being answered, nothing
 # is read.
 _MAX_QUEUED_REQUESTS = 4
@@ -51,6 +55,49 @@
     idle_s: float
 
 
+class CloseReason(enum.Enum):
+    """Reason why the server closed a connection with a request on it.
+
+    Attributes:
+        SLOW_HEAD: The head did not arrive in time.
+        HEAD_TOO_LARGE: The head exceeds its limit.
+        MALFORMED: The request cannot be parsed.
+        EARLIER_RESPONSE: An earlier response closed the connection.
+    """
+
+    SLOW_HEAD = "slow_head"
+    HEAD_TOO_LARGE = "head_too_large"
+    MALFORMED = "malformed"
+    EARLIER_RESPONSE = "earlier_response"
+
+
+_REJECTIONS = {
+    CloseReason.SLOW_HEAD: _TIMEOUT_RESPONSE,
+    CloseReason.HEAD_TOO_LARGE: _HEADERS_TOO_LARGE_RESPONSE,
+    CloseReason.MALFORMED: _MALFORMED_RESPONSE,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseReport:
+    """Describes a connection that the server closed with a request on it.
+
+    Attributes:
+        reason: Why it was closed.
+        headers: The headers of the first such request, as far as they were
+            read.
+        head_bytes: What was read of the head of the last one.
+        queued: Number of requests that were read whole and not begun.
+        has_responded: Whether a response was begun on the connection before.
+    """
+
+    reason: CloseReason
+    headers: client.Headers
+    head_bytes: int
+    queued: int
+    has_responded: bool
+
+
 @dataclasses.dataclass(slots=True)
 class CallerSide:
     """What is known of the caller's side of a connection.
@@ -60,9 +107,13 @@
     Attributes:
         is_half_closed: Whether the caller has closed its sending side. The
             application is woken up to see it.
+        queued_requests: Number of requests that were read behind the one that
+            is being answered; a response that closes the connection would
+            leave them unanswered.
     """
 
     is_half_closed: bool = False
+    queued_requests: int = 0
 
 
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
@@ -73,6 +124,10 @@
     that waits for a response owes nothing, and a rejection must not get into a
     response.
 
+    Responses tell in Keep-Alive how long the connection may stay idle, if that
+    is a second or more. A limit that is lowered later does not close it
+    earlier, until a response tells another time.
+
     The size of a head that begins behind another request in one segment is
     counted without a header that is not complete.
 
@@ -81,9 +136,14 @@
 
     Attributes:
         read_limits: Returns the limits in force.
+        closed: Is set when a connection was closed.
+        report_close: Receives connections that are closed with a request on
+            them, other than by their caller.
     """
 
     read_limits: Callable[[], ServerLimits]
+    closed: asyncio.Event
+    report_close: Callable[[CloseReport], None]
 
     # Called by asyncio.
 
@@ -99,22 +159,32 @@
         self._head_bytes = 0
         # Messages of which a part lies in the latest received segment.
         self._messages_in_segment = 0
-        # Sent once no response is outstanding; nothing is read any more.
-        self._rejection = b""
+        # Whole seconds of Keep-Alive that were told last; 0 for none.
+        self._told_idle_s = 0
+        # Whether it is closed as soon as no request is being read or answered.
+        self._is_shutting_down = False
+        # Whether the caller closed its sending side, whatever it had sent.
+        self._has_caller_ended = False
+        # Why a request is rejected once no response is outstanding; nothing is
+        # read any more.
+        self._rejection: CloseReason | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the application, and stops the timer."""
         self._stop_head_timer()
+        if exc is None and not self._has_caller_ended:
+            self._report_close()
         if self._has_outstanding_response():
             _disconnect(self._current_cycle)
         self.pipeline.clear()
         super().connection_lost(exc)
+        type(self).closed.set()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and checks the size of the head."""
-        if self._rejection or self.transport.is_closing():
+        if self._rejection is not None or self.transport.is_closing():
             return
         if self._is_in_head:
             self._head_bytes += len(data)
@@ -132,6 +202,7 @@
         Returns:
             Whether the connection stays open, since a response is outstanding.
         """
+        self._has_caller_ended = True
         is_in_body = self._is_in_message and not self._is_in_head
         if is_in_body and self.cycle is self._current_cycle:
             return False
@@ -164,6 +235,7 @@
         self.scope["state"]["caller"] = self._caller
         super().on_headers_complete()
         self._is_in_head = False
+        self._caller.queued_requests = len(self.pipeline)
         if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
             # Else it would not be noticed that the caller leaves.
             self.flow.resume_reading()
@@ -181,17 +253,37 @@
     def on_response_complete(self) -> None:
         """Goes on with what came behind the request.
 
-        If that is nothing, the idle timeout in force applies.
+        If that is nothing, the idle timeout in force applies, or the one told
+        if it is longer.
         """
         self.timeout_keep_alive = type(self).read_limits().idle_s
+        if self._told_idle_s:
+            self.timeout_keep_alive = max(
+                self.timeout_keep_alive, self._told_idle_s + _IDLE_MARGIN_S
+            )
         super().on_response_complete()
         if self.transport.is_closing() or self._has_outstanding_response():
             return
-        if self._rejection:
+        if self._rejection is not None:
             self._reject(self._rejection)
         elif self._is_in_head:
             self._unset_keepalive_if_required()
             self._start_head_timer()
+        elif self._is_shutting_down:
+            self.transport.close()
+
+    def shutdown(self) -> None:
+        """Closes the connection, once what was begun on it is answered.
+
+        A connection without a request yet counts as begun; the timer of its
+        first head limits that.
+        """
+        self._is_shutting_down = True
+        if self._has_outstanding_response():
+            last = self.pipeline[0][0] if self.pipeline else self._current_cycle
+            last.keep_alive = False
+        elif self._head_timer is None:
+            self.transport.close()
 
     def _start_asgi_task(
         self,
@@ -199,8 +291,22 @@
         app: Callable[..., object],
     ) -> None:
         self._current_cycle = cycle
+        self._caller.queued_requests = len(self.pipeline)
+        if cycle.keep_alive:
+            self._tell_idle_time(cycle)
         super()._start_asgi_task(cycle, app)
 
+    def _tell_idle_time(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Adds to a response how long the connection may stay idle."""
+        idle_s = int(type(self).read_limits().idle_s - _IDLE_MARGIN_S)
+        if idle_s < 1:
+            return
+        self._told_idle_s = idle_s
+        told = (b"keep-alive", b"timeout=%d" % idle_s)
+        cycle.default_headers = [*cycle.default_headers, told]
+
     def _has_outstanding_response(self) -> bool:
         cycle = self._current_cycle
         return cycle is not None and not cycle.response_complete
@@ -209,10 +315,14 @@
         """Forgets a request behind others whose rest will not come."""
         is_in_body = self._is_in_message and not self._is_in_head
         if is_in_body:
-            self.pipeline.popleft()
+            self._drop_last_queued()
         self._is_in_message = self._is_in_head = False
         self._stop_head_timer()
 
+    def _drop_last_queued(self) -> None:
+        self.pipeline.popleft()
+        self._caller.queued_requests = len(self.pipeline)
+
     def _feed(self, data: bytes) -> None:
         """Parses received bytes; a protocol is never changed on request."""
         while data:
@@ -252,32 +362,50 @@
                 else _count_head_bytes(self.url, self.headers)
             )
         if self._head_bytes > type(self).read_limits().header_bytes:
-            self._reject(_HEADERS_TOO_LARGE_RESPONSE)
+            self._reject(CloseReason.HEAD_TOO_LARGE)
 
     def _reject_malformed(self) -> None:
         """Rejects what cannot be parsed, unless it was answered already."""
         cycle = self.cycle
         is_in_body = self._is_in_message and not self._is_in_head
         if not is_in_body:
-            self._reject(_MALFORMED_RESPONSE)
+            self._reject(CloseReason.MALFORMED)
         elif cycle is not self._current_cycle:
-            self.pipeline.popleft()
-            self._reject(_MALFORMED_RESPONSE)
+            self._drop_last_queued()
+            self._reject(CloseReason.MALFORMED)
         elif cycle.response_started:
             self.transport.close()
         else:
             _disconnect(cycle)
+            self._rejection = CloseReason.MALFORMED
             self.transport.write(_MALFORMED_RESPONSE)
             self.transport.close()
 
-    def _reject(self, response: bytes) -> None:
+    def _reject(self, reason: CloseReason) -> None:
         """Sends a rejection and closes, once no response is outstanding."""
         self._stop_head_timer()
-        if self._has_outstanding_response():
-            self._rejection = response
-        elif not self.transport.is_closing():
-            self.transport.write(response)
-            self.transport.close()
+        self._rejection = reason
+        if self._has_outstanding_response() or self.transport.is_closing():
+            return
+        self.transport.write(_REJECTIONS[reason])
+        self.transport.close()
+
+    def _report_close(self) -> None:
+        """Reports the end of a connection if a request was left on it."""
+        is_on_its_way = self._is_in_head or self._rejection is not None
+        if not is_on_its_way and not self.pipeline:
+            return
+        first = self.pipeline[-1][0].scope if self.pipeline else self.scope
+        cycle = self._current_cycle
+        type(self).report_close(
+            CloseReport(
+                reason=self._rejection or CloseReason.EARLIER_RESPONSE,
+                headers=first["headers"] if first else [],
+                head_bytes=self._head_bytes,
+                queued=len(self.pipeline),
+                has_responded=cycle is not None and cycle.response_started,
+            )
+        )
 
     def _start_head_timer(self) -> None:
         seconds = type(self).read_limits().header_s
@@ -294,7 +422,7 @@
         # A connection on which no request begins is idle, not slow, and gets
         # no response.
         if self._is_in_head:
-            self._reject(_TIMEOUT_RESPONSE)
+            self._reject(CloseReason.SLOW_HEAD)
         else:
             self.transport.close()
 
