Test responses without length, ambiguous heads and extra responses

Reported: what may look complete of streams without a length that end with the connection, and which odd heads get through.

Ruled out by test_endings, test_client and test_broken_responses: - A body without length is complete only behind a FIN, and lost by RST, at each byte, also when data and RST come in one go. A FIN that a RST follows completes it: all bytes lie in front of the FIN. A stream has to end with an event besides. - Two Content-Lengths (equal, too), Content-Length beside Transfer-Encoding, negative, signed, hexadecimal, empty, folded or huge lengths, folded headers, bare CR or LF, bytes in front of a status line, bad chunk sizes and an upgrade are no response: 502 for an unsafe request, which runs once. A coding that does not end with chunked is lost. - httptools lets through all 77 bytes of a token in names, and in values TAB, 0x20 to 0x7e and 0x80 to 0xff; uvicorn writes all of them. - Second responses in the same segment, in parts, before, with or after the next request reach nobody; interim responses without end end the request with 502.

--- a/sardinewharf/gateway/tests/test_broken_responses.py
+++ b/sardinewharf/gateway/tests/test_broken_responses.py
@@ -1,8 +1,11 @@
 """Tests what callers get of responses that servers break off or garble."""
 
+import asyncio
+
 import pytest
 import pytest_asyncio
 
+from sardinewharf.gateway import settings
 from sardinewharf.standins import raw_server
 from sardinewharf.testbed import gateway_harness
 
@@ -12,12 +15,20 @@
 
 @pytest_asyncio.fixture
 async def harness():
-    found = gateway_harness.GatewayHarness()
+    # The cases of a test may not use up the retry budget.
+    found = gateway_harness.GatewayHarness(
+        settings.Guarantees(retry_ratio=1.0, retry_extra=1_000.0)
+    )
     await found.start()
     yield found
     await found.close()
 
 
+def forget_failures(harness):
+    """Lets servers that failed be chosen again, as if time had passed."""
+    harness.gateways[0]._health._known.clear()
+
+
 def make_head(status=b"200 OK", *lines):
     """Returns a response's head, with the fields of the server's own."""
     fields = b"".join(line + b"\r\n" for line in lines)
@@ -173,63 +184,57 @@
 }
 
 
-def assert_is_prefix(response, sent_events):
-    """Checks that a stream is whole, or ends as incomplete where it broke."""
-    assert response.status == 200
-    if response.is_complete:
-        assert response.body == make_events(1, 4)
-    else:
-        assert response.body == make_events(1, sent_events)
+async def assert_resumes_nothing(harness, script, case):
+    """Checks that a stream ends as incomplete behind its second event.
 
+    It breaks off there, and the engines asked next play the script.
+    """
+    forget_failures(harness)
+    requests = raw_server.play_scripts(harness.engines, [BROKEN, script])
+    response = await send_once(harness, "/ask/1")
+    assert response.body == make_events(1, 2), case
+    assert not response.is_complete, case
+    assert 2 <= len(requests) <= 3, case
 
-async def play_broken_stream(harness, *later):
-    """Sends a request whose stream breaks off after two events."""
-    return await play_streams(harness, BROKEN, *later)
 
+async def assert_goes_on(harness, scripts, case):
+    """Checks that a stream is whole, though it breaks off at times."""
+    forget_failures(harness)
+    raw_server.play_scripts(harness.engines, scripts)
+    response = await send_once(harness, "/ask/1")
+    assert response.body == make_events(1, 4), case
+    assert response.is_complete, case
 
-async def play_streams(harness, *scripts):
-    requests = raw_server.play_scripts(harness.engines, scripts)
-    response = await harness.send_request("/ask/1", body=b"p")
-    assert len(requests) <= 3
-    return response
 
+async def send_once(harness, path):
+    """Sends a request that differs from all others."""
+    return await harness.send_request(path, body=harness.make_id().encode())
 
-@pytest.mark.parametrize(
-    ("fields", "framing"),
-    [("stamped", framing) for framing in FRAMINGS]
-    + [("bare", "length"), ("not run", "length")],
-)
+
+@pytest.mark.parametrize("fields", OWN_FIELDS)
 @pytest.mark.parametrize("status", [b"400", b"429", b"500", b"503"])
 async def test_an_error_after_a_broken_stream_is_not_forwarded(
-    harness, status, fields, framing
+    harness, status, fields
 ):
     """Guards against an error's text within a stream."""
-    rest, ending = FRAMINGS[framing]
     head = b"HTTP/1.1 " + status + b" Error\r\n" + OWN_FIELDS[fields]
-    error = raw_server.Script((head + rest,), ending)
-    response = await play_broken_stream(harness, error)
-    assert response.body == make_events(1, 2)
-    assert not response.is_complete
+    for framing, (rest, ending) in FRAMINGS.items():
+        error = raw_server.Script((head + rest,), ending)
+        await assert_resumes_nothing(harness, error, framing)
 
 
-@pytest.mark.parametrize(
-    ("sent_events", "framing"),
-    [(2, framing) for framing in FRAMINGS] + [(0, "length")],
-)
-async def test_a_stream_goes_on_behind_a_server_that_did_not_run_it(
-    harness, sent_events, framing
-):
-    begin = make_chunk(make_events(1, 2)) if sent_events else b""
-    rest, ending = FRAMINGS[framing]
+async def test_a_stream_goes_on_behind_a_server_that_did_not_run_it(harness):
     head = b"HTTP/1.1 503 Busy\r\n" + OWN_FIELDS["not run"]
-    response = await play_streams(
-        harness,
-        raw_server.Script((STREAM_HEAD + begin,), RESET),
-        raw_server.Script((head + rest,), ending),
-        raw_server.Script((make_stream(sent_events + 1, 4),)),
-    )
-    assert_is_prefix(response, sent_events)
-    assert response.is_complete
+    for framing, (rest, ending) in FRAMINGS.items():
+        busy = raw_server.Script((head + rest,), ending)
+        last = raw_server.Script((make_stream(3, 4),))
+        await assert_goes_on(harness, [BROKEN, busy, last], framing)
+
+
+async def test_a_stream_goes_on_that_broke_off_before_its_first_event(harness):
+    broken = raw_server.Script((STREAM_HEAD,), RESET)
+    last = raw_server.Script((make_stream(1, 4),))
+    await assert_goes_on(harness, [broken, broken, last], "no event")
 
 
 STATUS_LINES = [
@@ -246,79 +251,58 @@
 
 
 @pytest.mark.parametrize("ending", [CLOSE, RESET])
-@pytest.mark.parametrize("line", STATUS_LINES)
-async def test_a_status_line_alone_resumes_nothing(harness, line, ending):
+async def test_a_status_line_alone_resumes_nothing(harness, ending):
     """Guards against a stream that ends as complete within a head."""
-    response = await play_broken_stream(
-        harness, raw_server.Script((line,), ending)
-    )
-    assert response.body == make_events(1, 2)
-    assert not response.is_complete
+    for line in STATUS_LINES:
+        script = raw_server.Script((line,), ending)
+        await assert_resumes_nothing(harness, script, line)
+
+
+OTHER_SUCCESSES = [
+    (b"200 OK", b"content-type: text/plain"),
+    (b"200 OK", b"x-no-type: 1"),
+    (b"200 OK", EVENT_STREAM + b"\r\ncontent-encoding: gzip"),
+    (b"200 OK", EVENT_STREAM + b"\r\ncontent-encoding: identity"),
+    (b"204 Empty", b"x-no-type: 1"),
+    (b"206 Partial", b"content-type: text/plain"),
+    (b"302 Found", EVENT_STREAM),
+    (b"304 Same", EVENT_STREAM),
+]
 
 
-@pytest.mark.parametrize(
-    ("status", "line"),
-    [
-        (b"200 OK", b"content-type: text/plain"),
-        (b"200 OK", b"x-no-type: 1"),
-        (b"200 OK", EVENT_STREAM + b"\r\ncontent-encoding: gzip"),
-        (b"200 OK", EVENT_STREAM + b"\r\ncontent-encoding: identity"),
-        (b"204 Empty", b"x-no-type: 1"),
-        (b"206 Partial", b"content-type: text/plain"),
-        (b"302 Found", EVENT_STREAM),
-        (b"304 Same", EVENT_STREAM),
-    ],
-)
-async def test_a_success_that_is_no_plain_event_stream_resumes_nothing(
-    harness, status, line
-):
+async def test_what_is_no_plain_event_stream_resumes_nothing(harness):
     """Guards against another kind of body within a stream."""
-    has_body = status[:3] not in (b"204", b"304")
-    body = make_events(3, 4) if has_body else b""
-    response = await play_broken_stream(
-        harness,
-        raw_server.Script((make_response(body, status, line),)),
-    )
-    assert response.body == make_events(1, 2)
-    assert not response.is_complete
+    for status, line in OTHER_SUCCESSES:
+        has_body = status[:3] not in (b"204", b"304")
+        body = make_events(3, 4) if has_body else b""
+        script = raw_server.Script((make_response(body, status, line),))
+        await assert_resumes_nothing(harness, script, (status, line))
 
 
-@pytest.mark.parametrize(
-    "head",
-    [
-        STREAM_HEAD.replace(b"{fields}", b""),
-        STREAM_HEAD.replace(b"{fields}", b"x-sardinewharf-server-stamp: s\r\n"),
-        STREAM_HEAD.replace(
-            b"{fields}", b"x-sardinewharf-request-id: {id}\r\n"
-        ),
-        STREAM_HEAD.replace(
-            b"{fields}",
-            b"x-sardinewharf-server-stamp: s\r\n"
-            b"x-sardinewharf-request-id: another\r\n",
-        ),
-    ],
-    ids=["bare", "no id", "no stamp", "another id"],
-)
-async def test_a_stream_that_is_not_the_servers_own_resumes_nothing(
-    harness, head
-):
+FOREIGN_FIELDS = [
+    b"",
+    b"x-sardinewharf-server-stamp: s\r\n",
+    b"x-sardinewharf-request-id: {id}\r\n",
+    b"x-sardinewharf-server-stamp: s\r\nx-sardinewharf-request-id: other\r\n",
+]
+
+
+async def test_a_stream_that_is_not_the_servers_own_resumes_nothing(harness):
     """Guards against events of another request within a stream."""
-    stream = head + make_chunk(make_events(3, 4)) + LAST_CHUNK
-    response = await play_broken_stream(harness, raw_server.Script((stream,)))
-    assert response.body == make_events(1, 2)
-    assert not response.is_complete
+    for fields in FOREIGN_FIELDS:
+        stream = make_stream(3, 4).replace(b"{fields}", fields)
+        script = raw_server.Script((stream,))
+        await assert_resumes_nothing(harness, script, fields)
 
 
 async def test_a_resumed_stream_that_breaks_again_goes_on(harness):
-    response = await play_broken_stream(
-        harness,
-        raw_server.Script(
-            (STREAM_HEAD + make_chunk(make_events(3, 3) + b"id: 4\n"),), CLOSE
-        ),
+    again = STREAM_HEAD + make_chunk(make_events(3, 3) + b"id: 4\n")
+    scripts = [
+        BROKEN,
+        raw_server.Script((again,), CLOSE),
         raw_server.Script((make_stream(4, 4),)),
-    )
-    assert response.body == make_events(1, 4)
-    assert response.is_complete
+    ]
+    await assert_goes_on(harness, scripts, "again")
 
 
 RESPONSE = make_response(b"an answer", b"200 OK", b"keep-alive: timeout=9")
@@ -331,11 +315,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-def forget_failures(harness):
-    """Lets servers that failed be chosen again, as if time had passed."""
-    harness.gateways[0]._health._known.clear()
-
-
 @pytest.mark.parametrize("ending", [CLOSE, RESET])
 @pytest.mark.parametrize(
     "response",
@@ -377,3 +356,161 @@
         assert not answer.is_complete, cut
         assert answer.body in (b"", make_events(1, 1), events)
         assert len(requests) == 1
+
+
+UNFRAMED = make_head(b"200 OK", EVENT_STREAM)
+
+
+@pytest.mark.parametrize("path", ["/chat/1", "/ask/1"])
+@pytest.mark.parametrize("is_in_parts", [False, True])
+async def test_a_stream_without_length_ends_with_a_fin(
+    harness, path, is_in_parts
+):
+    """A server's answer may have no length and end with its channel."""
+    parts = (UNFRAMED + make_events(1, 2), make_events(3, 4))
+    if not is_in_parts:
+        parts = (b"".join(parts),)
+    requests = raw_server.play_scripts(
+        harness.engines, [raw_server.Script(parts, CLOSE)]
+    )
+    answer = await harness.send_request(path, body=b"p")
+    assert (answer.body, answer.is_complete) == (make_events(1, 4), True)
+    assert len(requests) == 1
+
+
+@pytest.mark.parametrize("is_in_parts", [False, True])
+async def test_a_stream_without_length_that_breaks_is_not_whole(
+    harness, is_in_parts
+):
+    """Guards against a reset, or half an event, taken for a stream's end."""
+    for end, ending in [
+        (b"", RESET),
+        (b"id: 3\n", RESET),
+        (b"id: 3\ndata: word 3\n", CLOSE),
+        (b"id: 3", CLOSE),
+        (b"i", CLOSE),
+    ]:
+        parts = (UNFRAMED + make_events(1, 2), end)
+        if not is_in_parts:
+            parts = (b"".join(parts),)
+        broken = raw_server.Script(parts, ending)
+        forget_failures(harness)
+        raw_server.play_scripts(harness.engines, [broken])
+        answer = await send_once(harness, "/chat/1")
+        assert answer.body == make_events(1, 2), end
+        assert not answer.is_complete, end
+        last = raw_server.Script((make_stream(3, 4),))
+        await assert_goes_on(harness, [broken, last], end)
+
+
+async def test_a_body_without_length_that_is_reset_is_not_forwarded(harness):
+    """One that is reset on the way isn't complete."""
+    for parts in ((make_head() + b"an answer",), (make_head(), b"an answer")):
+        raw_server.play_scripts(
+            harness.servers, [raw_server.Script(parts, RESET)]
+        )
+        answer = await harness.send_request("/book/1", body=b"x")
+        assert (answer.status, answer.is_complete) == (502, True)
+
+
+KEPT = b"keep-alive: timeout=9"
+EXTRA = make_response(b"an extra answer", b"200 OK", KEPT)
+EXTRA_ERROR = make_response(b"an extra error", b"500 Error", KEPT)
+
+
+@pytest.mark.parametrize("extra", [EXTRA, EXTRA_ERROR], ids=["200", "500"])
+@pytest.mark.parametrize("cut", [0, 5, 60, -1])
+async def test_a_second_response_on_one_request_reaches_nobody(
+    harness, extra, cut
+):
+    """Guards against a late response, whole or in parts.
+
+    It carries the id of the request before, and comes in the same segment,
+    before, with or after the next request.
+    """
+    script = raw_server.Script((RESPONSE + extra[:cut], extra[cut:]))
+    raw_server.play_scripts(harness.servers, [script])
+    for pause_s in (0, 0, 0.005, 0.009, 0.01, 0.011, 0.02):
+        forget_failures(harness)
+        answer = await harness.send_request("/book/1", body=b"x")
+        assert answer.is_complete
+        if answer.status == 200:
+            assert answer.body == b"an answer"
+        else:
+            assert answer.status == 502
+        assert b"extra" not in answer.body
+        await asyncio.sleep(pause_s)
+
+
+AMBIGUOUS = [
+    make_head(b"200 OK", *lines) + b"an answer"
+    for lines in [
+        (b"content-length: 1", b"content-length: 9"),
+        (b"content-length: 9", CHUNKED),
+        (b"content-length: -1",),
+        (b"content-length: 99999999999999999999",),
+        (b"content-length: 9", b"x-name: a\r\n b"),
+        (b"content-length: 9", b"x-name: a\x01b"),
+        (b"content-length: 9", b"x name: a"),
+    ]
+] + [front + RESPONSE for front in (b"junk\r\n", b"\0", b" ", EXTRA[:9])]
+
+
+async def test_an_ambiguous_head_is_not_forwarded(harness):
+    """Guards against a response that two readers would split differently."""
+    for response in AMBIGUOUS:
+        forget_failures(harness)
+        requests = raw_server.play_scripts(
+            harness.servers, [raw_server.Script((response,))]
+        )
+        answer = await send_once(harness, "/book/1")
+        assert (answer.status, answer.is_complete) == (502, True), response
+        assert len(requests) == 1
+
+
+PLAIN = [
+    make_response(b"an answer", b"200 OK", line)
+    for line in (b"x-name: \x80\xff", b"x-name: a\tb", b"!#$%&'*+-.^_`|~9: a")
+]
+WITH_FRONT = [
+    front + RESPONSE
+    for front in (
+        b"HTTP/1.1 103 Hints\r\nx-hint: 1\r\n\r\n",
+        CONTINUE * 3,
+        b"\r\n\r\n",
+    )
+]
+
+
+async def test_odd_responses_are_forwarded(harness):
+    """Guards against an exception while a head is written to a caller."""
+    for response in PLAIN + WITH_FRONT:
+        raw_server.play_scripts(
+            harness.servers,
+            [raw_server.Script((response[:9], response[9:]))],
+        )
+        answer = await send_once(harness, "/book/1")
+        assert (answer.status, answer.body) == (200, b"an answer"), response
+        assert "x-hint" not in answer.headers
+
+
+async def test_interim_responses_without_end_are_no_response(harness):
+    """Guards against a request that is held by a server that never answers."""
+    raw_server.play_scripts(
+        harness.servers, [raw_server.Script((CONTINUE * 4_000,))]
+    )
+    answer = await harness.send_request("/book/1", body=b"x")
+    assert (answer.status, answer.is_complete) == (502, True)
+
+
+@pytest.mark.parametrize("ending", [STAY, CLOSE])
+async def test_http_1_0_responses_are_forwarded(harness, ending):
+    response = RESPONSE.replace(b"HTTP/1.1", b"HTTP/1.0")
+    if ending is CLOSE:
+        response = response.replace(b"content-length", b"x-length")
+    raw_server.play_scripts(
+        harness.servers, [raw_server.Script((response,), ending)]
+    )
+    for _ in range(3):
+        answer = await harness.send_request("/book/1", body=b"x")
+        assert (answer.status, answer.body) == (200, b"an answer")
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+from uvicorn.protocols.http import httptools_impl
 
 from sardinewharf import http1
 
@@ -234,3 +235,162 @@
     exchange.close()
     assert (status, len(body)) == (200, 300_000)
     assert connection.is_open
+
+
+BAD_HEADS = {
+    "two lengths": b"content-length: 1\r\ncontent-length: 2\r\n",
+    "two equal lengths": b"content-length: 1\r\ncontent-length: 1\r\n",
+    "a list of lengths": b"content-length: 1, 1\r\n",
+    "length and coding": (
+        b"content-length: 1\r\ntransfer-encoding: chunked\r\n"
+    ),
+    "coding and length": (
+        b"transfer-encoding: chunked\r\ncontent-length: 1\r\n"
+    ),
+    "length and identity": (
+        b"content-length: 1\r\ntransfer-encoding: identity\r\n"
+    ),
+    "negative length": b"content-length: -1\r\n",
+    "signed length": b"content-length: +1\r\n",
+    "hexadecimal length": b"content-length: 0x1\r\n",
+    "length over 64 bits": b"content-length: 18446744073709551617\r\n",
+    "long length": b"content-length: " + b"9" * 5_000 + b"\r\n",
+    "no length": b"content-length:\r\n",
+    "spaced length": b"content-length : 1\r\n",
+    "folded length": b"content-length: 1\r\n 1\r\n",
+    "folded with a space": b"content-length: 1\r\nx-name: a\r\n b\r\n",
+    "folded with a tab": b"content-length: 1\r\nx-name: a\r\n\tb\r\n",
+    "folded at once": b" x-name: a\r\ncontent-length: 1\r\n",
+    "no name": b": a\r\ncontent-length: 1\r\n",
+    "no colon": b"x-name\r\ncontent-length: 1\r\n",
+    "bare LF": b"content-length: 1\nx-name: a\r\n",
+    "bare CR": b"content-length: 1\rx-name: a\r\n",
+    "long keep-alive": (
+        b"content-length: 1\r\nkeep-alive: timeout=" + b"9" * 400 + b"\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", BAD_HEADS)
+async def test_an_ambiguous_head_is_no_response(kind):
+    """Guards against a response that two readers would split differently."""
+    connection, exchange = open_exchange()
+    connection.data_received(
+        b"HTTP/1.1 200 OK\r\n" + BAD_HEADS[kind] + b"\r\n.\r\n0\r\n\r\n"
+    )
+    with pytest.raises(http1.ResponseLostError):
+        await exchange.read_head()
+    assert not connection.is_open
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.2 200 OK",
+        b"HTTP/1 200 OK",
+        b"HTTPS/1.1 200 OK",
+        b" HTTP/1.1 200 OK",
+        b"\0HTTP/1.1 200 OK",
+        b"junk\r\nHTTP/1.1 200 OK",
+        b"HTTP/1.1 200 OK\n",
+        b"HTTP/1.1 20 OK",
+        b"HTTP/1.1 2000 OK",
+        b"HTTP/1.1 -20 OK",
+        b"HTTP/1.1 2x0 OK",
+        b"HTTP/1.1 101 Switch\r\nupgrade: x\r\nconnection: upgrade",
+        b"HTTP/1.1 101 Switch",
+    ],
+)
+async def test_bytes_that_are_no_status_line_are_no_response(line):
+    """Guards against bytes in front of a response, or an upgrade."""
+    connection, exchange = open_exchange()
+    for part in (
+        line + b"\r\n",
+        b"content-length: 1\r\n\r\n.",
+        make_response(b"own", b"one"),
+    ):
+        if connection.is_open:
+            connection.data_received(part)
+    with pytest.raises(http1.ResponseLostError):
+        await exchange.read_head()
+    assert not connection.is_open
+
+
+def list_accepted(make_line):
+    """Returns the bytes with which a line is accepted."""
+    accepted = []
+    for number in range(256):
+        connection, exchange = open_exchange()
+        connection.data_received(
+            b"HTTP/1.1 200 OK\r\n"
+            + make_line(bytes([number]))
+            + b"\r\ncontent-length: 0\r\n\r\n"
+        )
+        if exchange.is_complete:
+            accepted.append(number)
+    return accepted
+
+
+async def test_no_header_passes_that_cannot_be_written():
+    """Guards against an exception while a head is written to a caller.
+
+    The server refuses to write some bytes that a client might let through.
+    """
+    names = list_accepted(lambda byte: b"x" + byte + b"y: value")
+    values = list_accepted(lambda byte: b"x-name: x" + byte + b"y")
+    # A colon ends the name.
+    written_names = bytes(n for n in names if n != ord(":"))
+    assert not httptools_impl.HEADER_RE.search(written_names)
+    assert not httptools_impl.HEADER_VALUE_RE.search(bytes(values))
+    assert len(written_names) == 77 and len(values) == 256 - 32
+
+
+CHUNKED_BAD = [
+    b"-1\r\n.\r\n",
+    b"0x1\r\n.\r\n",
+    b"\r\n.\r\n",
+    b"1 \r\n.\r\n",
+    b"1\n.\n",
+    b"1\r\n.x\r\n",
+    b"1\r\n..\r\n",
+    b"11111111111111111\r\n.\r\n",
+    b"HTTP/1.1 500 Error\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("chunk", CHUNKED_BAD)
+async def test_an_ambiguous_chunk_ends_a_body(chunk):
+    """Guards against bytes that are no chunk within a body."""
+    connection, exchange = open_exchange()
+    connection.data_received(CHUNKED + b"3\r\none\r\n")
+    assert (await exchange.read_head()).status == 200
+    assert await exchange.read() == b"one"
+    connection.data_received(chunk + b"0\r\n\r\n")
+    with pytest.raises(http1.ResponseLostError):
+        while await exchange.read():
+            pass
+    assert not connection.is_open
+
+
+@pytest.mark.parametrize("cut", range(1, 40))
+async def test_extra_bytes_in_parts_are_not_the_next_response(cut):
+    """Guards against a late response that is split around the next request.
+
+    The rest of it comes with or after the next request, and is no response.
+    """
+    connection, exchange = open_exchange()
+    extra = make_response(b"foreign", b"two")
+    connection.data_received(make_response(b"own", b"one"))
+    assert exchange.is_complete and connection.is_open
+    connection.data_received(extra[:cut])
+    assert not connection.is_open
+    assert await read_all(exchange) == (200, b"one")
+
+
+@pytest.mark.parametrize("end", [b"\r\n", b"x", b"H", b"HTTP/1.1 ", b"\0"])
+async def test_bytes_behind_a_response_change_nothing_in_it(end):
+    connection, exchange = open_exchange()
+    connection.data_received(make_response(b"own", b"one") + end)
+    assert await read_all(exchange) == (200, b"one")
+    # A blank line is no begin of a response (RFC 9112, section 2.2).
+    assert connection.is_open == (end == b"\r\n")
--- a/sardinewharf/http1/tests/test_endings.py
+++ b/sardinewharf/http1/tests/test_endings.py
@@ -148,6 +148,51 @@
         assert await server.exchange(parts, Ending.STAY, 0.001) == whole, cut
 
 
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+async def test_a_body_without_length_ends_with_a_fin(server, version):
+    """Only a FIN ends it, and only behind a whole head."""
+    data = NO_LENGTH.replace(b"1.1", version) + b"hello"
+    head = len(NO_LENGTH)
+    for cut in range(len(data) + 1):
+        result = await server.exchange([data[:cut]], Ending.FIN)
+        expected = None if cut < head else (200, data[head:cut])
+        assert result == expected, cut
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.005])
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+async def test_a_body_without_length_that_is_reset_is_lost(
+    server, version, pause_s
+):
+    """Guards against a reset that is taken for the end of a body."""
+    data = NO_LENGTH.replace(b"1.1", version) + b"hello"
+    for cut in range(len(data) + 1):
+        result = await server.exchange([data[:cut]], Ending.RESET, pause_s)
+        assert result is None, cut
+
+
+async def test_a_body_without_length_ends_with_a_fin_that_a_reset_follows(
+    server,
+):
+    """All bytes of the sender lie in front of its FIN."""
+    for cut in range(len(NO_LENGTH), len(NO_LENGTH) + 6):
+        data = (NO_LENGTH + b"hello")[:cut]
+        result = await server.exchange([data], Ending.FIN_THEN_RESET)
+        assert result == (200, data[len(NO_LENGTH) :]), cut
+
+
+@pytest.mark.parametrize("coding", [b"identity", b"gzip", b"chunked, gzip"])
+async def test_a_coding_that_does_not_end_with_chunked_is_lost(server, coding):
+    """Its end can't be told from a break."""
+    data = (
+        OK
+        + b"transfer-encoding: "
+        + coding
+        + b"\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+    )
+    assert await server.exchange([data], Ending.FIN) is None
+
+
 @pytest.mark.parametrize("kind", FRAMED)
 async def test_a_head_request_has_no_body(server, kind):
     data, (status, _) = FRAMED[kind]
