Judge a stream's position once, when it is resumed

A resumed stream whose first event has data but no id was given up at its second segment.

feed compared the position at each segment until the first id came, also with what the resumed stream itself had brought. drop_partial_event now stores whether the stream that broke off was resumable.

--- a/sardinewharf/gateway/streams.py
+++ b/sardinewharf/gateway/streams.py
@@ -58,6 +58,8 @@
         self._pending = b""
         # Whether the next id is the first one of a resumed stream.
         self._is_resumed = False
+        # Whether each stream so far was resumable when it broke off.
+        self._has_position = True
         self._is_ordered = True
         self._ends_without_id = False
         self.last_id: int | None = None
@@ -84,7 +86,7 @@
                 event of the one before; no event is returned.
             UnknownPositionError: If a stream that is not resumable was resumed.
         """
-        if self._is_resumed and not self.is_resumable:
+        if not self._has_position:
             raise UnknownPositionError("the last event's id is not known")
         data = self._pending + chunk
         end = _find_last_end(data)
@@ -101,6 +103,7 @@
         """Prepares for a resumed stream: drops a buffered event."""
         self._pending = b""
         self._is_resumed = True
+        self._has_position = self._has_position and self.is_resumable
 
     def _record_ids(self, complete_events: bytes) -> None:
         """Stores the ids of events, and whether the last event has one.
--- a/sardinewharf/gateway/tests/test_streams.py
+++ b/sardinewharf/gateway/tests/test_streams.py
@@ -187,3 +187,17 @@
         else:
             with pytest.raises(http1.ResponseLostError):
                 framer.feed(b"id: 10\n\n")
+
+
+def test_a_resumed_stream_may_begin_with_an_event_without_id():
+    """Guards against a resumed stream that is given up behind its begin.
+
+    Its first event had data but no id, and came in a segment of its own.
+    """
+    framer = streams.EventFramer()
+    framer.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    framer.drop_partial_event()
+    assert framer.feed(b"data: b\n\n") == b"data: b\n\n"
+    assert not framer.is_resumable
+    assert framer.feed(b"id: 2\ndata: c\n\n") == b"id: 2\ndata: c\n\n"
+    assert framer.is_resumable
