Test events that are cut anywhere, and odd ids

Reported: events cut anywhere, ids with CR, CRLF or without a space, ids that go back or repeat.

Ruled out otherwise: streams with LF and CRLF and with each spelling of an id are resumed behind their last event, at each fourth byte.

--- a/sardinewharf/gateway/tests/test_broken_responses.py
+++ b/sardinewharf/gateway/tests/test_broken_responses.py
@@ -442,18 +442,46 @@
         await asyncio.sleep(pause_s)
 
 
-AMBIGUOUS = [
-    make_head(b"200 OK", *lines) + b"an answer"
-    for lines in [
-        (b"content-length: 1", b"content-length: 9"),
-        (b"content-length: 9", CHUNKED),
-        (b"content-length: -1",),
-        (b"content-length: 99999999999999999999",),
-        (b"content-length: 9", b"x-name: a\r\n b"),
-        (b"content-length: 9", b"x-name: a\x01b"),
-        (b"content-length: 9", b"x name: a"),
+@pytest.mark.parametrize("status", [b"200 OK", b"204 Empty", b"500 Error"])
+@pytest.mark.parametrize("is_in_parts", [False, True])
+async def test_a_late_response_is_not_taken_for_the_next_one(
+    harness, status, is_in_parts
+):
+    """Guards against an extra response where the next one is expected."""
+    foreign = (
+        b"HTTP/1.1 " + status + b"\r\nx-sardinewharf-request-id: before\r\n"
+        b"x-sardinewharf-server-stamp: s\r\nkeep-alive: timeout=9\r\n"
+    )
+    foreign += b"\r\n" if b"204" in status else b"content-length: 0\r\n\r\n"
+    parts = (foreign, RESPONSE) if is_in_parts else (foreign + RESPONSE,)
+    first, late = raw_server.Script((RESPONSE,)), raw_server.Script(parts)
+    for _ in range(4):
+        forget_failures(harness)
+        raw_server.play_scripts(harness.servers, [first, late, first])
+        answers = [await send_once(harness, "/book/1") for _ in range(6)]
+        assert {answer.status for answer in answers} <= {200, 502}
+        assert answers[1].status == 502
+        for answer in answers:
+            assert answer.is_complete
+            assert (answer.status == 200) == (answer.body == b"an answer")
+
+
+AMBIGUOUS = (
+    [
+        make_head(b"200 OK", *lines) + b"an answer"
+        for lines in [
+            (b"content-length: 1", b"content-length: 9"),
+            (b"content-length: 9", CHUNKED),
+            (b"content-length: -1",),
+            (b"content-length: 99999999999999999999",),
+            (b"content-length: 9", b"x-name: a\r\n b"),
+            (b"content-length: 9", b"x-name: a\x01b"),
+            (b"content-length: 9", b"x name: a"),
+        ]
     ]
-] + [front + RESPONSE for front in (b"junk\r\n", b"\0", b" ", EXTRA[:9])]
+    + [b"HTTP/1.1 199 Odd\r\ncontent-length: 3\r\n\r\nbad" + RESPONSE]
+    + [front + RESPONSE for front in (b"junk\r\n", b"\0", b" ", EXTRA[:9])]
+)
 
 
 async def test_an_ambiguous_head_is_not_forwarded(harness):
@@ -514,3 +542,57 @@
     for _ in range(3):
         answer = await harness.send_request("/book/1", body=b"x")
         assert (answer.status, answer.body) == (200, b"an answer")
+
+
+def make_odd_events(first, last, line_end, field):
+    return b"".join(
+        line_end.join((field % n, b"data: word %d" % n, b"", b""))
+        for n in range(first, last + 1)
+    )
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("field", [b"id: %d", b"id:%d", b"id: 0%d"])
+async def test_a_stream_cut_anywhere_is_resumed_behind_its_last_event(
+    harness, line_end, field
+):
+    """Guards against events that come twice or not at all."""
+    begin = make_odd_events(1, 2, line_end, field)
+    whole = make_odd_events(1, 4, line_end, field)
+    first_event = len(make_odd_events(1, 1, line_end, field))
+    for cut in range(first_event, len(begin) + 1, 4):
+        events = 2 if cut == len(begin) else 1
+        rest = whole[len(make_odd_events(1, events, line_end, field)) :]
+        forget_failures(harness)
+        requests = raw_server.play_scripts(
+            harness.engines,
+            [
+                raw_server.Script(
+                    (STREAM_HEAD + make_chunk(begin[:cut]),), RESET
+                ),
+                raw_server.Script((STREAM_HEAD + make_chunk(rest), LAST_CHUNK)),
+            ],
+        )
+        answer = await send_once(harness, "/ask/1")
+        assert (answer.body, answer.is_complete) == (whole, True), cut
+        assert requests[1].headers["last-event-id"] == str(events)
+
+
+async def test_a_stream_that_goes_on_behind_a_blank_line_is_whole(harness):
+    """Guards against a whole stream that counts as broken off."""
+    requests = raw_server.play_scripts(
+        harness.engines,
+        [
+            raw_server.Script(
+                (
+                    STREAM_HEAD + make_chunk(make_events(1, 4)),
+                    make_chunk(b"\n"),
+                    LAST_CHUNK,
+                )
+            )
+        ],
+    )
+    answer = await send_once(harness, "/ask/1")
+    assert answer.body == make_events(1, 4) + b"\n"
+    assert answer.is_complete
+    assert len(requests) == 1
--- a/sardinewharf/gateway/tests/test_streams.py
+++ b/sardinewharf/gateway/tests/test_streams.py
@@ -201,3 +201,56 @@
     assert not framer.is_resumable
     assert framer.feed(b"id: 2\ndata: c\n\n") == b"id: 2\ndata: c\n\n"
     assert framer.is_resumable
+
+
+PIECES = (
+    b"\n",
+    b"\r\n",
+    b"\r",
+    b"id: 1",
+    b"id:2",
+    b"id: 3\n\n",
+    b"data",
+    b": ",
+    b"word",
+    b"\xff",
+)
+
+
+def feed_until_error(framer, parts):
+    """Returns the bytes that come out, and the error that ends them."""
+    passed = b""
+    try:
+        for part in parts:
+            passed += framer.feed(part)
+    except http1.ResponseLostError as error:
+        return passed, type(error)
+    return passed, None
+
+
+@pytest.mark.parametrize("is_resumed", [False, True])
+@hypothesis.given(
+    pieces=strategies.lists(strategies.sampled_from(PIECES), max_size=12),
+    cuts=strategies.sets(strategies.integers(0, 60)),
+)
+def test_segments_change_nothing_in_a_stream(is_resumed, pieces, cuts):
+    """Guards against a stream whose end or position depends on segments."""
+    data = b"".join(pieces)
+    whole = streams.EventFramer()
+    cut = streams.EventFramer()
+    edges = sorted({0, len(data), *(c for c in cuts if c < len(data))})
+    parts = [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    for framer in (whole, cut):
+        if is_resumed:
+            framer.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+            framer.drop_partial_event()
+    at_once, error = feed_until_error(whole, [data])
+    in_parts, error_in_parts = feed_until_error(cut, parts)
+    assert error == error_in_parts
+    if error is not None:
+        return
+    assert at_once == in_parts == data[: len(at_once)]
+    assert whole.last_id == cut.last_id
+    assert whole.is_at_event_end == cut.is_at_event_end
+    assert whole.is_resumable == cut.is_resumable
+    assert whole.is_at_event_end == (at_once == data)
