--- a/sardinewharf/standins/server_connections.py
+++ b/sardinewharf/standins/server_connections.py
@@ -8,12 +8,17 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import socket
+import struct
 from typing import Protocol
 
 import httptools
 
 from sardinewharf import clocks
 
+# Socket option SO_LINGER: on, with no time to send what is left.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 
 @dataclasses.dataclass
 class ServerRequest:
@@ -160,7 +165,14 @@
 
     def abort(self) -> None:
         """Sends RST, once the server is not silent."""
-        self._do_unless_silent(self.transport.abort)
+        self._do_unless_silent(self._reset)
+
+    def _reset(self) -> None:
+        # Without this the kernel sends FIN, unless bytes lie unread.
+        self.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+        )
+        self.transport.abort()
 
     @contextlib.contextmanager
     def join_writes(self):
