Send a request of a caller that left to no other endpoint

Callers saw: nothing; an endpoint ran a booking for a caller that had closed its sending side before any endpoint had run it (GONE).

Cause: an unsafe request that was sent is finished after a half-close; if its endpoint then refused it, it was sent to the next one.

Evidence: the new test fails without the flag (three arrivals instead of one).

Change: the call is marked as withdrawn and not sent again. Besides, the connection by which a silent engine was tested is closed.

Measured: tests of half-closes and silence pass.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -330,6 +330,7 @@
         )
         try:
             await caller.wait_while_present(response_task)
+            call.is_withdrawn = caller.is_half_closed
             if not response_task.done() and not _must_finish(call, responder):
                 await _cancel(response_task)
                 if response_task.cancelled():
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -178,12 +178,15 @@
 
         Raises:
             RefusedError: If its deadline has passed, it may have run and must
-                not be repeated, it is quarantined, or it is not admitted.
+                not be repeated, its caller has left, it is quarantined, or it
+                is not admitted.
         """
         if call.deadline.is_past():
             raise self._make_refusal(call, refusals.Reason.NO_TIME)
         if not call.may_run_again:
             raise self._make_refusal(call, refusals.Reason.LOST)
+        if call.is_withdrawn:
+            raise self._make_refusal(call, refusals.Reason.HALF_CLOSED)
         request = call.request
         now = clocks.read_monotonic()
         if self._dependencies.crashes.is_quarantined(request.fingerprint, now):
--- a/sardinewharf/gateway/reachability.py
+++ b/sardinewharf/gateway/reachability.py
@@ -82,4 +82,6 @@
     except http1.ConnectError:
         probe.has_failed = True
         return
+    # Endpoints may count an idle connection as one that is in use.
+    connection.close()
     pool.release(connection)
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -55,6 +55,8 @@
             prefilled the same shared prompt.
         first_byte_at: When the first byte was forwarded; None before.
         sent_bytes: Bytes of the response's body that were forwarded.
+        is_withdrawn: Whether its caller has left, so that it is sent to no
+            other endpoint.
     """
 
     request: Request
@@ -70,6 +72,7 @@
     has_waited_for_prefill: bool = False
     first_byte_at: float | None = None
     sent_bytes: int = 0
+    is_withdrawn: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- a/sardinewharf/gateway/tests/test_half_close.py
+++ b/sardinewharf/gateway/tests/test_half_close.py
@@ -241,3 +241,30 @@
     caller.close()
     await asyncio.sleep(_NOTICED_S)
     assert list_ends(harness) == ["left"]
+
+
+async def test_a_request_of_a_caller_that_left_goes_to_no_other_endpoint(
+    harness, connect
+):
+    """An endpoint refused it after the half-close, and another one ran it."""
+
+    def refuse_late(server):
+        async def respond(connection, request):
+            server.executed.remove(request)
+            connection.reply(
+                503,
+                [
+                    ("x-sardinewharf-not-run", "1"),
+                    ("x-sardinewharf-request-id", request.request_id),
+                ],
+            )
+
+        server.respond = respond
+
+    hold(harness, 0.3)
+    for server in harness.servers:
+        refuse_late(server)
+    caller = await connect()
+    await send_and_end(harness, caller, "/book/1")
+    await asyncio.sleep(0.4)
+    assert sum(server.arrivals for server in harness.servers) == 1
