Let no request wait for the prefill of a stalled attempt

A failover before the first event asked the next engine up to 0.8 s late: the stalled attempt stays open, so its prefill counted as running, and the request waited for itself. A stalled attempt's prefill now counts as failed, as it did when a stalled attempt was closed at once.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -165,6 +165,7 @@
         endpoint = attempt.target.endpoint
         call.last_failure_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
+        attempt.abandon_prefill()
         self._log.record_failure(call, attempt, "stalled")
 
     def record_success(self, attempt: requests.Attempt) -> None:
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -194,6 +194,10 @@
             took_s * 1000,
         )
 
+    def abandon_prefill(self) -> None:
+        """Makes no other request wait for the prefill of this attempt."""
+        self._prefill_handle.fail()
+
     def is_answered_by(
         self, head: messages.ResponseHead, request_id: ids.RequestId
     ) -> bool:
--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -1,6 +1,7 @@
 """Tests of failovers that the first tests of stalled endpoints left out."""
 
 import asyncio
+import time
 
 import pytest
 import pytest_asyncio
@@ -315,3 +316,24 @@
     respond_with_error(server, 0.0, 500, "an-earlier-request")
     response = await harness.send_request("/book/1", body=b"x")
     assert response.status == 502
+
+
+async def test_a_failover_does_not_wait_for_the_prefill_it_replaces(harness):
+    """The next engine was not asked until 0.8 s later.
+
+    The stalled attempt was open, and so counted as prefilling the prompt.
+    """
+    for engine in harness.engines:
+        engine.faults.hang = True
+    outcomes = list_failures(harness.gateways[0])
+    sending = asyncio.ensure_future(harness.send_request("/ask/1", body=b"p"))
+    running = await find_running(harness.engines)
+    for engine in harness.engines:
+        if engine is not running:
+            engine.faults.hang = False
+    await wait_until(lambda: "stalled" in outcomes)
+    stalled_at = time.monotonic()
+    await wait_until(lambda: len(harness.list_executed()) > 1 or sending.done())
+    waited_s = time.monotonic() - stalled_at
+    test_silence.check_streams([await sending], events=4)
+    assert waited_s < 0.25
