Close the connection of a reachability test

It was put into the pool as idle, but with no idle time, so that it was never used again and stayed open at the engine until the next request there.

--- a/sardinewharf/gateway/reachability.py
+++ b/sardinewharf/gateway/reachability.py
@@ -82,4 +82,5 @@
     except http1.ConnectError:
         probe.has_failed = True
         return
+    connection.close()
     pool.release(connection)
--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -337,3 +337,21 @@
     waited_s = time.monotonic() - stalled_at
     test_silence.check_streams([await sending], events=4)
     assert waited_s < 0.25
+
+
+async def test_an_engine_test_leaves_no_connection_open(harness):
+    """The connection of a reachability test was kept, but never used again."""
+    engine = await test_silence.leave_one_engine(harness)
+    test_silence.make_streams_long([engine])
+    pause = test_silence.Pause(engine)
+    sending = await test_silence.ask(harness, 1)
+    await pause.last(1.5)
+    pools = harness.gateways[0]._connections._pools.values()
+    unusable = [
+        connection
+        for pool in pools
+        for connection in pool._idle
+        if connection.is_open and connection.reuse_until.is_past()
+    ]
+    test_silence.check_streams(await asyncio.gather(*sending))
+    assert not unusable
