Do not count the time of a blocked write as a stall

A caller that reads slowly blocks the write of events. The time since the last event then included that write, and the next part of an event made a sound engine count as stalled.

--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -69,6 +69,7 @@
         try:
             while events := await self._read_next():
                 await self._responder.write(events)
+                self._progress_at = clocks.read_monotonic()
         except _LOSSES as error:
             self._record_loss(error)
             return False
--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -6,6 +6,9 @@
 import pytest
 import pytest_asyncio
 
+from sardinewharf import clocks
+from sardinewharf.gateway import forwarding
+from sardinewharf.gateway import readers
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway.tests import test_silence
 from sardinewharf.testbed import gateway_harness
@@ -355,3 +358,57 @@
     ]
     test_silence.check_streams(await asyncio.gather(*sending))
     assert not unusable
+
+
+async def test_a_slow_caller_does_not_make_its_engine_stalled():
+    """The time of a blocked write counted as time without an event."""
+    chunks = [b"id: 1\ndata: a\n\n", b"id: 2\nda", b"ta: b\n\n", b""]
+    checked = []
+
+    class Exchange:
+        async def read(self):
+            return chunks.pop(0)
+
+    class Reader:
+        async def read(self, call, attempt, read):
+            return await read()
+
+        def check_progress(self, call, attempt, since):
+            checked.append(clocks.read_monotonic() - since)
+            if checked[-1] > 0.15:
+                raise readers.StalledError("no event")
+
+    class Responder:
+        async def start(self, head):
+            pass
+
+        async def write(self, events):
+            await asyncio.sleep(0.2)
+
+        async def finish(self):
+            pass
+
+    class Attempt:
+        exchange = Exchange()
+        head = None
+
+        def record_first_event(self):
+            pass
+
+        def close(self):
+            pass
+
+    class Call:
+        deadline = clocks.Deadline.after(5.0)
+        first_byte_at = None
+        sent_bytes = 0
+
+    class Dispatcher:
+        def record_success(self, attempt):
+            pass
+
+    forwarder = forwarding.StreamForwarder(
+        Dispatcher(), Reader(), Call(), Attempt(), Responder()
+    )
+    assert await forwarder.run()
+    assert len(checked) == 1
