Judge a stalled endpoint's response before the other attempt is closed

Callers saw: the late 500 of a stalled server, or 502 for its response to another request, although another server was about to answer 200; streams resumed 0.8 s late, since they waited for the prefill of their own lost attempt; sound servers ejected by one slow safe request.

Cause: any head counted as 'went on'. A request that is no stream was found stalled again and again in what was left of its time, each time as a failure. Endpoints that refused a failover stayed excluded. A lost attempt was closed only at the end.

Change: what is read from a stalled endpoint is classified while the other attempt goes on, and an error counts as its loss. Other requests than streams fail over once. Exclusions of a failover end with it. A lost attempt is closed before the next is opened. A success on a stream route that is no event stream is forwarded as a body.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -1,8 +1,11 @@
 """Sends requests to endpoints and decides which may be retried."""
 
 import asyncio
+from collections.abc import Coroutine
 import dataclasses
 import random
+from typing import Any
+from typing import TypeVar
 
 from sardinewharf import balancing
 from sardinewharf import clocks
@@ -42,6 +45,7 @@
 # Statuses that state that a request has not run; they count only if the
 # response carries the endpoint's stamp.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_Answer = TypeVar("_Answer")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,13 +162,14 @@
                 call.request.fingerprint, endpoint.incarnation, now
             )
 
-    def record_stall(
+    def _record_stall(
         self, call: requests.Call, attempt: requests.Attempt, detail: str
     ) -> None:
         """Records that other endpoints are tried, as one may have stopped."""
         endpoint = attempt.target.endpoint
         call.last_failure_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
+        attempt.has_stalled = True
         attempt.abandon_prefill()
         self._log.record_failure(call, attempt, "stalled")
 
@@ -355,28 +360,48 @@
                     is_accepted = await self._read_head(call, attempt)
                     return attempt if is_accepted else None
                 except readers.StalledError as error:
-                    outcome = await self._fail_over(call, attempt, str(error))
+                    outcome = await self.fail_over(
+                        call,
+                        attempt,
+                        str(error),
+                        self._read_head_of_stalled(call, attempt),
+                        self._open_replacement(call),
+                    )
                 if isinstance(outcome, failover.Replaced):
                     return outcome.attempt
+                if isinstance(outcome, failover.Continued):
+                    is_accepted = True
+                    return attempt
         finally:
             if not is_accepted:
                 attempt.close()
 
     async def _read_head(
-        self, call: requests.Call, attempt: requests.Attempt
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        is_patient: bool = False,
     ) -> bool:
         """Reads the head of a response; returns whether to forward it.
 
+        Args:
+            call: The request.
+            attempt: The attempt that is read.
+            is_patient: Whether to wait however long the endpoint is stalled.
+
         Raises:
             StalledError: If the endpoint is stalled.
         """
+        reader = self._dependencies.reader
+        read_head = attempt.exchange.read_head
         try:
             async with asyncio.timeout_at(
                 self._find_head_deadline(call, attempt)
             ):
-                head = await self._dependencies.reader.read(
-                    call, attempt, attempt.exchange.read_head
-                )
+                if is_patient:
+                    head = await reader.read_patiently(attempt, read_head)
+                else:
+                    head = await reader.read(call, attempt, read_head)
         except http1.ResponseLostError as error:
             self.record_loss(call, attempt, str(error))
             return False
@@ -386,43 +411,52 @@
         attempt.head = self._dependencies.header_codec.read_response(head)
         return self._classify_response(call, attempt)
 
-    async def _fail_over(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    async def fail_over(
+        self,
+        call: requests.Call,
+        stalled: requests.Attempt,
+        detail: str,
+        reading: Coroutine[Any, Any, _Answer],
+        opening: Coroutine[Any, Any, requests.Attempt],
     ) -> (
-        failover.Continued[http1.Head]
-        | failover.Replaced
-        | failover.StillStalled
+        failover.Continued[_Answer] | failover.Replaced | failover.StillStalled
     ):
         """Tries other endpoints while the attempt at a stalled one is open.
 
+        Unless one of them takes the request, all may be tried again later.
+
+        Args:
+            call: The request.
+            stalled: The attempt at the stalled endpoint.
+            detail: Why it counts as stalled.
+            reading: Reads a response that may be forwarded from it.
+            opening: Opens an attempt at another endpoint.
+
         Raises:
             RefusedError: If the stalled attempt is lost, and no other endpoint
                 can take the request.
         """
-        self.record_stall(call, attempt, detail)
-        outcome = await failover.wait_for_first(
-            attempt,
-            self._read_head_patiently(call, attempt),
-            self._open_replacement(call),
-        )
+        excluded = set(call.excluded)
+        self._record_stall(call, stalled, detail)
+        outcome = await failover.wait_for_first(stalled, reading, opening)
         if not isinstance(outcome, failover.Replaced):
-            call.endpoint = attempt.target.endpoint.id
+            call.endpoint = stalled.target.endpoint.id
+            call.excluded = excluded
         return outcome
 
-    async def _read_head_patiently(
+    async def _read_head_of_stalled(
         self, call: requests.Call, attempt: requests.Attempt
-    ) -> http1.Head:
-        try:
-            async with asyncio.timeout_at(
-                self._find_head_deadline(call, attempt)
-            ):
-                return await self._dependencies.reader.read_patiently(
-                    attempt, attempt.exchange.read_head
-                )
-        except (http1.ResponseLostError, TimeoutError) as error:
-            detail = str(error) or "no answer in time"
-            self.record_loss(call, attempt, detail)
-            raise
+    ) -> None:
+        """Waits for a head that may be forwarded.
+
+        Raises:
+            ResponseLostError: If it is not to be, so that the response of
+                another endpoint is awaited.
+        """
+        is_accepted = await self._read_head(call, attempt, is_patient=True)
+        if is_accepted and attempt.head.status < 500:
+            return
+        raise http1.ResponseLostError("no response that may be forwarded")
 
     async def _open_replacement(self, call: requests.Call) -> requests.Attempt:
         """Returns an attempt that may replace one at a stalled endpoint.
--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -70,15 +70,13 @@
             while events := await self._read_next():
                 await self._responder.write(events)
                 self._progress_at = clocks.read_monotonic()
+            self._check_end()
         except _LOSSES as error:
             self._record_loss(error)
             return False
         except refusals.RefusedError as error:
             self._call.last_failure_detail = error.refusal.detail
             return False
-        if not self._framer.is_at_event_end:
-            self._record_loss(http1.ResponseLostError("ends within an event"))
-            return False
         self._dispatcher.record_success(self._attempt)
         return True
 
@@ -91,7 +89,13 @@
             try:
                 return await self._read_events(is_patient=False)
             except readers.StalledError as error:
-                outcome = await self._fail_over(error)
+                outcome = await self._dispatcher.fail_over(
+                    self._call,
+                    self._attempt,
+                    str(error),
+                    self._read_while_stalled(),
+                    self._open_resumption(),
+                )
             if isinstance(outcome, failover.Continued):
                 return outcome.answer
             if isinstance(outcome, failover.Replaced):
@@ -121,11 +125,23 @@
 
     async def _read_while_stalled(self) -> bytes:
         try:
-            return await self._read_events(is_patient=True)
+            events = await self._read_events(is_patient=True)
+            if not events:
+                self._check_end()
+            return events
         except _LOSSES as error:
             self._record_loss(error)
             raise
 
+    def _check_end(self) -> None:
+        """Checks that the stream has not ended within an event.
+
+        Raises:
+            ResponseLostError: If it has.
+        """
+        if not self._framer.is_at_event_end:
+            raise http1.ResponseLostError("ends within an event")
+
     async def _read_chunk(self, is_patient: bool) -> bytes:
         attempt = self._attempt
         if is_patient:
@@ -148,30 +164,15 @@
         detail = str(error) or "stream not whole in time"
         self._dispatcher.record_loss(self._call, self._attempt, detail)
 
-    async def _fail_over(
-        self, error: readers.StalledError
-    ) -> failover.Continued[bytes] | failover.Replaced | failover.StillStalled:
-        """Tries other endpoints while the attempt at the stalled one is open.
-
-        Raises:
-            RefusedError: If the stalled attempt is lost, and no other endpoint
-                can resume the stream.
-        """
-        self._dispatcher.record_stall(self._call, self._attempt, str(error))
-        outcome = await failover.wait_for_first(
-            self._attempt,
-            self._read_while_stalled(),
-            self._open_resumption(),
-        )
-        if not isinstance(outcome, failover.Replaced):
-            self._call.endpoint = self._attempt.target.endpoint.id
-        return outcome
-
     async def _resume(self) -> bool:
         """Returns whether another endpoint resumes the stream that was lost."""
         call = self._call
+        # Its prefill has ended; no other attempt is to wait for it.
+        self._attempt.close()
         if not call.may_run_again or call.deadline.is_past():
             return False
+        if not self._framer.is_resumable:
+            return False
         try:
             attempt = await self._open_resumption()
         except refusals.RefusedError as error:
--- a/sardinewharf/gateway/readers.py
+++ b/sardinewharf/gateway/readers.py
@@ -23,6 +23,15 @@
 _ReadResult = TypeVar("_ReadResult")
 
 
+def _may_fail_over(call: requests.Call, attempt: requests.Attempt) -> bool:
+    """Returns whether other endpoints may be tried if this one is silent.
+
+    Of a request that is no stream they are tried only once.
+    """
+    is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
+    return call.may_run_again and (is_stream or not attempt.has_stalled)
+
+
 class StalledError(Exception):
     """Raised if an endpoint may have stopped; its response may still arrive."""
 
@@ -62,7 +71,7 @@
         """
         began = clocks.read_monotonic()
         check_after_s = self._find_suspicious_silence(call, attempt)
-        while call.may_run_again:
+        while _may_fail_over(call, attempt):
             try:
                 async with asyncio.timeout(check_after_s):
                     return await self.read_patiently(attempt, read)
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -51,9 +51,9 @@
         while True:
             attempt = await self._dispatcher.open(call)
             head = attempt.head
-            is_stream = call.admitted.route.kind is catalog.RouteKind.STREAM
+            is_stream = _is_stream(call, head)
             try:
-                if is_stream and head.is_success:
+                if is_stream:
                     forwarder = forwarding.StreamForwarder(
                         self._dispatcher, self._reader, call, attempt, responder
                     )
@@ -132,3 +132,9 @@
                 bytes=call.sent_bytes,
             )
         )
+
+
+def _is_stream(call: requests.Call, head: messages.ResponseHead) -> bool:
+    """Returns whether a response is forwarded event by event."""
+    is_stream_route = call.admitted.route.kind is catalog.RouteKind.STREAM
+    return is_stream_route and head.is_success and head.is_event_stream
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -156,6 +156,9 @@
     Attributes:
         head: The decoded status and headers of the response; None before they
             have arrived.
+        has_stalled: Whether other endpoints were tried since this one did not
+            respond.
+        pool: The pool that the connection belongs to.
     """
 
     def __init__(
@@ -179,6 +182,7 @@
         self.pool = pool
         self._connection = connection
         self._is_closed = False
+        self.has_stalled = False
 
     def record_first_event(self) -> None:
         """Records the first event of a stream, which ends the prefill.
