Check a restarted process of the soak only once it runs

Cause: start_process said that the process should run before it had replaced the former one, which had exited as it was told to. A check in between, from the thread of the event loop, took that one for a process that ended by itself.

Change: it should run from the moment at which it is the started one.

--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -120,7 +120,6 @@
         """Starts a process; a server gets a new id at each start."""
         spec = self._specs[name]
         spec.start_count += 1
-        spec.should_run = True
         flags = [
             flag.replace("@START", str(spec.start_count)) for flag in spec.flags
         ]
@@ -128,6 +127,8 @@
         self.processes[name] = processes.start_process(
             name, "", arguments, self.folder / f"{name}.log", **spec.env
         )
+        # Only now: until then the former process is checked, which has exited.
+        spec.should_run = True
 
     def kill(self, name: str) -> None:
         """Kills a process with SIGKILL."""
