Keep the outcomes of attempts in a module of their own, and read no endless numbers

Cause: gateway/dispatcher had grown to 578 lines with two jobs: to send requests, and to judge and record how attempts ended. Besides, a weights or load number of over 4,300 digits in a response ended its request with a bare 500, and one of 400 digits was recorded.

Change: gateway/outcomes has the judgement, moved and not changed; numbers of an endpoint have at most 18 digits.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -18,6 +18,7 @@
 from sardinewharf.gateway import failover
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import outcomes as outcomes_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import refusals
@@ -38,13 +39,6 @@
 # seconds and as a share of the remaining time.
 _PREFILL_WAIT_S = 0.8
 _PREFILL_WAIT_SHARE = 0.3
-# An endpoint that refused a request gets no others for this long, in seconds.
-_REFUSAL_BACKOFF_S = 0.15
-# The same after status 421, Misdirected Request.
-_MISDIRECTED_BACKOFF_S = 1.0
-# Statuses that state that a request has not run; they count only if the
-# response carries the endpoint's stamp.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _Answer = TypeVar("_Answer")
 
 
@@ -92,6 +86,9 @@
 
     Args:
         dependencies: The collaborators of the dispatcher.
+
+    Attributes:
+        outcomes: Records how attempts ended.
     """
 
     def __init__(self, dependencies: DispatcherDependencies):
@@ -102,6 +99,13 @@
             dependencies.log,
             dependencies.metrics,
         )
+        self.outcomes = outcomes_lib.Outcomes(
+            dependencies.registry,
+            dependencies.health,
+            dependencies.budgets,
+            dependencies.crashes,
+            self._log,
+        )
 
     async def open(self, call: requests.Call) -> requests.Attempt:
         """Returns an attempt whose response has begun.
@@ -147,38 +151,6 @@
                 return answered
         raise self._make_refusal(call, refusals.Reason.NO_ENDPOINT)
 
-    def record_loss(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
-    ) -> None:
-        """Records that an attempt failed after the request was sent."""
-        endpoint = attempt.target.endpoint
-        call.last_failure_detail = f"{endpoint.id}: {detail}"
-        call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, "lost")
-        now = clocks.read_monotonic()
-        self._dependencies.health.record_failure(endpoint.incarnation, now)
-        if attempt.exchange.was_lost:
-            self._dependencies.crashes.record_lost_connection(
-                call.request.fingerprint, endpoint.incarnation, now
-            )
-
-    def _record_stall(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
-    ) -> None:
-        """Records that other endpoints are tried, as one may have stopped."""
-        endpoint = attempt.target.endpoint
-        call.last_failure_detail = f"{endpoint.id}: {detail}"
-        call.excluded.add(endpoint.id)
-        attempt.has_stalled = True
-        attempt.abandon_prefill()
-        self._log.record_failure(call, attempt, "stalled")
-
-    def record_success(self, attempt: requests.Attempt) -> None:
-        """Records that a response arrived completely."""
-        self._dependencies.health.record_success(
-            attempt.target.endpoint.incarnation
-        )
-
     def _check_may_send(self, call: requests.Call) -> None:
         """Checks that a request may be sent now.
 
@@ -403,13 +375,13 @@
                 else:
                     head = await reader.read(call, attempt, read_head)
         except http1.ResponseLostError as error:
-            self.record_loss(call, attempt, str(error))
+            self.outcomes.record_loss(call, attempt, str(error))
             return False
         except TimeoutError:
-            self.record_loss(call, attempt, "no answer in time")
+            self.outcomes.record_loss(call, attempt, "no answer in time")
             return False
         attempt.head = self._dependencies.header_codec.read_response(head)
-        return self._classify_response(call, attempt)
+        return self.outcomes.classify(call, attempt)
 
     async def fail_over(
         self,
@@ -437,7 +409,7 @@
                 can take the request.
         """
         excluded = set(call.excluded)
-        self._record_stall(call, stalled, detail)
+        self.outcomes.record_stall(call, stalled, detail)
         outcome = await failover.wait_for_first(stalled, reading, opening)
         if not isinstance(outcome, failover.Replaced):
             call.endpoint = stalled.target.endpoint.id
@@ -482,81 +454,6 @@
             return call.deadline.at
         return start_deadline.earlier(call.deadline).at
 
-    def _classify_response(
-        self, call: requests.Call, attempt: requests.Attempt
-    ) -> bool:
-        """Returns whether a response is to be forwarded.
-
-        A response that is not is recorded, so that the request may be retried.
-        """
-        head = attempt.head
-        request_id = call.request.headers.request_id
-        if not attempt.is_answered_by(head, request_id):
-            attempt.discard_connection()
-            self.record_loss(call, attempt, "the answer is to another request")
-            return False
-        self._record_weights(call, attempt)
-        if head.is_not_run:
-            self._record_not_run(call, attempt)
-            return False
-        if head.is_success:
-            names_request = head.request_id == request_id
-            if names_request and head.is_stamped and not head.is_encoded:
-                return True
-            self.record_loss(call, attempt, "the answer is not the endpoint's")
-            return False
-        return self._classify_failure(call, attempt)
-
-    def _classify_failure(
-        self, call: requests.Call, attempt: requests.Attempt
-    ) -> bool:
-        """Returns whether an error response is to be forwarded.
-
-        An error 5xx of a request that may be repeated is forwarded only if the
-        retry budget is used up.
-        """
-        head = attempt.head
-        if not head.is_stamped and head.status in _NOT_RUN_STATUSES:
-            self.record_loss(
-                call, attempt, f"status {head.status} without stamp"
-            )
-            return False
-        if head.status < 500 or not call.may_run_again:
-            return True
-        budget = self._dependencies.budgets.find(call.service)
-        if budget.read_remaining(clocks.read_monotonic()) < 1.0:
-            return True
-        self.record_loss(call, attempt, f"status {head.status}")
-        return False
-
-    def _record_not_run(
-        self, call: requests.Call, attempt: requests.Attempt
-    ) -> None:
-        """Records that an endpoint refused a request without running it."""
-        call.runs -= 1
-        endpoint = attempt.target.endpoint
-        status = attempt.head.status
-        call.last_failure_detail = f"{endpoint.id}: not run, status {status}"
-        call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, "not_run")
-        backoff_s = (
-            _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
-        )
-        self._dependencies.health.pause(
-            endpoint.incarnation, clocks.read_monotonic() + backoff_s
-        )
-
-    def _record_weights(
-        self, call: requests.Call, attempt: requests.Attempt
-    ) -> None:
-        """Records the weights version that a response states."""
-        head = attempt.head
-        prompt = call.request.headers.prompt
-        if head.weights and prompt is not None:
-            self._dependencies.registry.record_weights(
-                attempt.target.endpoint.id, prompt.model, head.weights
-            )
-
     def _make_refusal(
         self, call: requests.Call, reason: refusals.Reason
     ) -> refusals.RefusedError:
--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -77,7 +77,7 @@
         except refusals.RefusedError as error:
             self._call.last_failure_detail = error.refusal.detail
             return False
-        self._dispatcher.record_success(self._attempt)
+        self._dispatcher.outcomes.record_success(self._attempt)
         return True
 
     async def _read_next(self) -> bytes:
@@ -162,7 +162,7 @@
 
     def _record_loss(self, error: Exception) -> None:
         detail = str(error) or "stream not whole in time"
-        self._dispatcher.record_loss(self._call, self._attempt, detail)
+        self._dispatcher.outcomes.record_loss(self._call, self._attempt, detail)
 
     async def _resume(self) -> bool:
         """Returns whether another endpoint resumes the stream that was lost."""
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -84,15 +84,15 @@
                     if size > _MAX_BODY_BYTES:
                         raise http1.ResponseLostError("the answer is too large")
         except http1.ResponseLostError as error:
-            self._dispatcher.record_loss(call, attempt, str(error))
+            self._dispatcher.outcomes.record_loss(call, attempt, str(error))
             return None
         except TimeoutError:
-            self._dispatcher.record_loss(
+            self._dispatcher.outcomes.record_loss(
                 call, attempt, "answer not whole in time"
             )
             return None
         if attempt.head.is_success:
-            self._dispatcher.record_success(attempt)
+            self._dispatcher.outcomes.record_success(attempt)
         return b"".join(chunks)
 
     def _log_end(
--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -403,10 +403,13 @@
         first_byte_at = None
         sent_bytes = 0
 
-    class Dispatcher:
+    class Outcomes:
         def record_success(self, attempt):
             pass
 
+    class Dispatcher:
+        outcomes = Outcomes()
+
     forwarder = forwarding.StreamForwarder(
         Dispatcher(), Reader(), Call(), Attempt(), Responder()
     )
--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -77,6 +77,8 @@
 _NOT_FORWARDED = _HOP_BY_HOP | _RESERVED
 _MAX_TIME_LEFT_MS = 600_000
 _DEFAULT_TIME_LEFT_MS = 60_000
+# Longest number in a header of an endpoint.
+_MAX_DIGITS = 18
 
 
 class PlatformHeaderCodec(messages.HeaderCodec):
@@ -240,14 +242,17 @@
 
 
 def _read_number(value: bytes) -> int:
-    """Returns a decimal number; 0 if the value is none."""
-    return int(value) if value.isdigit() else 0
+    """Returns a decimal number; 0 if the value is none or too long."""
+    is_number = value.isdigit() and len(value) <= _MAX_DIGITS
+    return int(value) if is_number else 0
 
 
 def _read_load(value: bytes) -> messages.Load | None:
     """Decodes ``RUNNING,WAITING,SLOTS``; returns None for any other value."""
     fields = value.split(b",")
-    if len(fields) != 3 or not all(f.strip().isdigit() for f in fields):
+    stripped = [field.strip() for field in fields]
+    are_numbers = all(f.isdigit() and len(f) <= _MAX_DIGITS for f in stripped)
+    if len(fields) != 3 or not are_numbers:
         return None
-    running, waiting, slots = (int(field) for field in fields)
+    running, waiting, slots = (int(field) for field in stripped)
     return messages.Load(running, waiting, slots)
