--- a/sardinewharf/gateway/tests/test_connection_records.py
+++ b/sardinewharf/gateway/tests/test_connection_records.py
@@ -6,15 +6,6 @@
 
 from sardinewharf import records
 from sardinewharf.gateway.tests import callers
-from sardinewharf.testbed import gateway_harness
-
-
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
 
 
 @pytest_asyncio.fixture
--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -4,7 +4,6 @@
 import time
 
 import pytest
-import pytest_asyncio
 
 from sardinewharf import clocks
 from sardinewharf.gateway import forwarding
@@ -17,14 +16,6 @@
 _LONG_PAUSE_S = 2.2
 
 
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
-
-
 async def leave_servers(harness, count):
     for server in harness.servers[count:]:
         await harness.store.remove(f"servers/{server.id}")
--- a/sardinewharf/gateway/tests/test_faulty_endpoints.py
+++ b/sardinewharf/gateway/tests/test_faulty_endpoints.py
@@ -4,19 +4,10 @@
 import time
 
 import pytest
-import pytest_asyncio
 
 from sardinewharf.testbed import gateway_harness
 
 
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
-
-
 def inject_faults(servers, **faults):
     for server in servers:
         for name, value in faults.items():
--- a/sardinewharf/gateway/tests/test_forwarding.py
+++ b/sardinewharf/gateway/tests/test_forwarding.py
@@ -4,15 +4,6 @@
 import pytest_asyncio
 
 from sardinewharf.gateway.tests import callers
-from sardinewharf.testbed import gateway_harness
-
-
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
 
 
 @pytest_asyncio.fixture
--- a/sardinewharf/gateway/tests/test_serving.py
+++ b/sardinewharf/gateway/tests/test_serving.py
@@ -2,20 +2,10 @@
 
 import asyncio
 
-import pytest_asyncio
-
 from sardinewharf import ids
 from sardinewharf.testbed import gateway_harness
 
 
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
-
-
 async def test_each_kind_of_request_is_answered_whole(harness):
     book = await harness.send_request("/book/1?a=b", body=b"pallet")
     look = await harness.send_request("/look/1", method="GET")
--- a/sardinewharf/gateway/tests/test_shutdown.py
+++ b/sardinewharf/gateway/tests/test_shutdown.py
@@ -3,23 +3,13 @@
 import asyncio
 
 import pytest
-import pytest_asyncio
 
 from sardinewharf.gateway.tests import callers
-from sardinewharf.testbed import gateway_harness
 
 # When a stopped gateway closes idle connections, in seconds.
 _CLOSES_IDLE_S = 2.4
 
 
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
-
-
 async def test_a_stop_finishes_what_runs_and_turns_callers_away(harness):
     for engine in harness.engines:
         engine.event_interval_s = 0.7
--- a/sardinewharf/gateway/tests/test_silence.py
+++ b/sardinewharf/gateway/tests/test_silence.py
@@ -4,7 +4,6 @@
 import time
 
 import pytest
-import pytest_asyncio
 
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.testbed import gateway_harness
@@ -51,14 +50,6 @@
         self.held.clear()
 
 
-@pytest_asyncio.fixture
-async def harness():
-    found = gateway_harness.GatewayHarness()
-    await found.start()
-    yield found
-    await found.close()
-
-
 async def leave_one_engine(harness):
     for engine in harness.engines[1:]:
         await harness.store.remove(f"servers/{engine.id}")
