Let logs tell a true refusal from one that may have run

request_answered and attempt_failed have states_not_run. The outcomes mismatched and unconfirmed are told from lost, in the log and in sardinewharf_failed_attempts_total. explain says of each refused attempt what it proves, and of each 408, 421, 429 and 503 whether it was true: sent to nobody, refused by each endpoint, or sent more often than refused.

--- a/sardinewharf/cli/program.py
+++ b/sardinewharf/cli/program.py
@@ -14,6 +14,7 @@
 from sardinewharf import configuration
 from sardinewharf.cli import client
 from sardinewharf.records import histories
+from sardinewharf.records import lines as lines_lib
 
 _COLOURS = {"+": "info", "-": "error", "~": "comment"}
 
@@ -243,7 +244,7 @@
 
     def handle(self) -> int:
         """Prints the log lines of the request and the cause of its end."""
-        lines: list[histories.Line] = []
+        lines: list[lines_lib.Line] = []
         for name in self.argument("files"):
             try:
                 with pathlib.Path(name).open(
--- a/sardinewharf/gateway/attempt_log.py
+++ b/sardinewharf/gateway/attempt_log.py
@@ -1,5 +1,7 @@
 """Logs and counts the attempts at requests and their failures."""
 
+import enum
+
 from sardinewharf import clocks
 from sardinewharf import ids
 from sardinewharf import records
@@ -10,6 +12,27 @@
 from sardinewharf.gateway import tables
 
 
+class AttemptOutcome(enum.Enum):
+    """How an attempt failed.
+
+    Attributes:
+        UNREACHED: No connection could be made; nothing was sent.
+        NOT_RUN: The endpoint stated that it did not run the request.
+        STALLED: The endpoint is silent; others are tried, and it may go on.
+        LOST: No valid response arrived; the request may have run.
+        MISMATCHED: The response is to another request; this one may have run.
+        UNCONFIRMED: The status promises that nothing ran, but the endpoint did
+            not state that; the request may have run.
+    """
+
+    UNREACHED = "unreached"
+    NOT_RUN = "not_run"
+    STALLED = "stalled"
+    LOST = "lost"
+    MISMATCHED = "mismatched"
+    UNCONFIRMED = "unconfirmed"
+
+
 class AttemptLog:
     """Logs and counts attempts.
 
@@ -67,10 +90,13 @@
         self, call: requests.Call, endpoint_id: ids.EndpointId
     ) -> None:
         """Logs that no connection to an endpoint could be made."""
-        self._write_failure(call, endpoint_id, "unreached")
+        self._write_failure(call, endpoint_id, AttemptOutcome.UNREACHED)
 
     def record_failure(
-        self, call: requests.Call, attempt: requests.Attempt, outcome: str
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        outcome: AttemptOutcome,
     ) -> None:
         """Logs that an endpoint gave no response that may be forwarded."""
         self._write_failure(
@@ -85,18 +111,18 @@
         self,
         call: requests.Call,
         endpoint_id: ids.EndpointId,
-        outcome: str,
+        outcome: AttemptOutcome,
         head: messages.ResponseHead | None = None,
         is_reused: bool = False,
     ) -> None:
         now = clocks.read_monotonic()
-        self._metrics.count_failure(call.service, outcome)
+        self._metrics.count_failure(call.service, outcome.value)
         self._log.write(
             records.events.AttemptFailed(
                 request=call.request.headers.request_id,
                 attempt=call.sends,
                 endpoint=endpoint_id,
-                outcome=outcome,
+                outcome=outcome.value,
                 detail=call.last_failure_detail,
                 waited_ms=int((now - call.request.arrived) * 1000),
                 budget_left=round(
@@ -105,5 +131,6 @@
                 status=head.status if head is not None else 0,
                 answered=head.request_id if head is not None else "",
                 is_reused=is_reused,
+                states_not_run=head is not None and head.is_not_run,
             )
         )
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -15,6 +15,8 @@
 # response carries the endpoint's stamp.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+_Outcome = attempt_log.AttemptOutcome
+
 
 class Outcomes:
     """Classifies responses of endpoints and records how attempts ended.
@@ -50,7 +52,12 @@
         request_id = call.request.headers.request_id
         if not attempt.is_answered_by(head, request_id):
             attempt.discard_connection()
-            self.record_loss(call, attempt, "the answer is to another request")
+            self.record_loss(
+                call,
+                attempt,
+                "the answer is to another request",
+                _Outcome.MISMATCHED,
+            )
             return False
         self._record_weights(call, attempt)
         if head.is_not_run:
@@ -75,7 +82,10 @@
         head = attempt.head
         if not head.is_stamped and head.status in _NOT_RUN_STATUSES:
             self.record_loss(
-                call, attempt, f"status {head.status} without stamp"
+                call,
+                attempt,
+                f"status {head.status} without stamp",
+                _Outcome.UNCONFIRMED,
             )
             return False
         if head.status < 500 or not call.may_run_again:
@@ -95,7 +105,7 @@
         status = attempt.head.status
         call.last_failure_detail = f"{endpoint.id}: not run, status {status}"
         call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, "not_run")
+        self._log.record_failure(call, attempt, _Outcome.NOT_RUN)
         backoff_s = (
             _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
         )
@@ -115,13 +125,17 @@
             )
 
     def record_loss(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        detail: str,
+        outcome: attempt_log.AttemptOutcome = _Outcome.LOST,
     ) -> None:
         """Records that an attempt failed after the request was sent."""
         endpoint = attempt.target.endpoint
         call.last_failure_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, "lost")
+        self._log.record_failure(call, attempt, outcome)
         now = clocks.read_monotonic()
         self._health.record_failure(endpoint.incarnation, now)
         if attempt.exchange.was_lost:
@@ -138,7 +152,7 @@
         call.excluded.add(endpoint.id)
         attempt.has_stalled = True
         attempt.abandon_prefill()
-        self._log.record_failure(call, attempt, "stalled")
+        self._log.record_failure(call, attempt, _Outcome.STALLED)
 
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -130,6 +130,7 @@
                 first_ms=int(first_byte_s * 1000),
                 total_ms=int((now - arrived) * 1000),
                 bytes=call.sent_bytes,
+                states_not_run=head.is_not_run,
             )
         )
 
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -274,10 +274,12 @@
 class AttemptFailed(Record, tag="attempt_failed"):
     """An endpoint gave no response that may be forwarded.
 
+    ``outcome`` is a value of ``gateway.attempt_log.AttemptOutcome``.
     ``budget_left`` is what remains of the service's retry budget. ``status``
     and ``answered`` are the status and the request id of the response, 0 and
-    empty if none arrived; ``is_reused`` states whether its connection had
-    carried another request before.
+    empty if none arrived; ``states_not_run`` states whether the endpoint wrote
+    that it had not run the request; ``is_reused`` states whether its connection
+    had carried another request before.
     """
 
     request: str
@@ -290,13 +292,15 @@
     status: int = 0
     answered: str = ""
     is_reused: bool = False
+    states_not_run: bool = False
 
 
 class RequestAnswered(Record, tag="request_answered"):
     """An endpoint's response was forwarded completely.
 
     ``first_ms`` and ``total_ms`` are the times to the first byte and to the
-    last byte.
+    last byte. ``states_not_run`` states whether the endpoint wrote that it had
+    not run the request; callers take statuses 408, 421, 429 and 503 to say so.
     """
 
     request: str
@@ -306,6 +310,7 @@
     first_ms: int
     total_ms: int
     bytes: int
+    states_not_run: bool = False
 
 
 class ResponseAborted(Record, tag="answer_cut"):
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -15,6 +15,9 @@
 import dataclasses
 import json
 
+from sardinewharf.records import lines as lines_lib
+from sardinewharf.records import promises
+
 # Lines of the VM and the endpoints that are at most this far from a request's
 # own lines may explain how it ended.
 _CONTEXT_WINDOW_S = 5.0
@@ -51,27 +54,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Line:
-    """A log line.
-
-    Attributes:
-        time: Seconds since the epoch, on the clock of its VM.
-        vm: Name of the VM.
-        event: Kind of the event, the tag of its record.
-        fields: All other fields.
-    """
-
-    time: float
-    vm: str
-    event: str
-    fields: dict[str, object]
-
-    def get(self, name: str) -> object:
-        """Returns a field, or an empty string if the line lacks it."""
-        return self.fields.get(name, "")
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class History:
     """The log lines that concern one request.
@@ -86,12 +68,12 @@
     """
 
     request: str
-    lines: tuple[Line, ...]
-    context: tuple[Line, ...]
+    lines: tuple[lines_lib.Line, ...]
+    context: tuple[lines_lib.Line, ...]
     lost_lines: int
 
 
-def parse_lines(texts: Iterable[str]) -> Iterator[Line]:
+def parse_lines(texts: Iterable[str]) -> Iterator[lines_lib.Line]:
     """Parses the lines of text that are log lines, and skips all others.
 
     Text before the first brace of a line is ignored, since log collectors add
@@ -103,7 +85,7 @@
             continue
         try:
             fields = json.loads(text[start:])
-            yield Line(
+            yield lines_lib.Line(
                 float(fields.pop("time")),
                 str(fields.pop("vm")),
                 str(fields.pop("event")),
@@ -114,7 +96,7 @@
             continue
 
 
-def find_history(request: str, lines: Iterable[Line]) -> History:
+def find_history(request: str, lines: Iterable[lines_lib.Line]) -> History:
     """Returns the lines that concern a request.
 
     Args:
@@ -149,7 +131,9 @@
     return History(request, tuple(own), tuple(context), lost)
 
 
-def _find_outage(ordered: Iterable[Line], end: Line) -> Line | None:
+def _find_outage(
+    ordered: Iterable[lines_lib.Line], end: lines_lib.Line
+) -> lines_lib.Line | None:
     """Returns how a VM lost the store, if it was lost at a request's end."""
     outage = None
     for line in ordered:
@@ -186,18 +170,20 @@
         return (
             f"The caller disconnected after {end.get('waited_ms')} ms while"
             f" {end.get('endpoint') or end.vm} was handling it."
-            + _describe_failures(history)
+            + promises.describe_attempts(history.lines)
             + _describe_wait(history)
         )
     if int(end.get("status") or 0) >= 400:
         return (
             f"{end.get('endpoint')} responded with {end.get('status')}, which"
-            f" {end.vm} forwarded." + _describe_failures(history)
+            f" {end.vm} forwarded."
+            + promises.judge_answer(end)
+            + promises.describe_attempts(history.lines)
         )
     return (
         f"{end.get('endpoint')} responded to it: first byte after"
         f" {end.get('first_ms')} ms, complete after {end.get('total_ms')} ms."
-        + _describe_failures(history)
+        + promises.describe_attempts(history.lines)
         + _describe_wait(history)
     )
 
@@ -223,14 +209,19 @@
     return f"The log of {last.vm} ends before the request does."
 
 
-def _explain_refusal(history: History, end: Line) -> str:
+def _explain_refusal(history: History, end: lines_lib.Line) -> str:
     text = f"{end.vm} refused it ({end.get('reason')}): {end.get('detail')}."
     if end.get("reason") == "not_current":
         return text + _describe_lost_contact(history, end)
-    return text + _describe_failures(history) + _describe_context(history, end)
+    return (
+        text
+        + promises.judge_refusal(history.lines, end)
+        + promises.describe_attempts(history.lines)
+        + _describe_context(history, end)
+    )
 
 
-def _describe_lost_contact(history: History, end: Line) -> str:
+def _describe_lost_contact(history: History, end: lines_lib.Line) -> str:
     """Describes why the VM's replica of the store was not current."""
     outage = _find_outage(history.context, end)
     if outage is not None:
@@ -248,21 +239,12 @@
     return _describe_context(history, end)
 
 
-def _format_offset(line: Line, end: Line) -> str:
+def _format_offset(line: lines_lib.Line, end: lines_lib.Line) -> str:
     """Returns how long before or after a request's end a line was written."""
     seconds = end.time - line.time
     return f"{abs(seconds):.1f} s {'before' if seconds >= 0 else 'after'}"
 
 
-def _describe_failures(history: History) -> str:
-    failed = [line for line in history.lines if line.event == "attempt_failed"]
-    return "".join(
-        f" Attempt {line.get('attempt')} was {line.get('outcome')}"
-        f" ({line.get('detail')})."
-        for line in failed
-    )
-
-
 def _describe_wait(history: History) -> str:
     """Describes the load of the endpoint that the request was last sent to."""
     chosen = [line for line in history.lines if line.event == "endpoint_chosen"]
@@ -275,7 +257,7 @@
     )
 
 
-def _describe_context(history: History, end: Line) -> str:
+def _describe_context(history: History, end: lines_lib.Line) -> str:
     """Describes the last event around the end that may explain it."""
     before = [
         line
@@ -294,7 +276,7 @@
     )
 
 
-def format_line(line: Line) -> str:
+def format_line(line: lines_lib.Line) -> str:
     """Returns a line as human-readable text."""
     fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
     return f"{line.time:.3f} {line.vm} {line.event} {fields}"
