Answer 502 to a status of a run that would promise that nothing ran

An endpoint that runs a booking and fails answers 408, 429 or 503 with its stamp and the request's id. The gateway passed the status on; callers read in it that nothing ran, and book again (REFUSED). Safe requests and resumable streams got it too, also where another endpoint was left to try.

Outcomes._classify_failure took the stamp for a proof. None of these statuses is forwarded any more: the attempt counts as run, an unsafe request ends with 502 (504 at the deadline), and one that may be repeated goes elsewhere within max_attempts and the retry budget, and ends with 502 too. A 429 or 408 may concern the caller alone and does not count against the endpoint's health; a 503 does.

--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -11,9 +11,10 @@
 _REFUSAL_BACKOFF_S = 0.15
 # The same after status 421, Misdirected Request.
 _MISDIRECTED_BACKOFF_S = 1.0
-# Statuses that state that a request has not run; they count only if the
-# response carries the endpoint's stamp.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses by which callers are promised that their request has not run and
+# never will. They are not forwarded: an endpoint that did not run a request
+# states that in a header.
+_PROMISES = frozenset({408, 421, 429, 503})
 
 _Outcome = attempt_log.AttemptOutcome
 
@@ -76,17 +77,13 @@
     ) -> bool:
         """Returns whether an error response is to be forwarded.
 
-        An error 5xx of a request that may be repeated is forwarded only if the
-        retry budget is used up.
+        A status that promises that nothing ran is not, since the endpoint did
+        not state that. An error 5xx of a request that may be repeated is
+        forwarded only if the retry budget is used up.
         """
         head = attempt.head
-        if not head.is_stamped and head.status in _NOT_RUN_STATUSES:
-            self.record_loss(
-                call,
-                attempt,
-                f"status {head.status} without stamp",
-                _Outcome.UNCONFIRMED,
-            )
+        if head.status in _PROMISES:
+            self._record_unconfirmed(call, attempt)
             return False
         if head.status < 500 or not call.may_run_again:
             return True
@@ -103,9 +100,9 @@
         call.runs -= 1
         endpoint = attempt.target.endpoint
         status = attempt.head.status
-        call.last_failure_detail = f"{endpoint.id}: not run, status {status}"
-        call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, _Outcome.NOT_RUN)
+        self._record_failure(
+            call, attempt, f"not run, status {status}", _Outcome.NOT_RUN
+        )
         backoff_s = (
             _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
         )
@@ -113,6 +110,25 @@
             endpoint.incarnation, clocks.read_monotonic() + backoff_s
         )
 
+    def _record_unconfirmed(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> None:
+        """Records a status that may be that of a run, though it denies it.
+
+        Other than 5xx, it need not be a fault of the endpoint.
+        """
+        status = attempt.head.status
+        self._record_failure(
+            call,
+            attempt,
+            f"status {status} without the statement that it was not run",
+            _Outcome.UNCONFIRMED,
+        )
+        if status >= 500:
+            self._health.record_failure(
+                attempt.target.endpoint.incarnation, clocks.read_monotonic()
+            )
+
     def _record_weights(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> None:
@@ -132,10 +148,8 @@
         outcome: attempt_log.AttemptOutcome = _Outcome.LOST,
     ) -> None:
         """Records that an attempt failed after the request was sent."""
+        self._record_failure(call, attempt, detail, outcome)
         endpoint = attempt.target.endpoint
-        call.last_failure_detail = f"{endpoint.id}: {detail}"
-        call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, outcome)
         now = clocks.read_monotonic()
         self._health.record_failure(endpoint.incarnation, now)
         if attempt.exchange.was_lost:
@@ -143,16 +157,26 @@
                 call.request.fingerprint, endpoint.incarnation, now
             )
 
-    def record_stall(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    def _record_failure(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        detail: str,
+        outcome: attempt_log.AttemptOutcome,
     ) -> None:
-        """Records that other endpoints are tried, as one may have stopped."""
+        """Logs a failed attempt, and excludes its endpoint."""
         endpoint = attempt.target.endpoint
         call.last_failure_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
+        self._log.record_failure(call, attempt, outcome)
+
+    def record_stall(
+        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    ) -> None:
+        """Records that other endpoints are tried, as one may have stopped."""
         attempt.has_stalled = True
         attempt.abandon_prefill()
-        self._log.record_failure(call, attempt, _Outcome.STALLED)
+        self._record_failure(call, attempt, detail, _Outcome.STALLED)
 
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
