Believe "not run" only where nothing else can be true

An endpoint ran a booking, answered 200 and stated in the same response that it had not run it: the gateway sent the booking to two more servers (TWICE) and answered 503 in the end (REFUSED). The same with 204, 302, 500, 502 and 504, with a refusal behind 103 (Early Hints), and with one that names no request on a new connection, which a server may write to greet each connection.

Outcomes.classify read the statement alone. It now has to come with a status that refuses (4xx or 503), name the request, and not follow an interim response other than 100.

--- a/sardinewharf/gateway/attempt_log.py
+++ b/sardinewharf/gateway/attempt_log.py
@@ -23,6 +23,8 @@
         MISMATCHED: The response is to another request; this one may have run.
         UNCONFIRMED: The status promises that nothing ran, but the endpoint did
             not state that; the request may have run.
+        CONTRADICTORY: The endpoint stated that it did not run the request, but
+            the response also shows that it may have.
     """
 
     UNREACHED = "unreached"
@@ -31,6 +33,7 @@
     LOST = "lost"
     MISMATCHED = "mismatched"
     UNCONFIRMED = "unconfirmed"
+    CONTRADICTORY = "contradictory"
 
 
 class AttemptLog:
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -2,6 +2,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import fleet
+from sardinewharf import ids
 from sardinewharf import limits
 from sardinewharf.gateway import attempt_log
 from sardinewharf.gateway import requests
@@ -62,7 +63,15 @@
             return False
         self._record_weights(call, attempt)
         if head.is_not_run:
-            self._record_not_run(call, attempt)
+            if _proves_not_run(attempt, request_id):
+                self._record_not_run(call, attempt)
+            else:
+                self.record_loss(
+                    call,
+                    attempt,
+                    f"status {head.status} and not run, without proof",
+                    _Outcome.CONTRADICTORY,
+                )
             return False
         if head.is_success:
             names_request = head.request_id == request_id
@@ -181,3 +190,17 @@
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
         self._health.record_success(attempt.target.endpoint.incarnation)
+
+
+def _proves_not_run(
+    attempt: requests.Attempt, request_id: ids.RequestId
+) -> bool:
+    """Returns whether the statement that a request was not run can be believed.
+
+    It has to name the request, its status must be one that refuses, and no
+    interim response may show that the endpoint had begun.
+    """
+    head = attempt.head
+    is_refusal = 400 <= head.status < 500 or head.status == 503
+    names_request = head.request_id == request_id
+    return is_refusal and names_request and not attempt.exchange.has_begun
--- a/sardinewharf/gateway/tests/test_promises.py
+++ b/sardinewharf/gateway/tests/test_promises.py
@@ -62,3 +62,76 @@
     assert len(harness.list_executed()) == 60
     response = await harness.send_request("/book/1", body=b"x")
     assert response.status == 200
+
+
+@pytest.mark.parametrize("status", [200, 204, 302, 500, 502, 504])
+async def test_a_status_that_is_no_refusal_is_not_believed(harness, status):
+    """A booking ran at all servers, as each one's 200 also denied the run.
+
+    The gateway read the statement alone, and callers were told 503 at the end.
+    """
+    scripts.play(harness.servers, scripts.Answer(status, states_not_run=True))
+    response = await harness.send_request("/book/1", body=b"x")
+    assert response.status == 502
+    assert "x-sardinewharf-not-run" not in response.headers
+    assert len(harness.list_executed()) == 1
+
+
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+async def test_a_refusal_behind_the_begin_of_work_is_not_believed(
+    harness, status
+):
+    """Early hints showed that a booking had begun, and it was sent again."""
+    answer = scripts.Answer(
+        status,
+        states_not_run=True,
+        interim=b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
+    )
+    scripts.play(harness.servers, answer)
+    response = await harness.send_request("/book/1", body=b"x")
+    assert response.status == 502
+    assert len(harness.list_executed()) == 1
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_a_refusal_that_names_no_request_is_not_believed(harness, status):
+    """On a new connection it was, though it may greet each connection.
+
+    A 408 without an id may mean that the connection was idle for too long.
+    """
+    answer = scripts.Answer(status, request_id=None, states_not_run=True)
+    scripts.play(harness.servers, answer)
+    response = await harness.send_request("/book/1", body=b"x")
+    assert response.status == 502
+    assert len(harness.list_executed()) == 1
+
+
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+async def test_a_refusal_that_names_the_request_is_believed(harness, status):
+    """Guards against 502 for what each endpoint refused before it ran."""
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    answer = scripts.Answer(status, states_not_run=True, interim=interim)
+    scripts.play(harness.servers, answer)
+    response = await harness.send_request("/book/1", body=b"x")
+    assert response.status == 503
+    assert float(response.headers["retry-after"]) > 0
+
+
+async def test_a_statement_in_a_trailer_is_not_believed(harness):
+    """Guards against trailers that are read as headers of a refusal."""
+    headers = [("trailer", "x-sardinewharf-not-run")]
+    for server in harness.servers:
+        server.respond = _respond_with_trailer(server, headers)
+    response = await harness.send_request("/book/1", body=b"x")
+    assert (response.status, response.body) == (200, b"an answer")
+    assert len(harness.list_executed()) == 1
+
+
+def _respond_with_trailer(server, headers):
+    async def respond(connection, request):
+        made = server.make_headers(request) + headers
+        connection.write_head(200, made, None, is_chunked=True)
+        connection.write_chunk(b"an answer")
+        connection.write(b"0\r\nx-sardinewharf-not-run: 1\r\n\r\n")
+
+    return respond
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -34,6 +34,8 @@
 # Range of statuses (RFC 9110, section 15).
 _MIN_STATUS = 100
 _MAX_STATUS = 599
+# The endpoint waits for the body of a request (RFC 9110, section 15.2.1).
+_CONTINUE = 100
 # Most bytes that may arrive without completing the head or adding to the body.
 _MAX_OVERHEAD_BYTES = 65_536
 
@@ -77,6 +79,8 @@
             bytes of an earlier response can be taken for this one's.
         is_complete: Whether the complete response has arrived.
         was_lost: Whether the connection ended before the response did.
+        has_begun: Whether an interim response other than 100 (Continue) shows
+            that the endpoint began to work on the request.
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         self.is_first = is_first
         self.is_complete = False
         self.was_lost = False
+        self.has_begun = False
 
     async def read_head(self) -> Head:
         """Waits for the status and headers of the response and returns them.
@@ -306,6 +311,7 @@
             raise ResponseLostError(f"status {status} is outside 100 to 599")
         if 100 <= status < 200:
             self._headers = []
+            self._exchange.has_begun |= status != _CONTINUE
             return
         head = Head(status, self._headers)
         if not self._parser.should_keep_alive():
