Send a request to an endpoint again only on a new connection

Endpoints that refuse a safe request while another one is stalled may be tried once more when that one is given up (Dispatcher.fail_over puts them back). The request went out on the connection that had carried it before, where a copy of the earlier refusal bears the right id: it was believed, the run was taken back, and the request could be sent on beyond max_attempts.

Such a request now gets a connection of its own. The count of runs is raised before the first byte is written, not behind it.

Only requests that may be repeated are sent to one endpoint twice.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -236,7 +236,10 @@
         self._dependencies.health.record_trial(endpoint.incarnation, now)
         deadline = clocks.Deadline(now + _CONNECT_S).earlier(call.deadline)
         try:
-            return pool, await pool.acquire(deadline)
+            # On a connection that carried the request before, an earlier
+            # response to it could be taken for a later one.
+            must_be_new = endpoint.id in call.reached
+            return pool, await pool.acquire(deadline, must_be_new)
         except http1.PoolFullError:
             raise
         except http1.ConnectError:
@@ -272,12 +275,12 @@
         running_request = self._dependencies.loads.begin(
             target.endpoint.id, target.prefill_tokens, target.held_tokens
         )
-        exchange = connection.start(
-            call.request.method, self._encode(call, target)
-        )
+        data = self._encode(call, target)
         call.sends += 1
         call.runs += 1
         call.endpoint = target.endpoint.id
+        call.reached.add(target.endpoint.id)
+        exchange = connection.start(call.request.method, data)
         self._log.record_choice(call, target)
         prefill_handle = self._dependencies.prompts.begin(
             target.endpoint.incarnation,
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -47,6 +47,7 @@
         sends: How many attempts were sent to endpoints.
         runs: How many of these attempts may have run it.
         excluded: Endpoints that are not tried again.
+        reached: Endpoints that it was sent to.
         resume_after: Id of the last event that its caller has received, for
             resuming a stream; None to start it from the beginning.
         last_failure_detail: Why the last attempt failed; empty before.
@@ -66,6 +67,7 @@
     sends: int = 0
     runs: int = 0
     excluded: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+    reached: set[ids.EndpointId] = dataclasses.field(default_factory=set)
     resume_after: int | None = None
     last_failure_detail: str = ""
     endpoint: str = ""
--- a/sardinewharf/gateway/tests/test_promises.py
+++ b/sardinewharf/gateway/tests/test_promises.py
@@ -4,6 +4,8 @@
 never will; 502 and 504 promise nothing.
 """
 
+import asyncio
+
 import pytest
 
 from sardinewharf.gateway.tests import scripts
@@ -135,3 +137,28 @@
         connection.write(b"0\r\nx-sardinewharf-not-run: 1\r\n\r\n")
 
     return respond
+
+
+async def test_no_connection_carries_a_request_twice(harness):
+    """An earlier refusal, written once more, has the right id there.
+
+    Endpoints that refused while another was stalled are tried again later.
+    """
+    carried = []
+
+    async def refuse(connection, request):
+        carried.append((connection, request.request_id))
+        is_stalled = len(carried) == 1
+        answer = scripts.Answer(503, states_not_run=True)
+        await asyncio.sleep(1.2 if is_stalled else 0.0)
+        headers = answer.make_headers(harness.servers[0], request)
+        connection.reply(answer.status, headers)
+
+    for server in harness.servers:
+        server.respond = refuse
+    response = await harness.send_request(
+        "/look/1", body=b"x", x_sardinewharf_deadline_ms="2000"
+    )
+    assert response.status == 503
+    assert len(carried) > len(harness.servers)
+    assert len(set(carried)) == len(carried)
