Let the daemon send a call once, and believe refusals that are its own

A call that may run once was sent ten times if its application server answered 307 or 308 to itself, since the HTTP client followed the redirect; after 301, 302 or 303 nine reads followed it. If nothing listened where a redirect led, the call counted as never sent: its caller was told "not run", the claim was released, and another server got the call. Redirects are not followed any more, and a failed connection counts as not sent only if no byte of the request had left before (clients.SendTrace).

A refusal without an id was believed on a connection that had carried another attempt or call, where it may be that one's, written once more. It is believed on a connection's first request only; the stand-ins name what they refuse.

--- a/sardinewharf/clients.py
+++ b/sardinewharf/clients.py
@@ -1,8 +1,27 @@
 """Creates HTTP clients that connect from the daemon's own address."""
 
+import dataclasses
+
 import aiohttp
 
 
+@dataclasses.dataclass(slots=True)
+class SendTrace:
+    """What is known of how a request was sent.
+
+    It is passed to the session with the request, as ``trace_request_ctx``.
+
+    Attributes:
+        was_sent: Whether a byte of the request may have left, in any of the
+            attempts that the session makes of its own.
+        is_reused: Whether the last connection had carried another request, so
+            that a response may be that request's.
+    """
+
+    was_sent: bool = False
+    is_reused: bool = False
+
+
 def make_session(
     source_address: str = "", reuse: bool = True, **options
 ) -> aiohttp.ClientSession:
@@ -18,5 +37,32 @@
         limit=0, force_close=not reuse, local_addr=source
     )
     return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, **options
+        connector=connector,
+        auto_decompress=False,
+        trace_configs=[_make_trace_config()],
+        **options,
     )
+
+
+def _make_trace_config() -> aiohttp.TraceConfig:
+    """Returns what fills the ``SendTrace`` of each request that has one."""
+    config = aiohttp.TraceConfig()
+    config.on_request_headers_sent.append(_record_sent)
+    config.on_connection_reuseconn.append(_record_reused)
+    config.on_connection_create_end.append(_record_created)
+    return config
+
+
+async def _record_sent(session, context, params) -> None:
+    if isinstance(context.trace_request_ctx, SendTrace):
+        context.trace_request_ctx.was_sent = True
+
+
+async def _record_reused(session, context, params) -> None:
+    if isinstance(context.trace_request_ctx, SendTrace):
+        context.trace_request_ctx.is_reused = True
+
+
+async def _record_created(session, context, params) -> None:
+    if isinstance(context.trace_request_ctx, SendTrace):
+        context.trace_request_ctx.is_reused = False
--- a/sardinewharf/endpoints/applications.py
+++ b/sardinewharf/endpoints/applications.py
@@ -100,13 +100,20 @@
             sock_connect=_CONNECT_TIMEOUT_S,
         )
         url = f"http://{address}/calls/{call.name}"
+        trace = clients.SendTrace()
         try:
+            # A redirect would send the call once more.
             async with self._get_session(call.is_repeatable).post(
-                url, data=call.body, headers=headers, timeout=timeout
+                url,
+                data=call.body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
-                return await _read_response(response, call)
+                return await _read_response(response, call, trace)
         except failures.CLIENT_ERRORS as error:
-            raise failures.convert_client_error(error) from error
+            raise failures.convert_client_error(error, trace) from error
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -132,10 +139,14 @@
 
 
 async def _read_response(
-    response: aiohttp.ClientResponse, call: ApplicationCall
+    response: aiohttp.ClientResponse,
+    call: ApplicationCall,
+    trace: clients.SendTrace,
 ) -> ApplicationResponse:
     """Returns the complete response, once it is known to belong to the call.
 
+    A refusal need not name the call on a connection that carried no other.
+
     Raises:
         EndpointError: If the server refused the call, or the response belongs
             to another call or is too large.
@@ -144,8 +155,10 @@
     is_refusal = response.status == 503 and (
         response.headers.get("Not-Run") == "1"
     )
-    # A refusal need not name the request.
-    if is_refusal and answered in (None, call.request):
+    is_own = answered == call.request or (
+        answered is None and not trace.is_reused
+    )
+    if is_refusal and is_own:
         raise failures.EndpointError(
             failures.FailureKind.NOT_RUN, "refused by the server"
         )
--- a/sardinewharf/endpoints/engine_http.py
+++ b/sardinewharf/endpoints/engine_http.py
@@ -116,16 +116,19 @@
             "X-Attempt-Id": request.attempt,
             "Content-Type": "application/json",
         }
+        trace = clients.SendTrace()
         try:
             response = await self._session.post(
                 f"http://{self._address}{request.path}",
                 data=request.encode(),
                 headers=headers,
                 timeout=_make_timeout(self._deadline, self._deadline),
+                allow_redirects=False,
+                trace_request_ctx=trace,
             )
         except failures.CLIENT_ERRORS as error:
-            raise failures.convert_client_error(error) from error
-        _check_response(response, request.attempt)
+            raise failures.convert_client_error(error, trace) from error
+        _check_response(response, request.attempt, trace)
         return response
 
     async def fetch_again(self) -> aiohttp.ClientResponse:
@@ -195,9 +198,14 @@
         timeout = _make_timeout(deadline, deadline)
         url = f"http://{address}/v1/orders"
         body = msgspec.json.encode(order)
+        trace = clients.SendTrace()
         try:
             async with self._get_call_session().post(
-                url, data=body, timeout=timeout
+                url,
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
                 if response.status == 409:
                     raise failures.EndpointError(
@@ -206,7 +214,7 @@
                 response.raise_for_status()
                 response_body = await response.read()
         except failures.CLIENT_ERRORS as error:
-            raise failures.convert_client_error(error) from error
+            raise failures.convert_client_error(error, trace) from error
         return await self._decode(self._report_decoder, response_body)
 
     async def close(self) -> None:
@@ -217,14 +225,15 @@
 
     async def _get(self, url: str, deadline: clocks.Deadline) -> bytes:
         timeout = _make_timeout(deadline, deadline)
+        trace = clients.SendTrace()
         try:
             async with self._get_call_session().get(
-                url, timeout=timeout
+                url, timeout=timeout, trace_request_ctx=trace
             ) as response:
                 response.raise_for_status()
                 return await response.read()
         except failures.CLIENT_ERRORS as error:
-            raise failures.convert_client_error(error) from error
+            raise failures.convert_client_error(error, trace) from error
 
     async def _decode(self, decoder: msgspec.json.Decoder, body: bytes):
         try:
@@ -268,10 +277,13 @@
     timeout: aiohttp.ClientTimeout,
 ) -> aiohttp.ClientResponse:
     """Fetches a stream that has begun, over another connection."""
+    trace = clients.SendTrace()
     try:
-        response = await session.get(url, timeout=timeout)
+        response = await session.get(
+            url, timeout=timeout, trace_request_ctx=trace
+        )
     except failures.CLIENT_ERRORS as error:
-        raise failures.convert_client_error(error) from error
+        raise failures.convert_client_error(error, trace) from error
     response_attempt = response.headers.get("X-Attempt-Id")
     if response.status != 200 or response_attempt != attempt:
         response.close()
@@ -292,20 +304,26 @@
 
 
 def _check_response(
-    response: aiohttp.ClientResponse, attempt: ids.AttemptId
+    response: aiohttp.ClientResponse,
+    attempt: ids.AttemptId,
+    trace: clients.SendTrace,
 ) -> None:
     """Raises an error unless the response begins the stream of an attempt.
 
-    A refusal need not name the attempt, but one that names another is an
-    earlier attempt's.
+    A response that names another attempt is an earlier one's, and a refusal
+    that names none may be if its connection had carried another attempt.
     """
     answered = response.headers.get("X-Attempt-Id")
-    if answered is not None and answered != attempt:
+    is_refusal = response.status == 503 and (
+        response.headers.get("Not-Run") == "1"
+    )
+    is_doubtful = is_refusal and answered is None and trace.is_reused
+    if answered not in (None, attempt) or is_doubtful:
         response.close()
         raise failures.EndpointError(
             failures.FailureKind.MISMATCH, "answer to another attempt"
         )
-    if response.status == 503 and response.headers.get("Not-Run") == "1":
+    if is_refusal:
         response.release()
         raise failures.EndpointError(
             failures.FailureKind.NOT_RUN, "refused by the engine"
--- a/sardinewharf/endpoints/failures.py
+++ b/sardinewharf/endpoints/failures.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from sardinewharf import clients
+
 CLIENT_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
@@ -45,11 +47,19 @@
         return self.kind in (FailureKind.NOT_SENT, FailureKind.NOT_RUN)
 
 
-def convert_client_error(error: Exception) -> EndpointError:
-    """Converts an error of the HTTP client to an endpoint error."""
-    kind = FailureKind.LOST
-    if isinstance(
+def convert_client_error(
+    error: Exception, trace: clients.SendTrace
+) -> EndpointError:
+    """Converts an error of the HTTP client to an endpoint error.
+
+    Args:
+        error: The error.
+        trace: How the request was sent.
+    """
+    is_unconnected = isinstance(
         error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
-    ):
+    )
+    kind = FailureKind.LOST
+    if is_unconnected and not trace.was_sent:
         kind = FailureKind.NOT_SENT
     return EndpointError(kind, type(error).__name__)
--- a/sardinewharf/standins/application.py
+++ b/sardinewharf/standins/application.py
@@ -63,11 +63,12 @@
     async def _call(self, request: web.Request) -> web.Response:
         body = await request.read()
         faults = self.faults
-        if faults.refuse or self._is_leaving:
-            return web.Response(status=503, headers={"Not-Run": "1"})
-        await asyncio.sleep(faults.delay_before_ms / 1000)
         key = request.headers.get("Idempotency-Key", "")
         request_id = request.headers.get("X-Request-Id", "")
+        if faults.refuse or self._is_leaving:
+            headers = {"Not-Run": "1", "X-Request-Id": request_id}
+            return web.Response(status=503, headers=headers)
+        await asyncio.sleep(faults.delay_before_ms / 1000)
         self._runs_by_key[key] += 1
         self._runs_by_request[request_id] += 1
         self._running += 1
--- a/sardinewharf/standins/engine.py
+++ b/sardinewharf/standins/engine.py
@@ -168,7 +168,8 @@
             self._late_arrivals.append(time.monotonic() - self._leaving_since)
         if self.faults.refuse or self._is_leaving or weights is None:
             self._refused += 1
-            return web.Response(status=503, headers={"Not-Run": "1"})
+            headers = {"Not-Run": "1", "X-Attempt-Id": attempt}
+            return web.Response(status=503, headers=headers)
         prompt = msgspec.json.encode(body.get("messages", body.get("prompt")))
         if self._crash_marker and self._crash_marker in prompt:
             os._exit(1)
