Say "rejected" of a write to the key-value service only if it is true

An operator's plan was stored, and the daemon said not_committed: the service read the write and went down, the HTTP client repeated the PUT on its own, and nobody listened any more, or the service was busy (503), or found the daemon's own write (409). What the repetition met was taken for the end of the write. A 303 was followed by a read, whose 200 passed for the write's.

A write that was sent more than once, or once before no connection could be made, is WriteUnknown unless its response is 200; redirects are not followed.

--- a/sardinewharf/clients.py
+++ b/sardinewharf/clients.py
@@ -12,13 +12,13 @@
     It is passed to the session with the request, as ``trace_request_ctx``.
 
     Attributes:
-        was_sent: Whether a byte of the request may have left, in any of the
-            attempts that the session makes of its own.
+        sends: How often a byte of the request may have left. A session repeats
+            requests of idempotent methods, PUT too, whose connection was lost.
         is_reused: Whether the last connection had carried another request, so
             that a response may be that request's.
     """
 
-    was_sent: bool = False
+    sends: int = 0
     is_reused: bool = False
 
 
@@ -55,7 +55,7 @@
 
 async def _record_sent(session, context, params) -> None:
     if isinstance(context.trace_request_ctx, SendTrace):
-        context.trace_request_ctx.was_sent = True
+        context.trace_request_ctx.sends += 1
 
 
 async def _record_reused(session, context, params) -> None:
--- a/sardinewharf/endpoints/failures.py
+++ b/sardinewharf/endpoints/failures.py
@@ -60,6 +60,6 @@
         error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
     )
     kind = FailureKind.LOST
-    if is_unconnected and not trace.was_sent:
+    if is_unconnected and not trace.sends:
         kind = FailureKind.NOT_SENT
     return EndpointError(kind, type(error).__name__)
--- a/sardinewharf/keyvalue/http.py
+++ b/sardinewharf/keyvalue/http.py
@@ -69,10 +69,20 @@
         headers = {_IF_REVISION_HEADER: str(revision)}
         if lease is not None:
             headers[_LEASE_HEADER] = lease
+        trace = clients.SendTrace()
         try:
             async with self._request(
-                "PUT", f"/v1/keys/{key}", deadline, data=value, headers=headers
+                "PUT",
+                f"/v1/keys/{key}",
+                deadline,
+                data=value,
+                headers=headers,
+                allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
+                if response.status != 200 and trace.sends > 1:
+                    # What is said of the repetition says nothing of the first.
+                    return store.WriteUnknown(f"status {response.status}")
                 stored_revision = int(response.headers.get(_REVISION_HEADER, 0))
                 if response.status == 200:
                     return store.Written(stored_revision)
@@ -83,6 +93,8 @@
                 return store.WriteUnknown(f"status {response.status}")
         except _CONNECT_ERRORS as error:
             self._address_index += 1
+            if trace.sends:
+                return store.WriteUnknown(type(error).__name__)
             return store.Rejected(f"not connected: {error.os_error}")
         except _TRANSPORT_ERRORS as error:
             self._address_index += 1
