Test each way in which a refusal can be written beside a run

The fuzzed requests get 408, 429 and 503 of runs and repeated refusals: their servers knew only 500, so that the statuses of runs were not met.

--- a/sardinewharf/gateway/tests/test_promises.py
+++ b/sardinewharf/gateway/tests/test_promises.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sardinewharf.gateway.tests import scripts
+from sardinewharf.standins import platform_servers
 
 PROMISES = [408, 429, 503]
 
@@ -162,3 +163,100 @@
     assert response.status == 503
     assert len(carried) > len(harness.servers)
     assert len(set(carried)) == len(carried)
+
+
+@pytest.mark.parametrize("status", [421, 503])
+@pytest.mark.parametrize("place", list(platform_servers.RefusalPlace))
+@pytest.mark.parametrize("is_named", [True, False])
+async def test_an_earlier_refusal_on_a_connection_in_use_is_not_believed(
+    harness, status, place, is_named
+):
+    """Bookings ran and were refused, as servers wrote earlier refusals again.
+
+    They came instead of the response, before it, or behind a good one, at once
+    or once the connection was idle.
+    """
+    for server in harness.servers:
+        server.faults.stale_refusal = platform_servers.StaleRefusal(
+            status, place, is_named
+        )
+    statuses = set()
+    # The first request is truly refused by all servers, which are paused then.
+    await harness.send_request("/book/1", body=b"first")
+    await asyncio.sleep(0.2 if status == 503 else 1.1)
+    for number in range(12):
+        response = await harness.send_request("/book/1", body=b"%d" % number)
+        statuses.add(response.status)
+        bodies = [request.body for request in harness.list_executed()]
+        assert bodies.count(b"%d" % number) <= 1
+        if response.status in (408, 421, 429, 503):
+            assert b"%d" % number not in bodies
+        await asyncio.sleep(0.03)
+    is_late = place in (
+        platform_servers.RefusalPlace.BEHIND,
+        platform_servers.RefusalPlace.LATER,
+    )
+    assert (200 if is_late else 502) in statuses
+
+
+async def test_a_late_refusal_does_not_deny_the_run_of_another_attempt(harness):
+    """Guards against a count of runs that a stalled endpoint's refusal ends.
+
+    Both attempts are open when it comes; the other endpoint has begun.
+    """
+    arrivals = []
+
+    async def respond(connection, request):
+        arrivals.append(request)
+        if len(arrivals) == 1:
+            await asyncio.sleep(1.2)
+            answer = scripts.Answer(503, states_not_run=True)
+            headers = answer.make_headers(harness.servers[0], request)
+            connection.reply(503, headers)
+            return
+        await asyncio.sleep(0.4)
+        connection.abort()
+
+    for server in harness.servers:
+        server.respond = respond
+    response = await harness.send_request(
+        "/look/1", body=b"x", x_sardinewharf_deadline_ms="2000"
+    )
+    assert response.status == 502
+    assert len(arrivals) > 1
+
+
+@pytest.mark.parametrize("is_true", [True, False])
+async def test_a_refusal_without_its_body_is_still_one(harness, is_true):
+    """Guards against a promise that depends on bytes behind the statement."""
+
+    async def refuse(connection, request):
+        request_id = request.request_id if is_true else "another"
+        answer = scripts.Answer(503, states_not_run=True, request_id=request_id)
+        headers = answer.make_headers(harness.servers[0], request)
+        connection.write_head(503, headers, 100)
+        connection.abort()
+
+    for server in harness.servers:
+        server.respond = refuse
+    response = await harness.send_request("/book/1", body=b"x")
+    assert response.status == (503 if is_true else 502)
+
+
+async def test_a_request_whose_time_ends_between_two_attempts_says_so(harness):
+    """Guards against 504 for what no endpoint ran, and 503 for what one did."""
+
+    async def refuse(connection, request):
+        await asyncio.sleep(0.5)
+        answer = scripts.Answer(503, states_not_run=True)
+        headers = answer.make_headers(harness.servers[0], request)
+        connection.reply(503, headers)
+
+    for server in harness.servers:
+        server.respond = refuse
+    response = await harness.send_request(
+        "/book/1", body=b"x", x_sardinewharf_deadline_ms="700"
+    )
+    # The second endpoint has neither run nor refused it by then.
+    assert response.status == 504
+    assert sum(server.arrivals for server in harness.servers) == 2
--- a/sardinewharf/gateway/tests/test_requests_fuzz.py
+++ b/sardinewharf/gateway/tests/test_requests_fuzz.py
@@ -19,25 +19,36 @@
 from hypothesis import strategies as st
 
 from sardinewharf.gateway import loops
+from sardinewharf.standins import platform_servers
 from sardinewharf.testbed import gateway_harness
 
 _IS_LONG = os.environ.get("SARDINEWHARF_FUZZ") == "long"
 _NOT_RUN_STATUSES = {408, 421, 429, 503}
+_STATUSES = (500, *sorted(_NOT_RUN_STATUSES))
 _FAULTS = (
-    "refuse",
-    "moved",
-    "reset",
-    "short_body",
-    "extra",
-    "garbage",
-    "wrong_id",
-    "no_id",
-    "is_unsigned",
-    "unframed",
-    "cut_after",
-    "status",
+    *(
+        (name, True)
+        for name in (
+            "refuse",
+            "moved",
+            "reset",
+            "short_body",
+            "extra",
+            "garbage",
+            "wrong_id",
+            "no_id",
+            "is_unsigned",
+            "unframed",
+        )
+    ),
+    ("cut_after", 2),
+    *(("status", status) for status in _STATUSES if status != 421),
+    *(
+        ("stale_refusal", platform_servers.StaleRefusal(status, place))
+        for place in platform_servers.RefusalPlace
+        for status in (421, 503)
+    ),
 )
-_VALUES = {"cut_after": 2, "status": 500}
 _ROUTES = ("/book/", "/look/", "/chat/", "/ask/")
 
 step = st.fixed_dictionaries(
@@ -80,7 +91,7 @@
     for server in servers:
         server.faults = type(server.faults)()
     for index, fault in batch["faults"]:
-        setattr(servers[index].faults, fault, _VALUES.get(fault, True))
+        setattr(servers[index].faults, *fault)
     harness.store.faults.status = batch["store_status"]
     for index in batch["gone"]:
         await servers[index].stop()
