--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -2,6 +2,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import fleet
+from sardinewharf import ids
 from sardinewharf import limits
 from sardinewharf.gateway import attempt_log
 from sardinewharf.gateway import requests
@@ -11,9 +12,12 @@
 _REFUSAL_BACKOFF_S = 0.15
 # The same after status 421, Misdirected Request.
 _MISDIRECTED_BACKOFF_S = 1.0
-# Statuses that state that a request has not run; they count only if the
-# response carries the endpoint's stamp.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses by which callers are promised that their request has not run and
+# never will. They are not forwarded: an endpoint that did not run a request
+# states that in a header.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+_Outcome = attempt_log.AttemptOutcome
 
 
 class Outcomes:
@@ -50,11 +54,24 @@
         request_id = call.request.headers.request_id
         if not attempt.is_answered_by(head, request_id):
             attempt.discard_connection()
-            self.record_loss(call, attempt, "the answer is to another request")
+            self.record_loss(
+                call,
+                attempt,
+                "the answer is to another request",
+                _Outcome.MISMATCHED,
+            )
             return False
         self._record_weights(call, attempt)
         if head.is_not_run:
-            self._record_not_run(call, attempt)
+            if _proves_not_run(attempt, request_id):
+                self._record_not_run(call, attempt)
+            else:
+                self.record_loss(
+                    call,
+                    attempt,
+                    f"status {head.status} and not run, without proof",
+                    _Outcome.CONTRADICTORY,
+                )
             return False
         if head.is_success:
             names_request = head.request_id == request_id
@@ -69,14 +86,13 @@
     ) -> bool:
         """Returns whether an error response is to be forwarded.
 
-        An error 5xx of a request that may be repeated is forwarded only if the
-        retry budget is used up.
+        A status that promises that nothing ran is not, since the endpoint did
+        not state that. An error 5xx of a request that may be repeated is
+        forwarded only if the retry budget is used up.
         """
         head = attempt.head
-        if not head.is_stamped and head.status in _NOT_RUN_STATUSES:
-            self.record_loss(
-                call, attempt, f"status {head.status} without stamp"
-            )
+        if head.status in _PROMISES:
+            self._record_unconfirmed(call, attempt)
             return False
         if head.status < 500 or not call.may_run_again:
             return True
@@ -93,9 +109,9 @@
         call.runs -= 1
         endpoint = attempt.target.endpoint
         status = attempt.head.status
-        call.last_failure_detail = f"{endpoint.id}: not run, status {status}"
-        call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, "not_run")
+        self._record_failure(
+            call, attempt, f"not run, status {status}", _Outcome.NOT_RUN
+        )
         backoff_s = (
             _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
         )
@@ -103,6 +119,25 @@
             endpoint.incarnation, clocks.read_monotonic() + backoff_s
         )
 
+    def _record_unconfirmed(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> None:
+        """Records a status that may be that of a run, though it denies it.
+
+        Other than 5xx, it need not be a fault of the endpoint.
+        """
+        status = attempt.head.status
+        self._record_failure(
+            call,
+            attempt,
+            f"status {status} without the statement that it was not run",
+            _Outcome.UNCONFIRMED,
+        )
+        if status >= 500:
+            self._health.record_failure(
+                attempt.target.endpoint.incarnation, clocks.read_monotonic()
+            )
+
     def _record_weights(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> None:
@@ -115,13 +150,15 @@
             )
 
     def record_loss(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        detail: str,
+        outcome: attempt_log.AttemptOutcome = _Outcome.LOST,
     ) -> None:
         """Records that an attempt failed after the request was sent."""
+        self._record_failure(call, attempt, detail, outcome)
         endpoint = attempt.target.endpoint
-        call.last_failure_detail = f"{endpoint.id}: {detail}"
-        call.excluded.add(endpoint.id)
-        self._log.record_failure(call, attempt, "lost")
         now = clocks.read_monotonic()
         self._health.record_failure(endpoint.incarnation, now)
         if attempt.exchange.was_lost:
@@ -129,17 +166,41 @@
                 call.request.fingerprint, endpoint.incarnation, now
             )
 
-    def record_stall(
-        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    def _record_failure(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        detail: str,
+        outcome: attempt_log.AttemptOutcome,
     ) -> None:
-        """Records that other endpoints are tried, as one may have stopped."""
+        """Logs a failed attempt, and excludes its endpoint."""
         endpoint = attempt.target.endpoint
         call.last_failure_detail = f"{endpoint.id}: {detail}"
         call.excluded.add(endpoint.id)
+        self._log.record_failure(call, attempt, outcome)
+
+    def record_stall(
+        self, call: requests.Call, attempt: requests.Attempt, detail: str
+    ) -> None:
+        """Records that other endpoints are tried, as one may have stopped."""
         attempt.has_stalled = True
         attempt.abandon_prefill()
-        self._log.record_failure(call, attempt, "stalled")
+        self._record_failure(call, attempt, detail, _Outcome.STALLED)
 
     def record_success(self, attempt: requests.Attempt) -> None:
         """Records that a response arrived completely."""
         self._health.record_success(attempt.target.endpoint.incarnation)
+
+
+def _proves_not_run(
+    attempt: requests.Attempt, request_id: ids.RequestId
+) -> bool:
+    """Returns whether the statement that a request was not run can be believed.
+
+    It has to name the request, its status must be one that refuses, and no
+    interim response may show that the endpoint had begun.
+    """
+    head = attempt.head
+    is_refusal = 400 <= head.status < 500 or head.status == 503
+    names_request = head.request_id == request_id
+    return is_refusal and names_request and not attempt.exchange.has_begun
