Send no requests to an endpoint that says that it is leaving

An endpoint that leaves says so in all its responses (`Server-Leaving: 1`). Nothing read the header, and a gateway went on by the store alone, whose entry says ready for a while longer. One of three endpoints said so in each response: all of 60 further requests reached it, half of them after the drain time; a leaving engine got four of eleven further streams.

The header is decoded into `ResponseHead.is_leaving`. `gateway.notices` records it for the incarnation that the response came from, once the response is known to be to the attempt's request, and before anything else is decided about it: errors, refusals, streams, and responses that are lost later count alike. Status 421 does not count: another endpoint at the address may have given it.

`fleet.DepartureTable` keeps the deadline, `endpoint_drain_ms` after the first statement. Until then the selection takes a leaving endpoint only if no other can take the request; after it, never, whatever the store says, so a service whose endpoints all left is refused at once. A later statement does not move the deadline, and a response without the header takes nothing back, since responses of several connections overtake each other. A restart is another incarnation. An entry is kept for ten minutes after its registration has disappeared, so that one that comes back after an outage of the store changes nothing, and the table stays bounded. A request that waited for a connection looks again before it is sent.

--- a/sardinewharf/fleet/__init__.py
+++ b/sardinewharf/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Tracks the endpoints of services, their load, health and weights."""
 
+from sardinewharf.fleet.departures import DepartureTable
 from sardinewharf.fleet.endpoints import Endpoint
 from sardinewharf.fleet.endpoints import EndpointState
 from sardinewharf.fleet.health import HealthTable
@@ -10,6 +11,7 @@
 from sardinewharf.fleet.target_versions import TargetVersionTable
 
 __all__ = [
+    "DepartureTable",
     "Endpoint",
     "EndpointLoad",
     "EndpointState",
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -18,6 +18,7 @@
 from sardinewharf.gateway import failover
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import outcomes as outcomes_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import readers
@@ -58,6 +59,7 @@
         replica: This gateway's replica of the store.
         prompts: Where shared prompts are cached.
         crashes: Requests that ran when endpoints crashed.
+        notices: Records what endpoints state about further requests.
         estimators: What is measured of engines and prompts.
         reader: Reads from endpoints, and detects stalled ones.
         log: Receives a record of each attempt.
@@ -75,6 +77,7 @@
     replica: replica_lib.Replica
     prompts: prompts_lib.PromptTable
     crashes: limits.CrashTable
+    notices: notices_lib.NoticeRecorder
     estimators: tables.EstimatorTable
     reader: readers.EndpointReader
     log: records.RecordSink
@@ -104,6 +107,7 @@
             dependencies.health,
             dependencies.budgets,
             dependencies.crashes,
+            dependencies.notices,
             self._log,
         )
 
@@ -142,6 +146,10 @@
                 self._log.record_unreached(call, target.endpoint.id)
                 connect_failures += 1
                 continue
+            if not self._dependencies.selector.may_send(target.endpoint):
+                # It stated so while the request waited for a connection.
+                pool.release(connection)
+                continue
             if not self._charge_retry_budget(call):
                 pool.release(connection)
                 raise self._make_refusal(call, refusals.Reason.BUSY)
--- a/sardinewharf/gateway/messages.py
+++ b/sardinewharf/gateway/messages.py
@@ -147,6 +147,7 @@
             the endpoint made it.
         weights: Version of the weights; 0 if not stated.
         load: The endpoint's load; None if not stated.
+        is_leaving: Whether the endpoint states that it is leaving.
         forwarded_headers: The headers that are forwarded to the caller.
     """
 
@@ -158,6 +159,7 @@
     is_encoded: bool
     weights: int
     load: Load | None
+    is_leaving: bool
     forwarded_headers: http1.Headers
 
     @property
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -4,6 +4,7 @@
 from sardinewharf import fleet
 from sardinewharf import limits
 from sardinewharf.gateway import attempt_log
+from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import tables
 
@@ -24,6 +25,7 @@
         health: Failures and ejections of each endpoint.
         budgets: Retry budget of each service.
         crashes: Requests that ran when endpoints crashed.
+        notices: Records what endpoints state about further requests.
         log: Logs and counts attempts.
     """
 
@@ -33,12 +35,14 @@
         health: fleet.HealthTable,
         budgets: tables.RetryBudgetTable,
         crashes: limits.CrashTable,
+        notices: notices_lib.NoticeRecorder,
         log: attempt_log.AttemptLog,
     ):
         self._registry = registry
         self._health = health
         self._budgets = budgets
         self._crashes = crashes
+        self._notices = notices
         self._log = log
 
     def classify(self, call: requests.Call, attempt: requests.Attempt) -> bool:
@@ -52,6 +56,7 @@
             attempt.discard_connection()
             self.record_loss(call, attempt, "the answer is to another request")
             return False
+        self._notices.record(call, attempt)
         self._record_weights(call, attempt)
         if head.is_not_run:
             self._record_not_run(call, attempt)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -43,6 +43,7 @@
         loads: Estimated load of each endpoint.
         health: Failures and ejections of each endpoint.
         drains: Engines that are being drained.
+        departures: Endpoints that stated that they are leaving.
         prompts: Where shared prompts are cached.
         estimators: What is measured of engines and prompts.
     """
@@ -54,6 +55,7 @@
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
         drains: drains_lib.DrainTable,
+        departures: fleet.DepartureTable,
         prompts: prompts_lib.PromptTable,
         estimators: tables.EstimatorTable,
     ):
@@ -62,6 +64,7 @@
         self._loads = loads
         self._health = health
         self._drains = drains
+        self._departures = departures
         self._prompts = prompts
         self._estimators = estimators
 
@@ -94,9 +97,17 @@
         service = self._replica.configuration.services.get(call.service)
         prompt = call.request.headers.prompt
         if service is None or service.engine is None or prompt is None:
-            return self._choose_server(endpoints, now)
+            return self._choose_server(self._prefer_staying(endpoints), now)
         return self._choose_engine(call, service.engine, prompt, endpoints, now)
 
+    def may_send(self, endpoint: fleet.Endpoint) -> bool:
+        """Returns whether an endpoint that was chosen may be sent a request.
+
+        It may have stated since that it wants none.
+        """
+        now = clocks.read_monotonic()
+        return self._departures.may_send(endpoint.incarnation, now)
+
     def _list_usable(
         self, call: requests.Call, now: float
     ) -> list[fleet.Endpoint]:
@@ -108,6 +119,7 @@
             endpoint
             for endpoint in self._replica.registry.list_ready(call.service)
             if endpoint.id not in call.excluded
+            and self._departures.may_send(endpoint.incarnation, now)
         ]
         healthy = [e for e in ready if self._health.may_try(e.incarnation, now)]
         if healthy:
@@ -116,6 +128,17 @@
             e for e in ready if self._health.is_last_resort(e.incarnation, now)
         ]
 
+    def _prefer_staying(
+        self, endpoints: list[fleet.Endpoint]
+    ) -> list[fleet.Endpoint]:
+        """Returns the endpoints that are not leaving; all if none stays."""
+        staying = [
+            e
+            for e in endpoints
+            if not self._departures.is_leaving(e.incarnation)
+        ]
+        return staying or endpoints
+
     def explain_no_endpoint(self, call: requests.Call) -> str:
         """Returns a message that explains why a request has no endpoint."""
         now = clocks.read_monotonic()
@@ -123,7 +146,13 @@
         ejected = sum(
             not self._health.may_try(e.incarnation, now) for e in ready
         )
-        text = f"{len(ready)} endpoints ready, {ejected} of them ejected"
+        left = sum(
+            not self._departures.may_send(e.incarnation, now) for e in ready
+        )
+        text = (
+            f"{len(ready)} endpoints ready, {ejected} of them ejected,"
+            f" {left} have left"
+        )
         prompt = call.request.headers.prompt
         if prompt is None:
             return text
@@ -368,7 +397,7 @@
         not_draining = [
             e for e in current if not self._drains.is_draining(e.id)
         ]
-        return not_draining or current
+        return self._prefer_staying(not_draining or current)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -25,6 +25,7 @@
 from sardinewharf.gateway import members
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import readers
@@ -104,6 +105,7 @@
             self._replica, settings.guarantees
         )
         self._drains = drains_lib.DrainTable()
+        self._departures = fleet.DepartureTable()
         self._crashes = limits.CrashTable()
         self._prompts = prompts_lib.PromptTable(self._schedule_broadcast)
         self._estimators = tables.EstimatorTable()
@@ -113,6 +115,7 @@
             self._loads,
             self._health,
             self._drains,
+            self._departures,
             self._prompts,
             self._estimators,
         )
@@ -130,6 +133,9 @@
                 replica=self._replica,
                 prompts=self._prompts,
                 crashes=self._crashes,
+                notices=notices_lib.NoticeRecorder(
+                    settings.guarantees, self._departures, log
+                ),
                 estimators=self._estimators,
                 reader=reader,
                 log=log,
@@ -354,7 +360,9 @@
                 self._peers.estimate_digest_interval()
             )
             self._set_cache_capacity()
-            self._crashes.forget_old(clocks.read_monotonic())
+            now = clocks.read_monotonic()
+            self._crashes.forget_old(now)
+            self._departures.forget_old(self._replica.registry, now)
             if self._replica.registry.changes != handled_changes:
                 handled_changes = self._replica.registry.changes
                 self._connections.close_removed(self._replica.registry)
--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -6,6 +6,7 @@
 from sardinewharf import clocks
 from sardinewharf import http1
 from sardinewharf import ids
+from sardinewharf import logs
 from sardinewharf.gateway import messages
 
 REQUEST_ID = b"x-sardinewharf-request-id"
@@ -21,6 +22,7 @@
 LOAD = b"x-sardinewharf-server-load"
 NOT_RUN = b"x-sardinewharf-not-run"
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 MODEL = b"x-sardinewharf-model"
 # Tokens of the prompt and the limit of generated tokens, with a comma between
 # them; not what was used, despite its name.
@@ -67,6 +69,7 @@
         STAMP,
         WEIGHTS,
         LOAD,
+        LEAVING,
         b"x-sardinewharf-instance-id",
         b"x-sardinewharf-pin-ms",
         b"x-sardinewharf-kv-hold",
@@ -79,6 +82,9 @@
 _DEFAULT_TIME_LEFT_MS = 60_000
 # Longest number in a header of an endpoint.
 _MAX_DIGITS = 18
+# Longest part of a value that is logged, in bytes.
+_MAX_LOGGED = 40
+_log = logs.get_logger("headers")
 
 
 class PlatformHeaderCodec(messages.HeaderCodec):
@@ -156,6 +162,7 @@
             is_encoded=b"content-encoding" in first_values,
             weights=_read_number(first_values.get(WEIGHTS, b"")),
             load=_read_load(first_values.get(LOAD, b"")),
+            is_leaving=_read_leaving(head.headers),
             forwarded_headers=tuple(
                 (name, value)
                 for name, value in head.headers
@@ -256,3 +263,17 @@
         return None
     running, waiting, slots = (int(field) for field in stripped)
     return messages.Load(running, waiting, slots)
+
+
+def _read_leaving(headers: http1.Headers) -> bool:
+    """Returns whether an endpoint states that it is leaving."""
+    stated = [
+        value.strip()
+        for name, field in headers
+        if name == LEAVING
+        for value in field.split(b",")
+    ]
+    for value in stated:
+        if value not in (b"0", b"1"):
+            _log.warning("Ignored {} in {}.", value[:_MAX_LOGGED], LEAVING)
+    return b"1" in stated
--- a/sardinewharf/platform/tests/test_headers.py
+++ b/sardinewharf/platform/tests/test_headers.py
@@ -20,3 +20,24 @@
     decoded = platform.PlatformHeaderCodec().read_response(head)
     assert decoded.weights == 0
     assert decoded.load is None
+
+
+@pytest.mark.parametrize(
+    ("values", "is_leaving"),
+    [
+        ([b"1"], True),
+        ([b" 1 "], True),
+        ([b"0", b"1"], True),
+        ([b"1, 1"], True),
+        ([b"0"], False),
+        ([b""], False),
+        ([b"true"], False),
+        ([b"11"], False),
+        ([b"1" * 5_000], False),
+        ([], False),
+    ],
+)
+def test_an_endpoint_leaves_only_if_it_says_so_with_one(values, is_leaving):
+    head = http1.Head(200, [(b"server-leaving", value) for value in values])
+    decoded = platform.PlatformHeaderCodec().read_response(head)
+    assert decoded.is_leaving is is_leaving
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -167,6 +167,19 @@
     endpoint: str
 
 
+class EndpointLeaving(Record, tag="endpoint_leaving"):
+    """An endpoint stated for the first time that it is leaving.
+
+    It did so in a response with ``status`` to a request. It gets requests that
+    no other endpoint can take for ``drain_ms`` more, and none after that.
+    """
+
+    endpoint: str
+    request: str
+    status: int
+    drain_ms: int
+
+
 class TargetVersionSet(Record, tag="weights_named"):
     """A model's weights have a new target version."""
 
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -45,11 +45,23 @@
         "endpoint_lost",
         "endpoint_closed",
         "endpoint_reopened",
+        "endpoint_leaving",
         "order_given",
         "order_ended",
     }
 )
 
+# Events of which the last one before a request's end may be its cause.
+_EXPLAINING_EVENTS = frozenset(
+    {
+        "dependency_lost",
+        "endpoint_closed",
+        "endpoint_lost",
+        "endpoint_leaving",
+        "stopping",
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
@@ -281,8 +293,7 @@
         line
         for line in history.context
         if line.time <= end.time + _DETECTION_DELAY_S
-        and line.event
-        in ("dependency_lost", "endpoint_closed", "endpoint_lost", "stopping")
+        and line.event in _EXPLAINING_EVENTS
     ]
     if not before:
         return ""
