Send nothing to an endpoint within the pause that it asked for

An endpoint that turns a request away with 503 may state in Retry-After for how long it wants nothing from this gateway. The header was not read: a refusal kept requests away for 0.15 s, whatever it said. With Retry-After 3, 15 requests reached the endpoint from half a second later to the end (two are allowed); with all three endpoints of a service paused for 1.5 s, 19 to 37 requests reached them in one second. Callers were told to come back after 0.2 to 0.5 s.

`ResponseHead.retry_after_s` holds the longest valid number of seconds, whole or with a fraction; a date, a sign, an exponent, a list or nothing at all is ignored with a log line. `gateway.notices` records the pause of a response that is to the attempt's request: of any 503, since the endpoint says when it is available whether or not this request ran, and of a 429 only if it refused the request, since an application's 429 may be the limit of one caller. A pause is two minutes at most, longer than a restart or a load of weights takes, so that one odd value does not take an endpoint away for hours.

`fleet.PauseTable` lets the pause that ends last count: responses on several connections overtake each other, so neither a shorter statement nor a success ends one (`HealthTable.record_success` ended every backoff). A restart is another incarnation. The selection leaves paused endpoints out, also as a last resort, and a request looks again after it has waited for a connection. If no endpoint is left, it is refused at once with the time until the first of them may be asked, jittered upward, 30 s and its jitter at most, as others may have registered by then (`gateway.retry_times`); if all have left, 1 to 2 s.

Control calls (reports and orders of rolling updates, events of cache stores) are not requests and go on: a full engine asks for pauses all the time and must be updated too. Engines that are leaving are not updated.

--- a/sardinewharf/fleet/__init__.py
+++ b/sardinewharf/fleet/__init__.py
@@ -7,6 +7,8 @@
 from sardinewharf.fleet.loads import EndpointLoad
 from sardinewharf.fleet.loads import LoadTable
 from sardinewharf.fleet.loads import RunningRequest
+from sardinewharf.fleet.notices import NoticeTable
+from sardinewharf.fleet.pauses import PauseTable
 from sardinewharf.fleet.registry import Registry
 from sardinewharf.fleet.target_versions import TargetVersionTable
 
@@ -17,6 +19,8 @@
     "EndpointState",
     "HealthTable",
     "LoadTable",
+    "NoticeTable",
+    "PauseTable",
     "TargetVersionTable",
     "Registry",
     "RunningRequest",
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Coroutine
 import dataclasses
-import random
 from typing import Any
 from typing import TypeVar
 
@@ -25,6 +24,7 @@
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
+from sardinewharf.gateway import retry_times
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import tables
 
@@ -32,10 +32,6 @@
 _CONNECT_S = 0.3
 # Failed connection attempts after which a request is refused.
 _MAX_CONNECT_FAILURES = 4
-# Retry-After of refusals, in seconds: drawn from a range, so that callers that
-# were refused together do not come back together.
-_MIN_RETRY_AFTER_S = 0.2
-_MAX_RETRY_AFTER_S = 0.5
 # Longest wait for another request that prefills the same shared prompt, in
 # seconds and as a share of the remaining time.
 _PREFILL_WAIT_S = 0.8
@@ -472,12 +468,21 @@
         """
         detail = call.last_failure_detail or reason.value
         if not call.may_have_run:
-            retry_after_s = random.uniform(
-                _MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S
+            return refusals.refuse(
+                reason, detail, self._choose_retry_after(call, reason)
             )
-            return refusals.refuse(reason, detail, retry_after_s)
         is_late = call.deadline.is_past()
         final_reason = (
             refusals.Reason.TIMED_OUT if is_late else refusals.Reason.LOST
         )
         return refusals.refuse(final_reason, detail)
+
+    def _choose_retry_after(
+        self, call: requests.Call, reason: refusals.Reason
+    ) -> float:
+        """Returns the Retry-After of a request that has not run."""
+        if reason is not refusals.Reason.NO_ENDPOINT:
+            return retry_times.choose_soon()
+        return retry_times.choose_for_waits(
+            self._dependencies.selector.list_waits(call.service)
+        )
--- a/sardinewharf/gateway/messages.py
+++ b/sardinewharf/gateway/messages.py
@@ -148,6 +148,8 @@
         weights: Version of the weights; 0 if not stated.
         load: The endpoint's load; None if not stated.
         is_leaving: Whether the endpoint states that it is leaving.
+        retry_after_s: For how long the endpoint states to be unavailable, in
+            seconds; None if not stated.
         forwarded_headers: The headers that are forwarded to the caller.
     """
 
@@ -160,6 +162,7 @@
     weights: int
     load: Load | None
     is_leaving: bool
+    retry_after_s: float | None
     forwarded_headers: http1.Headers
 
     @property
--- a/sardinewharf/gateway/notices.py
+++ b/sardinewharf/gateway/notices.py
@@ -8,10 +8,16 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import records
+from sardinewharf.gateway import messages
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
 
+_UNAVAILABLE = 503
+_TOO_MANY = 429
 _MISDIRECTED = 421
+# Longest pause, in seconds. It is longer than a restart or a load of weights
+# takes; an endpoint that needs more says so again.
+_MAX_PAUSE_S = 120.0
 
 
 class NoticeRecorder:
@@ -19,18 +25,18 @@
 
     Args:
         guarantees: Bounds that the gateway must keep.
-        departures: Endpoints that are leaving.
+        table: Receives the statements.
         log: Receives a record of each new statement.
     """
 
     def __init__(
         self,
         guarantees: settings_lib.Guarantees,
-        departures: fleet.DepartureTable,
+        table: fleet.NoticeTable,
         log: records.RecordSink,
     ):
         self._guarantees = guarantees
-        self._departures = departures
+        self._table = table
         self._log = log
 
     def record(self, call: requests.Call, attempt: requests.Attempt) -> None:
@@ -45,6 +51,8 @@
             return
         if head.is_leaving:
             self._record_departure(call, attempt)
+        if head.retry_after_s and _turns_away(head):
+            self._record_pause(call, attempt, head.retry_after_s)
 
     def _record_departure(
         self, call: requests.Call, attempt: requests.Attempt
@@ -53,7 +61,7 @@
         endpoint = attempt.target.endpoint
         drain_ms = self._guarantees.endpoint_drain_ms
         send_until = clocks.Deadline.after(drain_ms / 1000, now)
-        if self._departures.record(endpoint, send_until, now):
+        if self._table.departures.record(endpoint, send_until, now):
             self._log.write(
                 records.events.EndpointLeaving(
                     endpoint=endpoint.id,
@@ -62,3 +70,32 @@
                     drain_ms=drain_ms,
                 )
             )
+
+    def _record_pause(
+        self, call: requests.Call, attempt: requests.Attempt, asked_s: float
+    ) -> None:
+        now = clocks.read_monotonic()
+        endpoint = attempt.target.endpoint
+        pause_s = min(asked_s, _MAX_PAUSE_S)
+        until = clocks.Deadline.after(pause_s, now)
+        if self._table.pauses.record(endpoint.incarnation, until, now):
+            self._log.write(
+                records.events.EndpointPaused(
+                    endpoint=endpoint.id,
+                    request=call.request.headers.request_id,
+                    status=attempt.head.status,
+                    asked_s=asked_s,
+                    pause_s=pause_s,
+                )
+            )
+
+
+def _turns_away(head: messages.ResponseHead) -> bool:
+    """Returns whether a response tells the gateway to send no requests.
+
+    Status 429 may limit one caller only, unless the endpoint refused to run
+    the request.
+    """
+    if head.status == _TOO_MANY:
+        return head.is_not_run
+    return head.status == _UNAVAILABLE
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -67,6 +67,7 @@
         loads: Estimated load of each endpoint.
         health: Failures and ejections of each endpoint.
         drains: Engines that are drained.
+        notices: What endpoints stated about the requests that they want.
         exchange: Reports weights to the other gateways.
         peers: Sends the reports.
         estimators: What is measured of engines and prompts.
@@ -82,6 +83,7 @@
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
         drains: drains_lib.DrainTable,
+        notices: fleet.NoticeTable,
         exchange: exchange_lib.StateExchange,
         peers: peers_lib.Peers,
         estimators: tables.EstimatorTable,
@@ -95,6 +97,7 @@
         self._loads = loads
         self._health = health
         self._drains = drains
+        self._notices = notices
         self._exchange = exchange
         self._peers = peers
         self._estimators = estimators
@@ -201,10 +204,14 @@
                 self._tasks.start(self._probe_engine(endpoint), "probe")
 
     def _is_usable(self, endpoint: fleet.Endpoint, now: float) -> bool:
-        """Returns whether an engine may be updated now."""
+        """Returns whether an engine may be updated now.
+
+        One that is leaving is not. A pause of an engine concerns requests only.
+        """
         backoff = self._backoffs.get(endpoint.id)
         return (
             self._health.may_try(endpoint.incarnation, now)
+            and not self._notices.departures.is_leaving(endpoint.incarnation)
             and endpoint.id not in self._probing
             and (backoff is None or backoff.is_past(now))
         )
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 from sardinewharf import balancing
@@ -43,7 +44,7 @@
         loads: Estimated load of each endpoint.
         health: Failures and ejections of each endpoint.
         drains: Engines that are being drained.
-        departures: Endpoints that stated that they are leaving.
+        notices: What endpoints stated about the requests that they want.
         prompts: Where shared prompts are cached.
         estimators: What is measured of engines and prompts.
     """
@@ -55,7 +56,7 @@
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
         drains: drains_lib.DrainTable,
-        departures: fleet.DepartureTable,
+        notices: fleet.NoticeTable,
         prompts: prompts_lib.PromptTable,
         estimators: tables.EstimatorTable,
     ):
@@ -64,7 +65,7 @@
         self._loads = loads
         self._health = health
         self._drains = drains
-        self._departures = departures
+        self._notices = notices
         self._prompts = prompts
         self._estimators = estimators
 
@@ -106,7 +107,18 @@
         It may have stated since that it wants none.
         """
         now = clocks.read_monotonic()
-        return self._departures.may_send(endpoint.incarnation, now)
+        return self._notices.may_send(endpoint.incarnation, now)
+
+    def list_waits(self, service: str) -> list[float]:
+        """Returns the seconds until each endpoint wants requests again.
+
+        They are infinite for one that has left.
+        """
+        now = clocks.read_monotonic()
+        return [
+            self._notices.count_wait(endpoint.incarnation, now)
+            for endpoint in self._replica.registry.list_ready(service)
+        ]
 
     def _list_usable(
         self, call: requests.Call, now: float
@@ -119,7 +131,7 @@
             endpoint
             for endpoint in self._replica.registry.list_ready(call.service)
             if endpoint.id not in call.excluded
-            and self._departures.may_send(endpoint.incarnation, now)
+            and self._notices.may_send(endpoint.incarnation, now)
         ]
         healthy = [e for e in ready if self._health.may_try(e.incarnation, now)]
         if healthy:
@@ -135,7 +147,7 @@
         staying = [
             e
             for e in endpoints
-            if not self._departures.is_leaving(e.incarnation)
+            if not self._notices.departures.is_leaving(e.incarnation)
         ]
         return staying or endpoints
 
@@ -146,12 +158,12 @@
         ejected = sum(
             not self._health.may_try(e.incarnation, now) for e in ready
         )
-        left = sum(
-            not self._departures.may_send(e.incarnation, now) for e in ready
-        )
+        waits_s = self.list_waits(call.service)
+        left = sum(math.isinf(wait_s) for wait_s in waits_s)
+        paused = sum(0 < wait_s < math.inf for wait_s in waits_s)
         text = (
             f"{len(ready)} endpoints ready, {ejected} of them ejected,"
-            f" {left} have left"
+            f" {left} have left, {paused} asked for a pause"
         )
         prompt = call.request.headers.prompt
         if prompt is None:
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -105,7 +105,7 @@
             self._replica, settings.guarantees
         )
         self._drains = drains_lib.DrainTable()
-        self._departures = fleet.DepartureTable()
+        self._notices = fleet.NoticeTable()
         self._crashes = limits.CrashTable()
         self._prompts = prompts_lib.PromptTable(self._schedule_broadcast)
         self._estimators = tables.EstimatorTable()
@@ -115,7 +115,7 @@
             self._loads,
             self._health,
             self._drains,
-            self._departures,
+            self._notices,
             self._prompts,
             self._estimators,
         )
@@ -134,7 +134,7 @@
                 prompts=self._prompts,
                 crashes=self._crashes,
                 notices=notices_lib.NoticeRecorder(
-                    settings.guarantees, self._departures, log
+                    settings.guarantees, self._notices, log
                 ),
                 estimators=self._estimators,
                 reader=reader,
@@ -256,6 +256,7 @@
             self._loads,
             self._health,
             self._drains,
+            self._notices,
             self._exchange,
             self._peers,
             self._estimators,
@@ -362,7 +363,7 @@
             self._set_cache_capacity()
             now = clocks.read_monotonic()
             self._crashes.forget_old(now)
-            self._departures.forget_old(self._replica.registry, now)
+            self._notices.forget_old(self._replica.registry, now)
             if self._replica.registry.changes != handled_changes:
                 handled_changes = self._replica.registry.changes
                 self._connections.close_removed(self._replica.registry)
--- a/sardinewharf/gateway/tests/test_leaving_endpoints.py
+++ b/sardinewharf/gateway/tests/test_leaving_endpoints.py
@@ -213,7 +213,9 @@
             left.extend(
                 e for e in registry.list_all() if e.address == pool.address
             )
-            gateway._departures.record(left[0], clocks.Deadline(0.0), 0.0)
+            gateway._notices.departures.record(
+                left[0], clocks.Deadline(0.0), 0.0
+            )
         return connection
 
     monkeypatch.setattr(http1.Pool, "acquire", acquire_late)
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -441,3 +441,38 @@
         return old[-1] if old else made[0][1]
 
     engine._make_report = report
+
+
+def get_notices(harness):
+    return [gateway._notices for gateway in harness.gateways]
+
+
+async def test_an_engine_that_says_that_it_leaves_is_not_updated(harness):
+    """Its load of weights would be for nothing."""
+    leaving, *others = harness.engines
+    registry = harness.gateways[0]._replica.registry
+    now = clocks.read_monotonic()
+    for notices in get_notices(harness):
+        notices.departures.record(
+            registry.find(leaving.id), clocks.Deadline(now + 2.0), now
+        )
+    await set_target_version(harness, 2)
+
+    async def are_updated():
+        return all(engine.version == 2 for engine in others)
+
+    await gateway_harness.wait_for(are_updated)
+    await asyncio.sleep(1.0)
+    assert leaving.orders == []
+
+
+async def test_a_pause_of_the_engines_does_not_stop_a_rollout(harness):
+    """Full engines ask for pauses all the time, and must be updated too."""
+    now = clocks.read_monotonic()
+    for notices in get_notices(harness):
+        for engine in harness.engines:
+            notices.pauses.record(
+                f"{engine.id}@1", clocks.Deadline(now + 60.0), now
+            )
+    await set_target_version(harness, 2)
+    await gateway_harness.wait_for(lambda: has_version(harness, 2))
--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -3,6 +3,8 @@
 No other module contains names of the platform's headers.
 """
 
+import re
+
 from sardinewharf import clocks
 from sardinewharf import http1
 from sardinewharf import ids
@@ -82,6 +84,8 @@
 _DEFAULT_TIME_LEFT_MS = 60_000
 # Longest number in a header of an endpoint.
 _MAX_DIGITS = 18
+# Seconds, with a fraction at most; the length is limited too.
+_RETRY_AFTER_VALUE = re.compile(rb"\d{1,18}(\.\d{1,18})?")
 # Longest part of a value that is logged, in bytes.
 _MAX_LOGGED = 40
 _log = logs.get_logger("headers")
@@ -163,6 +167,7 @@
             weights=_read_number(first_values.get(WEIGHTS, b"")),
             load=_read_load(first_values.get(LOAD, b"")),
             is_leaving=_read_leaving(head.headers),
+            retry_after_s=_read_retry_after(head.headers),
             forwarded_headers=tuple(
                 (name, value)
                 for name, value in head.headers
@@ -277,3 +282,20 @@
         if value not in (b"0", b"1"):
             _log.warning("Ignored {} in {}.", value[:_MAX_LOGGED], LEAVING)
     return b"1" in stated
+
+
+def _read_retry_after(headers: http1.Headers) -> float | None:
+    """Returns the longest time that an endpoint states, in seconds, if any.
+
+    Dates, negative numbers and the like are ignored.
+    """
+    longest_s = None
+    for name, field in headers:
+        if name != RETRY_AFTER:
+            continue
+        value = field.strip()
+        if _RETRY_AFTER_VALUE.fullmatch(value):
+            longest_s = max(float(value), longest_s or 0.0)
+        else:
+            _log.warning("Ignored {} in {}.", value[:_MAX_LOGGED], RETRY_AFTER)
+    return longest_s
--- a/sardinewharf/platform/tests/test_headers.py
+++ b/sardinewharf/platform/tests/test_headers.py
@@ -41,3 +41,32 @@
     head = http1.Head(200, [(b"server-leaving", value) for value in values])
     decoded = platform.PlatformHeaderCodec().read_response(head)
     assert decoded.is_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [
+        ([b"3"], 3.0),
+        ([b" 0.25 "], 0.25),
+        ([b"0"], 0.0),
+        ([b"2", b"7", b"5"], 7.0),
+        ([b"2", b"soon"], 2.0),
+        ([b"9" * 18], 1e18),
+        ([b"9" * 19], None),
+        ([b"9" * 5_000], None),
+        ([b"Wed, 21 Oct 2026 07:28:00 GMT"], None),
+        ([b"-1"], None),
+        ([b"+1"], None),
+        ([b"1e3"], None),
+        ([b"nan"], None),
+        ([b"1_0"], None),
+        ([b"3\n"], 3.0),
+        ([b"\xd9\xa3"], None),
+        ([b""], None),
+        ([], None),
+    ],
+)
+def test_a_pause_is_read_only_from_a_number_of_seconds(values, seconds):
+    head = http1.Head(503, [(b"retry-after", value) for value in values])
+    decoded = platform.PlatformHeaderCodec().read_response(head)
+    assert decoded.retry_after_s == seconds
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -180,6 +180,20 @@
     drain_ms: int
 
 
+class EndpointPaused(Record, tag="endpoint_paused"):
+    """An endpoint that had no pause asked for one.
+
+    It did so in a response with ``status`` to a request. It asked for
+    ``asked_s`` seconds and gets no requests for ``pause_s``.
+    """
+
+    endpoint: str
+    request: str
+    status: int
+    asked_s: float
+    pause_s: float
+
+
 class TargetVersionSet(Record, tag="weights_named"):
     """A model's weights have a new target version."""
 
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -46,6 +46,7 @@
         "endpoint_closed",
         "endpoint_reopened",
         "endpoint_leaving",
+        "endpoint_paused",
         "order_given",
         "order_ended",
     }
@@ -58,6 +59,7 @@
         "endpoint_closed",
         "endpoint_lost",
         "endpoint_leaving",
+        "endpoint_paused",
         "stopping",
     }
 )
