Describe what follows from the statements of endpoints, and test each alone

`sardinewharf explain` names a departure or a pause of a refused request's endpoint (test_histories).

A value that is ignored is logged once and not with each response, so that an endpoint that always sends it does not fill the log.

The notices and the times in refusals get tests without a network.

--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -3,6 +3,7 @@
 No other module contains names of the platform's headers.
 """
 
+import functools
 import re
 
 from sardinewharf import clocks
@@ -86,8 +87,10 @@
 _MAX_DIGITS = 18
 # Seconds, with a fraction at most; the length is limited too.
 _RETRY_AFTER_VALUE = re.compile(rb"\d{1,18}(\.\d{1,18})?")
-# Longest part of a value that is logged, in bytes.
+# Longest part of an ignored value that is logged, in bytes, and number of the
+# latest ones that are not logged again.
 _MAX_LOGGED = 40
+_LOGGED_VALUES = 64
 _log = logs.get_logger("headers")
 
 
@@ -280,7 +283,7 @@
     ]
     for value in stated:
         if value not in (b"0", b"1"):
-            _log.warning("Ignored {} in {}.", value[:_MAX_LOGGED], LEAVING)
+            _log_ignored(LEAVING, value[:_MAX_LOGGED])
     return b"1" in stated
 
 
@@ -297,5 +300,14 @@
         if _RETRY_AFTER_VALUE.fullmatch(value):
             longest_s = max(float(value), longest_s or 0.0)
         else:
-            _log.warning("Ignored {} in {}.", value[:_MAX_LOGGED], RETRY_AFTER)
+            _log_ignored(RETRY_AFTER, value[:_MAX_LOGGED])
     return longest_s
+
+
+@functools.lru_cache(maxsize=_LOGGED_VALUES)
+def _log_ignored(name: bytes, value: bytes) -> None:
+    """Logs that a value is ignored, unless it was logged lately.
+
+    An endpoint may send it in each response.
+    """
+    _log.warning("Ignored {} in {}.", value, name)
--- a/sardinewharf/platform/tests/test_headers.py
+++ b/sardinewharf/platform/tests/test_headers.py
@@ -4,6 +4,7 @@
 
 from sardinewharf import http1
 from sardinewharf import platform
+from sardinewharf.platform import headers
 
 
 @pytest.mark.parametrize("digits", [19, 400, 5_000])
@@ -70,3 +71,17 @@
     head = http1.Head(503, [(b"retry-after", value) for value in values])
     decoded = platform.PlatformHeaderCodec().read_response(head)
     assert decoded.retry_after_s == seconds
+
+
+def test_a_value_that_is_ignored_is_logged_once(monkeypatch):
+    """An endpoint that sent it in each response would fill the log."""
+    logged = []
+    monkeypatch.setattr(
+        headers._log, "warning", lambda *args: logged.append(args)
+    )
+    head = http1.Head(503, [(b"retry-after", b"in a while" * 100)] * 3)
+    for _ in range(3):
+        platform.PlatformHeaderCodec().read_response(head)
+    ((_, value, name),) = logged
+    assert value == b"in a while" * 4
+    assert name == b"retry-after"
--- a/sardinewharf/records/tests/test_histories.py
+++ b/sardinewharf/records/tests/test_histories.py
@@ -126,3 +126,44 @@
 
 def test_an_unknown_request_is_said_to_be_unknown():
     assert "reached none" in explain((1.0, "started", {}))
+
+
+def test_a_refusal_names_the_pause_that_its_endpoint_asked_for():
+    cause = explain(
+        (1.0, "endpoint_chosen", {"request": "r", "endpoint": "e1"}),
+        (
+            1.1,
+            "endpoint_paused",
+            {"request": "r", "endpoint": "e1", "asked_s": 3.0, "pause_s": 3.0},
+        ),
+        (
+            1.2,
+            "request_refused",
+            {
+                "request": "r",
+                "reason": "no_endpoint",
+                "status": 503,
+                "detail": "e1: not run, status 503",
+            },
+        ),
+    )
+    assert "endpoint_paused (e1)" in cause
+
+
+def test_a_refusal_names_the_departure_of_its_endpoint():
+    """Its request may not be the one whose response stated it."""
+    cause = explain(
+        (0.5, "endpoint_leaving", {"request": "q", "endpoint": "e1"}),
+        (1.0, "endpoint_chosen", {"request": "r", "endpoint": "e1"}),
+        (
+            1.2,
+            "request_refused",
+            {
+                "request": "r",
+                "reason": "no_endpoint",
+                "status": 503,
+                "detail": "no endpoint",
+            },
+        ),
+    )
+    assert "endpoint_leaving (e1)" in cause
