--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Coroutine
 import dataclasses
-import random
 from typing import Any
 from typing import TypeVar
 
@@ -18,12 +17,14 @@
 from sardinewharf.gateway import failover
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import outcomes as outcomes_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
+from sardinewharf.gateway import retry_times
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import tables
 
@@ -31,10 +32,6 @@
 _CONNECT_S = 0.3
 # Failed connection attempts after which a request is refused.
 _MAX_CONNECT_FAILURES = 4
-# Retry-After of refusals, in seconds: drawn from a range, so that callers that
-# were refused together do not come back together.
-_MIN_RETRY_AFTER_S = 0.2
-_MAX_RETRY_AFTER_S = 0.5
 # Longest wait for another request that prefills the same shared prompt, in
 # seconds and as a share of the remaining time.
 _PREFILL_WAIT_S = 0.8
@@ -58,6 +55,7 @@
         replica: This gateway's replica of the store.
         prompts: Where shared prompts are cached.
         crashes: Requests that ran when endpoints crashed.
+        notices: Records what endpoints state about further requests.
         estimators: What is measured of engines and prompts.
         reader: Reads from endpoints, and detects stalled ones.
         log: Receives a record of each attempt.
@@ -75,6 +73,7 @@
     replica: replica_lib.Replica
     prompts: prompts_lib.PromptTable
     crashes: limits.CrashTable
+    notices: notices_lib.NoticeRecorder
     estimators: tables.EstimatorTable
     reader: readers.EndpointReader
     log: records.RecordSink
@@ -104,6 +103,7 @@
             dependencies.health,
             dependencies.budgets,
             dependencies.crashes,
+            dependencies.notices,
             self._log,
         )
 
@@ -142,6 +142,10 @@
                 self._log.record_unreached(call, target.endpoint.id)
                 connect_failures += 1
                 continue
+            if not self._dependencies.selector.may_send(target.endpoint):
+                # It stated so while the request waited for a connection.
+                pool.release(connection)
+                continue
             if not self._charge_retry_budget(call):
                 pool.release(connection)
                 raise self._make_refusal(call, refusals.Reason.BUSY)
@@ -467,12 +471,21 @@
         """
         detail = call.last_failure_detail or reason.value
         if not call.may_have_run:
-            retry_after_s = random.uniform(
-                _MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S
+            return refusals.refuse(
+                reason, detail, self._choose_retry_after(call, reason)
             )
-            return refusals.refuse(reason, detail, retry_after_s)
         is_late = call.deadline.is_past()
         final_reason = (
             refusals.Reason.TIMED_OUT if is_late else refusals.Reason.LOST
         )
         return refusals.refuse(final_reason, detail)
+
+    def _choose_retry_after(
+        self, call: requests.Call, reason: refusals.Reason
+    ) -> float:
+        """Returns the Retry-After of a request that has not run."""
+        if reason is not refusals.Reason.NO_ENDPOINT:
+            return retry_times.choose_soon()
+        return retry_times.choose_for_waits(
+            self._dependencies.selector.list_waits(call.service)
+        )
--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -3,9 +3,13 @@
 No other module contains names of the platform's headers.
 """
 
+import functools
+import re
+
 from sardinewharf import clocks
 from sardinewharf import http1
 from sardinewharf import ids
+from sardinewharf import logs
 from sardinewharf.gateway import messages
 
 REQUEST_ID = b"x-sardinewharf-request-id"
@@ -21,6 +25,7 @@
 LOAD = b"x-sardinewharf-server-load"
 NOT_RUN = b"x-sardinewharf-not-run"
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 MODEL = b"x-sardinewharf-model"
 # Tokens of the prompt and the limit of generated tokens, with a comma between
 # them; not what was used, despite its name.
@@ -67,6 +72,7 @@
         STAMP,
         WEIGHTS,
         LOAD,
+        LEAVING,
         b"x-sardinewharf-instance-id",
         b"x-sardinewharf-pin-ms",
         b"x-sardinewharf-kv-hold",
@@ -79,6 +85,13 @@
 _DEFAULT_TIME_LEFT_MS = 60_000
 # Longest number in a header of an endpoint.
 _MAX_DIGITS = 18
+# Seconds, with a fraction at most; the length is limited too.
+_RETRY_AFTER_VALUE = re.compile(rb"\d{1,18}(\.\d{1,18})?")
+# Longest part of an ignored value that is logged, in bytes, and number of the
+# latest ones that are not logged again.
+_MAX_LOGGED = 40
+_LOGGED_VALUES = 64
+_log = logs.get_logger("headers")
 
 
 class PlatformHeaderCodec(messages.HeaderCodec):
@@ -156,6 +169,8 @@
             is_encoded=b"content-encoding" in first_values,
             weights=_read_number(first_values.get(WEIGHTS, b"")),
             load=_read_load(first_values.get(LOAD, b"")),
+            is_leaving=_read_leaving(head.headers),
+            retry_after_s=_read_retry_after(head.headers),
             forwarded_headers=tuple(
                 (name, value)
                 for name, value in head.headers
@@ -256,3 +271,43 @@
         return None
     running, waiting, slots = (int(field) for field in stripped)
     return messages.Load(running, waiting, slots)
+
+
+def _read_leaving(headers: http1.Headers) -> bool:
+    """Returns whether an endpoint states that it is leaving."""
+    stated = [
+        value.strip()
+        for name, field in headers
+        if name == LEAVING
+        for value in field.split(b",")
+    ]
+    for value in stated:
+        if value not in (b"0", b"1"):
+            _log_ignored(LEAVING, value[:_MAX_LOGGED])
+    return b"1" in stated
+
+
+def _read_retry_after(headers: http1.Headers) -> float | None:
+    """Returns the longest time that an endpoint states, in seconds, if any.
+
+    Dates, negative numbers and the like are ignored.
+    """
+    longest_s = None
+    for name, field in headers:
+        if name != RETRY_AFTER:
+            continue
+        value = field.strip()
+        if _RETRY_AFTER_VALUE.fullmatch(value):
+            longest_s = max(float(value), longest_s or 0.0)
+        else:
+            _log_ignored(RETRY_AFTER, value[:_MAX_LOGGED])
+    return longest_s
+
+
+@functools.lru_cache(maxsize=_LOGGED_VALUES)
+def _log_ignored(name: bytes, value: bytes) -> None:
+    """Logs that a value is ignored, unless it was logged lately.
+
+    An endpoint may send it in each response.
+    """
+    _log.warning("Ignored {} in {}.", value, name)
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -48,11 +48,25 @@
         "endpoint_lost",
         "endpoint_closed",
         "endpoint_reopened",
+        "endpoint_leaving",
+        "endpoint_paused",
         "order_given",
         "order_ended",
     }
 )
 
+# Events of which the last one before a request's end may be its cause.
+_EXPLAINING_EVENTS = frozenset(
+    {
+        "dependency_lost",
+        "endpoint_closed",
+        "endpoint_lost",
+        "endpoint_leaving",
+        "endpoint_paused",
+        "stopping",
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class History:
@@ -263,8 +277,7 @@
         line
         for line in history.context
         if line.time <= end.time + _DETECTION_DELAY_S
-        and line.event
-        in ("dependency_lost", "endpoint_closed", "endpoint_lost", "stopping")
+        and line.event in _EXPLAINING_EVENTS
     ]
     if not before:
         return ""
