Send nothing during a stop that cannot end, and answer what still runs

Callers that sent a request up to 0.5 s before or 2.3 s after SIGTERM, with more time than the grace period left, lost their connection without a byte at its end, though an endpoint had the request.

Cause: until 2.4 s after the signal everything was passed on, whatever time it had, and what still ran when the process ended had no answer. The end was also counted from when the leader lease had been given up, which takes a second or more if the store hangs.

A request is now sent during a stop only if it can end: its own deadline comes before, or 95 of 100 of its route's latest requests, running ones included, took no longer than is left. It is judged again after each wait within the gateway (a prefill, a connection, another endpoint). Others get 503 "leaving" at once and reach nobody. What still runs 0.7 s before the grace period ends is answered: 502 if it was sent, else 503; a stream ends without its end, within the last sixth of the grace period. The rest of the time is for delivery, and whole answers are still delivered then. Retry-After is short if another gateway is registered and not leaving; else it lasts until this one has gone.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -8,11 +8,14 @@
   run, 502 if it may have. A stream that has begun ends as incomplete.
 - The work of an unsafe request that was sent cannot be taken back, so that it
   is finished and its response delivered.
+
+While the gateway shuts down, requests that cannot end in time are refused
+before they are sent. Those that still run near the end get a refusal too: 503
+if the request has not run, 502 if it may have. A stream that has begun ends as
+incomplete.
 """
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
 import contextlib
@@ -23,6 +26,7 @@
 from sardinewharf import limits
 from sardinewharf import records
 from sardinewharf.gateway import admission
+from sardinewharf.gateway import endings
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import refusals
@@ -31,14 +35,13 @@
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import selection
+from sardinewharf.gateway import shutdown as shutdown_lib
 from sardinewharf.http1 import protocol as http_protocol
 
-Receive = Callable[[], Awaitable[Mapping[str, object]]]
+Receive = endings.Receive
 
 
-# Retry-After while the gateway shuts down, in seconds; other gateways are ready
-# at once.
-_SHUTDOWN_RETRY_AFTER_S = 0.1
+_CUT_DETAIL = "the gateway shuts down"
 _HALF_CLOSED_DETAIL = (
     "you closed your sending side, which counts as leaving; keep it open while"
     " you wait"
@@ -81,11 +84,11 @@
         admission_controller: Admits requests.
         selector: Chooses the service of a request.
         relay: Forwards requests and their responses.
+        shutdown: Tells whether requests can end before the gateway exits.
         log: Receives a record of each refusal and disconnect.
         metrics: Counts refusals and disconnects.
 
     Attributes:
-        is_shutting_down: Whether the gateway is shutting down.
         rejects_new_requests: Whether new requests are refused, since there is
             no time left to finish them before the shutdown.
         running: Number of requests being handled.
@@ -98,6 +101,7 @@
         admission_controller: admission.AdmissionController,
         selector: selection.Selector,
         relay: relay_lib.Relay,
+        shutdown: shutdown_lib.Shutdown,
         log: records.RecordSink,
         metrics: metrics_lib.GatewayMetrics,
     ):
@@ -108,10 +112,12 @@
         self._relay = relay
         self._log = log
         self._metrics = metrics
-        self.is_shutting_down = False
+        self._shutdown = shutdown
         self.rejects_new_requests = False
         self.running = 0
         self._is_idle = asyncio.Event()
+        self._unread = endings.UnreadBodies()
+        self._running_responses: set[endings.RunningResponse] = set()
 
     async def __call__(
         self,
@@ -125,7 +131,7 @@
         responder = responder_lib.Responder(
             send,
             scope["method"],
-            lambda: self.is_shutting_down and not side.queued_requests,
+            lambda: self._shutdown.has_begun and not side.queued_requests,
         )
         try:
             await self._handle(scope, receive, responder)
@@ -142,6 +148,20 @@
                 async with asyncio.timeout_at(deadline.at):
                     await self._is_idle.wait()
 
+    async def end_requests(self) -> None:
+        """Ends what still runs, as the gateway is about to exit.
+
+        A response that was begun in one piece goes on: only its delivery is
+        left.
+        """
+        self.rejects_new_requests = True
+        if not self.running:
+            return
+        self._unread.end()
+        await asyncio.sleep(endings.READY_ANSWERS_S)
+        for running in list(self._running_responses):
+            running.end()
+
     async def _handle(
         self,
         scope: Mapping[str, object],
@@ -164,6 +184,8 @@
             self._log_disconnect(context, responder)
         except _CallerHalfClosedError:
             await self._refuse_half_closed(context, responder)
+        except endings.EndedError:
+            await self._refuse_ended(context, responder)
         except Exception as error:
             self._log.write(
                 records.events.GatewayFault(
@@ -206,6 +228,31 @@
             self._header_codec.write_refusal(context.request_id, None),
         )
 
+    async def _refuse_ended(
+        self, context: "_RequestContext", responder: responder_lib.Responder
+    ) -> None:
+        """Answers a request that was ended, unless a response has begun."""
+        if responder.has_started:
+            self._log_cut(context)
+            return
+        refusal = self._shutdown.refuse(context.call).refusal
+        await self._refuse(refusal, context, responder)
+
+    def _log_cut(self, context: "_RequestContext") -> None:
+        """Logs a response that ends incomplete, as the gateway shuts down."""
+        call = context.call
+        waited_s = clocks.read_monotonic() - context.arrived
+        self._metrics.count_unfinished(call.admitted.route.name, "cut")
+        self._log.write(
+            records.events.ResponseAborted(
+                request=context.request_id,
+                endpoint=call.endpoint,
+                detail=_CUT_DETAIL,
+                last_event=call.resume_after,
+                total_ms=int(waited_s * 1000),
+            )
+        )
+
     def _log_refusal(
         self, refusal: refusals.Refusal, context: "_RequestContext"
     ) -> None:
@@ -278,7 +325,7 @@
         chunks: list[bytes] = []
         size = 0
         while True:
-            message = await receive()
+            message = await self._unread.wait_for(receive)
             if message["type"] == "http.disconnect":
                 raise _CallerDisconnectedError
             chunks.append(message["body"])
@@ -304,13 +351,11 @@
             _CallerDisconnectedError: If the caller disconnects meanwhile.
             _CallerHalfClosedError: If it closes its sending side meanwhile,
                 and the request was ended.
+            EndedError: If the gateway shuts down meanwhile, and the
+                request was ended.
         """
         if self.rejects_new_requests:
-            raise refusals.refuse(
-                refusals.Reason.LEAVING,
-                "this gateway shuts down; connect anew",
-                _SHUTDOWN_RETRY_AFTER_S,
-            )
+            raise self._shutdown.refuse()
         admitted = self._admission_controller.admit(
             request.headers, request.path
         )
@@ -328,6 +373,8 @@
         response_task = asyncio.ensure_future(
             self._relay_unless_half_closed(call, caller, responder)
         )
+        running = endings.RunningResponse(call, responder, response_task)
+        self._running_responses.add(running)
         try:
             await caller.wait_while_present(response_task)
             call.is_withdrawn = caller.is_half_closed
@@ -336,8 +383,11 @@
                 if response_task.cancelled():
                     raise _CallerHalfClosedError
             await caller.wait_while_connected(response_task)
+            if response_task.cancelled():
+                raise endings.EndedError
             response_task.result()
         finally:
+            self._running_responses.discard(running)
             response_task.cancel()
 
     async def _relay_unless_half_closed(
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -25,6 +25,7 @@
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import selection
+from sardinewharf.gateway import shutdown as shutdown_lib
 from sardinewharf.gateway import tables
 
 # Connect timeout, in seconds.
@@ -60,6 +61,7 @@
         crashes: Requests that ran when endpoints crashed.
         estimators: What is measured of engines and prompts.
         reader: Reads from endpoints, and detects stalled ones.
+        shutdown: Tells whether requests can end before the gateway exits.
         log: Receives a record of each attempt.
         metrics: Counts attempts and their outcomes.
     """
@@ -77,6 +79,7 @@
     crashes: limits.CrashTable
     estimators: tables.EstimatorTable
     reader: readers.EndpointReader
+    shutdown: shutdown_lib.Shutdown
     log: records.RecordSink
     metrics: metrics_lib.GatewayMetrics
 
@@ -142,6 +145,7 @@
                 self._log.record_unreached(call, target.endpoint.id)
                 connect_failures += 1
                 continue
+            self._check_still_has_time(call, pool, connection)
             if not self._charge_retry_budget(call):
                 pool.release(connection)
                 raise self._make_refusal(call, refusals.Reason.BUSY)
@@ -155,12 +159,11 @@
         """Checks that a request may be sent now.
 
         Raises:
-            RefusedError: If its deadline has passed, it may have run and must
-                not be repeated, its caller has left, it is quarantined, or it
-                is not admitted.
+            RefusedError: If it has no time left, it may have run and must not
+                be repeated, its caller has left, it is quarantined, or it is
+                not admitted.
         """
-        if call.deadline.is_past():
-            raise self._make_refusal(call, refusals.Reason.NO_TIME)
+        self._check_has_time(call)
         if not call.may_run_again:
             raise self._make_refusal(call, refusals.Reason.LOST)
         if call.is_withdrawn:
@@ -175,6 +178,35 @@
             request.headers, request.path
         )
 
+    def _check_has_time(self, call: requests.Call) -> None:
+        """Checks that a request that is sent now can end in time.
+
+        Raises:
+            RefusedError: If its deadline has passed, or the gateway is going to
+                exit before.
+        """
+        if call.deadline.is_past():
+            raise self._make_refusal(call, refusals.Reason.NO_TIME)
+        if not self._dependencies.shutdown.can_finish(call):
+            raise self._dependencies.shutdown.refuse(call)
+
+    def _check_still_has_time(
+        self,
+        call: requests.Call,
+        pool: http1.Pool,
+        connection: http1.Connection,
+    ) -> None:
+        """Checks a request's time again once it has waited for a connection.
+
+        Raises:
+            RefusedError: If it has too little left; the connection is released.
+        """
+        try:
+            self._check_has_time(call)
+        except refusals.RefusedError:
+            pool.release(connection)
+            raise
+
     def _check_meets_deadline(
         self, call: requests.Call, target: requests.Target
     ) -> None:
@@ -202,7 +234,8 @@
     ) -> bool:
         """Waits while another request prefills the same shared prompt.
 
-        A request waits at most once.
+        A request waits at most once, and not if there would be too little time
+        left before the gateway exits.
 
         Returns:
             Whether it waited, so that an endpoint has to be chosen again.
@@ -211,6 +244,8 @@
             return False
         left = call.deadline.remaining() * _PREFILL_WAIT_SHARE
         deadline = clocks.Deadline.after(min(_PREFILL_WAIT_S, left))
+        if deadline > self._dependencies.shutdown.find_latest_start(call):
+            return False
         call.has_waited_for_prefill = (
             await self._dependencies.prompts.wait_for_prefill(
                 target.prompt_key, deadline
--- a/sardinewharf/gateway/exchange.py
+++ b/sardinewharf/gateway/exchange.py
@@ -84,6 +84,16 @@
             for at, started, is_leaving in self._last_received.values()
         )
 
+    def has_other_gateway(self) -> bool:
+        """Returns whether another gateway is registered and not leaving."""
+        leaving = {
+            sender
+            for sender, (_, _, is_leaving) in self._last_received.items()
+            if is_leaving
+        }
+        others = self._replica.members.keys() - leaving - {self._settings.name}
+        return bool(others)
+
     def record_weights(
         self, endpoint_id: ids.EndpointId, model: str, version: int
     ) -> None:
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -13,6 +13,7 @@
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
+from sardinewharf.gateway import shutdown as shutdown_lib
 
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 
@@ -23,6 +24,7 @@
     Args:
         dispatcher: Sends requests to endpoints.
         reader: Reads from endpoints, and detects stalled ones.
+        shutdown: Learns how long requests take.
         log: Receives a record of how each response ended.
         metrics: Counts responses by how they ended.
     """
@@ -31,11 +33,13 @@
         self,
         dispatcher: dispatcher_lib.Dispatcher,
         reader: readers.EndpointReader,
+        shutdown: shutdown_lib.Shutdown,
         log: records.RecordSink,
         metrics: metrics_lib.GatewayMetrics,
     ):
         self._dispatcher = dispatcher
         self._reader = reader
+        self._durations = shutdown.durations
         self._log = log
         self._metrics = metrics
 
@@ -48,6 +52,26 @@
             RefusedError: If no endpoint responded, so that nothing was sent to
                 the caller yet.
         """
+        route = call.admitted.route.name
+        with self._durations.track(route) as began:
+            try:
+                await self._forward(call, responder)
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                if call.may_have_run:
+                    self._durations.record(route, began)
+                raise
+            self._durations.record(route, began)
+
+    async def _forward(
+        self, call: requests.Call, responder: responder_lib.Responder
+    ) -> None:
+        """Sends a request to endpoints until one gives a response to forward.
+
+        Raises:
+            RefusedError: If no endpoint did.
+        """
         while True:
             attempt = await self._dispatcher.open(call)
             head = attempt.head
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -34,16 +34,12 @@
 from sardinewharf.gateway import rollout
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import shutdown as shutdown_lib
 from sardinewharf.gateway import staleness
 from sardinewharf.gateway import sync
 from sardinewharf.gateway import tables
 from sardinewharf.http1 import server as http_server
 
-# A gateway whose readiness probe fails gets no new connections from the
-# platform's load balancer after this time.
-_READINESS_PROPAGATION_S = 2.4
-# The process ends this long before the platform would kill it.
-_KILL_MARGIN_S = 0.3
 _MAINTENANCE_INTERVAL_S = 0.25
 # Share of the retry budget that is split between the gateways. The rest covers
 # gateways that restart, which begin with an unused budget.
@@ -107,6 +103,15 @@
         self._crashes = limits.CrashTable()
         self._prompts = prompts_lib.PromptTable(self._schedule_broadcast)
         self._estimators = tables.EstimatorTable()
+        self._exchange = exchange_lib.StateExchange(
+            settings,
+            self._replica,
+            self._loads,
+            self._drains,
+            self._prompts,
+            self._crashes,
+        )
+        self._shutdown = shutdown_lib.Shutdown(self._exchange.has_other_gateway)
         selector = selection.Selector(
             settings,
             self._replica,
@@ -132,6 +137,7 @@
                 crashes=self._crashes,
                 estimators=self._estimators,
                 reader=reader,
+                shutdown=self._shutdown,
                 log=log,
                 metrics=self._metrics,
             )
@@ -141,7 +147,10 @@
             self._replica,
             self._admission_controller,
             selector,
-            relay_lib.Relay(dispatcher, reader, log, self._metrics),
+            relay_lib.Relay(
+                dispatcher, reader, self._shutdown, log, self._metrics
+            ),
+            self._shutdown,
             log,
             self._metrics,
         )
@@ -157,14 +166,6 @@
             feed,
             log,
         )
-        self._exchange = exchange_lib.StateExchange(
-            settings,
-            self._replica,
-            self._loads,
-            self._drains,
-            self._prompts,
-            self._crashes,
-        )
         self._peers = peers_lib.Peers(
             settings,
             self._replica,
@@ -195,7 +196,8 @@
         self._log.write(records.events.Reloaded("settings are read at start"))
 
     def stop(self) -> None:
-        """Starts a graceful shutdown."""
+        """Starts a graceful shutdown; the grace period begins now."""
+        self._shutdown.begin(self._settings.guarantees.grace_ms / 1000)
         self._stopping.set()
 
     async def run(self) -> None:
@@ -267,7 +269,7 @@
 
     def _is_ready(self) -> bool:
         return (
-            not self._app.is_shutting_down
+            not self._shutdown.has_begun
             and self._admission_controller.is_current()
             and bool(self._replica.configuration.version)
         )
@@ -369,21 +371,21 @@
 
         A request is finished when its response was sent, not only written.
 
-        The leader lease is given up first. New requests are served until the
-        load balancer should have noticed that the gateway is not ready, and
-        are refused from then on.
+        New requests are served until the load balancer should have noticed
+        that the gateway is not ready, if they can end in time. What still runs
+        near the end is answered then. The leader lease is given up meanwhile.
         """
+        schedule = self._shutdown.schedule
         self._log.write(records.events.Stopping(self._app.running))
-        self._app.is_shutting_down = True
-        await self._rollout_controller.stop()
-        grace_s = self._settings.guarantees.grace_ms / 1000
-        end = clocks.Deadline.after(grace_s - _KILL_MARGIN_S)
-        await asyncio.sleep(_READINESS_PROPAGATION_S)
+        self._tasks.start(self._rollout_controller.stop(), "resign")
+        await asyncio.sleep(schedule.reject_from.remaining())
         self._app.rejects_new_requests = True
         self._server.stop_listening()
         self._server.close_idle()
-        await self._app.wait_until_idle(end)
-        await self._server.wait_until_closed(end)
+        await self._app.wait_until_idle(schedule.answer_by)
+        await self._app.end_requests()
+        await self._app.wait_until_idle(schedule.exit_by)
+        await self._server.wait_until_closed(schedule.exit_by)
 
 
 def _make_text_app(render: Callable[[], bytes]) -> Callable[..., object]:
