Decode each item and event of an answer alone

Seen: one item of a listing or watch whose fields had another type made the whole answer "Unavailable", and a gateway followed the store no more until the item was gone from the history. One event of a cache that could not be decoded made the gateway read the same batch without end. An answer nested deeply ended the task that read it: RecursionError is no MsgspecError.

Cause: answers were decoded as a whole, and each caller listed the errors of the decoder by itself.

Now sardinewharf/decoding turns all errors of unreadable data into one DecodeError, and items and events are decoded one by one. An item of which only key and revision can be read gets an empty value, which the reader of entries rejects; its revision still advances the replica. Integers are limited to 64 bits: MessagePack cannot pass on larger ones.

--- a/sardinewharf/platform/calls.py
+++ b/sardinewharf/platform/calls.py
@@ -5,9 +5,8 @@
 import dataclasses
 from typing import TypeVar
 
-import msgspec
-
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import http1
 
 _JSON = (b"content-type", b"application/json")
@@ -114,8 +113,8 @@
         CallError: If the body cannot be decoded.
     """
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(body, kind)
+    except decoding.DecodeError as error:
         raise CallError(
             f"cannot decode the body: {error}", was_sent=True
         ) from error
--- a/sardinewharf/platform/engines.py
+++ b/sardinewharf/platform/engines.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import fleet
 from sardinewharf import http1
 from sardinewharf import logs
@@ -141,13 +142,42 @@
             epoch=batch.epoch,
             next_since=batch.next,
             has_gap=batch.lost,
-            events=tuple(
-                control.CacheEvent(sign == "+", salt, part_id, tokens)
-                for _, sign, salt, part_id, tokens, _ in batch.events
-            ),
+            events=_decode_events(address, batch.events),
         )
 
     def _find_pool(self, address: str) -> http1.Pool:
         if address not in self._pools:
             self._pools[address] = http1.Pool(address, _MAX_CONNECTIONS)
         return self._pools[address]
+
+
+def _decode_events(
+    address: str, events: list[msgspec.Raw]
+) -> tuple[control.CacheEvent, ...]:
+    """Returns the events that can be decoded.
+
+    If the batch were refused for one that cannot, it would be read again and
+    again.
+    """
+    decoded = []
+    error = None
+    for raw in events:
+        try:
+            event = decoding.decode_json(raw, wire.Event)
+        except decoding.DecodeError as found:
+            error = found
+            continue
+        decoded.append(
+            control.CacheEvent(
+                event.sign == "+", event.salt, event.part, event.tokens
+            )
+        )
+    if error is not None:
+        _log.warning(
+            "{} of {} events of cache {} cannot be decoded: {}.",
+            len(events) - len(decoded),
+            len(events),
+            address,
+            error,
+        )
+    return tuple(decoded)
--- a/sardinewharf/platform/settings.py
+++ b/sardinewharf/platform/settings.py
@@ -2,8 +2,7 @@
 
 import pathlib
 
-import msgspec
-
+from sardinewharf import decoding
 from sardinewharf.gateway import settings
 from sardinewharf.platform import wire
 
@@ -22,15 +21,13 @@
         SettingsFileError: If the file is missing or invalid.
     """
     try:
-        file_settings = msgspec.json.decode(
-            path.read_bytes(), type=wire.Settings
-        )
+        file_settings = decoding.decode_json(path.read_bytes(), wire.Settings)
     except OSError as error:
         raise SettingsFileError(
             f"{path} cannot be read ({error.strerror}): set"
             " SARDINEWHARF_CONFIG to the settings file"
         ) from error
-    except msgspec.MsgspecError as error:
+    except decoding.DecodeError as error:
         raise SettingsFileError(f"{path}: {error}; correct the file") from error
     bounds = file_settings.bounds
     peer_port = file_settings.port_range[0] if file_settings.port_range else 0
--- a/sardinewharf/platform/store.py
+++ b/sardinewharf/platform/store.py
@@ -1,9 +1,9 @@
 """Client for the platform's key-value store."""
 
 import base64
-import binascii
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import math
 from typing import TypeVar
 import urllib.parse
@@ -14,6 +14,7 @@
 from sardinewharf import http1
 from sardinewharf import keyvalue
 from sardinewharf.platform import calls
+from sardinewharf.platform import items
 from sardinewharf.platform import wire
 
 _MAX_CONNECTIONS = 8
@@ -24,6 +25,15 @@
 _Result = TypeVar("_Result")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """A page of keys, decoded; the fields are those of ``wire.Range``."""
+
+    items: list[wire.Item]
+    store_revision: int
+    more_pages: bool
+
+
 class StoreClient(keyvalue.PrefixStore):
     """Client for the platform's store.
 
@@ -101,7 +111,7 @@
         self, prefix: str, deadline: clocks.Deadline
     ) -> keyvalue.Listing | keyvalue.Unavailable:
         """Returns all keys with the prefix."""
-        items: list[wire.Item] = []
+        found: list[wire.Item] = []
         revision: int | None = None
         after = ""
         while True:
@@ -109,18 +119,18 @@
                 page = await self._read_page(prefix, after, deadline)
             except calls.CallError as error:
                 return keyvalue.Unavailable(str(error))
-            items += page.items
+            found += page.items
             # Later pages may contain later changes. A watch that continues
             # from the first page's revision returns those changes again.
             if revision is None:
                 revision = page.store_revision
             if not page.more_pages or not page.items:
-                return keyvalue.Listing(_decode_entries(items), revision)
+                return keyvalue.Listing(items.make_entries(found), revision)
             after = page.items[-1].key
 
     async def _read_page(
         self, prefix: str, after: str, deadline: clocks.Deadline
-    ) -> wire.Range:
+    ) -> _Page:
         """Returns the page of keys that begins after a key.
 
         Raises:
@@ -131,12 +141,14 @@
         )
         revision = self._revision
 
-        def read_page(reply: calls.Reply) -> wire.Range:
+        def read_page(reply: calls.Reply) -> _Page:
             page = _decode_success(reply, wire.Range)
-            keys = [item.key for item in page.items]
-            _check_keys(keys, prefix, after=after)
+            found = items.decode_items(page.items)
+            if page.items and not found:
+                raise calls.CallError("no item can be decoded", was_sent=True)
+            _check_keys([item.key for item in found], prefix, after=after)
             self._check_revision(page.store_revision, revision)
-            return page
+            return _Page(found, page.store_revision, page.more_pages)
 
         return await self._get(f"/-/kv-range?{query}", read_page, deadline)
 
@@ -156,13 +168,14 @@
             if reply.status == 410:
                 return keyvalue.HistoryLost()
             found = _decode_success(reply, wire.Watch)
-            _check_keys([event.key for event in found.events], prefix)
+            events = items.decode_items(found.events)
+            _check_keys([event.key for event in events], prefix)
             # It need not be the store's newest revision.
             self._check_revision(found.store_revision, revision)
-            if any(event.rev <= revision for event in found.events):
+            if any(event.rev <= revision for event in events):
                 raise _make_mismatch("older changes")
             return keyvalue.Changes(
-                _decode_entries(found.events), found.store_revision
+                items.make_entries(events), found.store_revision
             )
 
         try:
@@ -316,18 +329,3 @@
         raise calls.CallError(
             f"cannot decode the value of {item.key}: {error}", was_sent=True
         ) from error
-
-
-def _decode_entries(items: list[wire.Item]) -> tuple[keyvalue.Entry, ...]:
-    return tuple(_decode_entry(item) for item in items)
-
-
-def _decode_entry(item: wire.Item) -> keyvalue.Entry:
-    if item.deleted:
-        return keyvalue.Entry(item.key, None, item.rev)
-    try:
-        value = base64.b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError):
-        # An empty value is rejected and logged where the entry is decoded.
-        value = b""
-    return keyvalue.Entry(item.key, value, item.rev)
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sardinewharf import decoding
 from sardinewharf.gateway import settings
 
 
@@ -15,38 +16,51 @@
 
     key: str
     value: str = ""
-    rev: int = 0
-    create_revision: int = 0
-    lease: int = 0
+    rev: decoding.Integer = 0
+    create_revision: decoding.Integer = 0
+    lease: decoding.Integer = 0
     deleted: bool = False
 
 
+class ItemKey(msgspec.Struct):
+    """The part of an item that tells which change it is."""
+
+    key: str
+    rev: decoding.Integer
+
+
 class StoredItem(Item):
     """A key that was read, and the store's revision at that time."""
 
-    store_revision: int = 0
+    store_revision: decoding.Integer = 0
 
 
 class Range(msgspec.Struct):
-    """A page of keys; ``more_pages`` states whether more keys follow."""
+    """A page of keys; each of ``items`` holds an ``Item``.
+
+    ``more_pages`` states whether more keys follow.
+    """
 
-    items: list[Item]
-    store_revision: int
+    items: list[msgspec.Raw]
+    store_revision: decoding.Integer
     more_pages: bool = False
 
 
 class Watch(msgspec.Struct):
-    """Changes of keys; the next watch continues at ``store_revision``."""
+    """Changes of keys; each of ``events`` holds an ``Item``.
 
-    events: list[Item]
-    store_revision: int
+    The next watch continues at ``store_revision``.
+    """
+
+    events: list[msgspec.Raw]
+    store_revision: decoding.Integer
 
 
 class Condition(msgspec.Struct):
     """A key and the revision that it must have; 0 if it must not exist."""
 
     key: str
-    rev: int
+    rev: decoding.Integer
 
 
 class Put(msgspec.Struct):
@@ -54,7 +68,7 @@
 
     key: str
     value: str
-    lease: int = 0
+    lease: decoding.Integer = 0
 
 
 class Txn(msgspec.Struct):
@@ -71,26 +85,26 @@
 class TxnResponse(msgspec.Struct):
     """The revision of a transaction that took effect."""
 
-    rev: int
+    rev: decoding.Integer
 
 
 class LeaseRequest(msgspec.Struct):
     """A request for a lease that lasts ``ttl_ms`` milliseconds."""
 
-    ttl_ms: int
+    ttl_ms: decoding.Integer
 
 
 class GrantResponse(msgspec.Struct):
     """A lease that was granted, and its duration."""
 
-    ttl_ms: int
-    lease: int
+    ttl_ms: decoding.Integer
+    lease: decoding.Integer
 
 
 class RenewalResponse(msgspec.Struct):
     """The duration of a lease that was renewed."""
 
-    ttl_ms: int
+    ttl_ms: decoding.Integer
 
 
 class SplitRow(msgspec.Struct):
@@ -111,12 +125,12 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: int
-    target_latency_ms: int = 0
-    priority: int = 0
+    timeout_ms: decoding.Integer
+    target_latency_ms: decoding.Integer = 0
+    priority: decoding.Integer = 0
     service: str | None = None
     traffic_split: list[SplitRow] = []
-    max_attempts: int = 1
+    max_attempts: decoding.Integer = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
@@ -135,11 +149,11 @@
     requests.
     """
 
-    slots: int = 1
-    kv_capacity_tokens: int = 0
-    kv_token_bytes: int = 0
+    slots: decoding.Integer = 1
+    kv_capacity_tokens: decoding.Integer = 0
+    kv_token_bytes: decoding.Integer = 0
     link_mbps: float = 0.0
-    max_in_flight: int = 1
+    max_in_flight: decoding.Integer = 1
     models: list[EngineModel] = []
 
 
@@ -150,22 +164,22 @@
     """
 
     name: str
-    max_conns: int = 0
+    max_conns: decoding.Integer = 0
     engine: EngineRow | None = None
     kv_store: str | None = None
     zone: str = ""
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: decoding.Integer = 0
     link_mbps: float = 0.0
-    max_in_flight: int = 1
+    max_in_flight: decoding.Integer = 1
 
 
 class LimitsRow(msgspec.Struct):
     """Limits on requests and connections of callers."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: decoding.Integer = 16_384
+    max_body_bytes: decoding.Integer = 4_194_304
+    header_timeout_ms: decoding.Integer = 3_000
+    idle_timeout_ms: decoding.Integer = 15_000
 
 
 class TenantRow(msgspec.Struct):
@@ -173,14 +187,14 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: decoding.Integer | None = None
     isolated: bool = False
 
 
 class Manifest(msgspec.Struct):
     """The configuration, as the operator writes it."""
 
-    version: int
+    version: decoding.Integer
     routes: list[RouteRow] = []
     services: list[ServiceRow] = []
     limits: LimitsRow = msgspec.field(default_factory=LimitsRow)
@@ -191,7 +205,7 @@
     """A model on a server, with the version of its weights."""
 
     name: str
-    version: int = 0
+    version: decoding.Integer = 0
 
 
 class ServerEntry(msgspec.Struct):
@@ -206,17 +220,17 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: decoding.Integer
     state: str
     models: list[ModelRow] = []
-    born: int = 0
+    born: decoding.Integer = 0
 
 
 class TargetVersionEntry(msgspec.Struct):
     """The target version of a model's weights."""
 
     model: str
-    version: int
+    version: decoding.Integer
 
 
 class Report(msgspec.Struct):
@@ -228,12 +242,12 @@
 
     models: list[ModelRow] = []
     busy: bool = False
-    sequence: int = 0
-    waiting: int = 0
-    running: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    born: int = 0
+    sequence: decoding.Integer = 0
+    waiting: decoding.Integer = 0
+    running: decoding.Integer = 0
+    kv_used: decoding.Integer = 0
+    kv_total: decoding.Integer = 0
+    born: decoding.Integer = 0
 
 
 class Order(msgspec.Struct, omit_defaults=True):
@@ -245,25 +259,36 @@
 
     op: str
     model: str
-    version: int
+    version: decoding.Integer
     switch_mode: str
     holder: str
-    fence: int
-    expected: int | None = None
+    fence: decoding.Integer
+    expected: decoding.Integer | None = None
+
+
+class Event(msgspec.Struct, array_like=True):
+    """A change of a cache; ``sign`` is + for a part that it holds now."""
+
+    number: decoding.Integer
+    sign: str
+    salt: str
+    part: str
+    tokens: decoding.Integer
+    model: str
 
 
 class Events(msgspec.Struct):
-    """Changes of a cache: [number, + or -, salt, part, tokens, model].
+    """Changes of a cache; each of ``events`` holds an ``Event``.
 
     ``next`` is the position to read from next, and ``lost`` states whether
     events before the first one are missing. ``epoch`` differs after the cache
     restarted empty.
     """
 
-    epoch: int
-    next: int
+    epoch: decoding.Integer
+    next: decoding.Integer
     lost: bool = False
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: list[msgspec.Raw] = []
 
 
 class Listen(msgspec.Struct):
@@ -296,18 +321,18 @@
     - ``version_ms`` limits how long replaced weights may be used.
     """
 
-    contact_ms: int = 3_000
-    drain_ms: int = 2_000
+    contact_ms: decoding.Integer = 3_000
+    drain_ms: decoding.Integer = 2_000
     grace_s: float = 8.0
-    config_apply_ms: int = 2_000
+    config_apply_ms: decoding.Integer = 2_000
     revoke_fail_closed: bool = False
-    revoke_ms: int = 5_000
+    revoke_ms: decoding.Integer = 5_000
     retry_budget_ratio: float = 0.1
     budget_window_s: float = 10.0
     budget_extra: float = 0.0
-    lease_ms: int = 3_000
-    thaw_slack_ms: int = 300
-    version_ms: int = 10_000
+    lease_ms: decoding.Integer = 3_000
+    thaw_slack_ms: decoding.Integer = 300
+    version_ms: decoding.Integer = 10_000
 
 
 class VmLimits(msgspec.Struct):
@@ -324,8 +349,8 @@
     ip: str
     listen: Listen
     platform: PlatformRow
-    port_range: list[int] = []
+    port_range: list[decoding.Integer] = []
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: VmLimits = msgspec.field(default_factory=VmLimits)
-    heartbeat_ms: int = 1_000
+    heartbeat_ms: decoding.Integer = 1_000
     zones: dict[str, Any] = {}
