Refuse numbers in callers' headers that nothing can use

Seen: a caller that stated a prompt of 10^30 tokens ended the gossip of its gateway for good ("Task peers failed", OverflowError), as no digest could hold the load. Negative tokens and event ids, and a deadline of NaN, which never passes, were taken as they came.

Cause: the headers were read by int() and float() without limits.

Now such a header is malformed (400).

--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -3,6 +3,8 @@
 No other module contains names of the platform's headers.
 """
 
+import math
+
 from sardinewharf import clocks
 from sardinewharf import http1
 from sardinewharf import ids
@@ -77,8 +79,10 @@
 _NOT_FORWARDED = _HOP_BY_HOP | _RESERVED
 _MAX_TIME_LEFT_MS = 600_000
 _DEFAULT_TIME_LEFT_MS = 60_000
-# Longest number in a header of an endpoint.
+# Longest number in a header.
 _MAX_DIGITS = 18
+# Longest number of tokens in a header of a caller.
+_MAX_TOKEN_DIGITS = 12
 
 
 class PlatformHeaderCodec(messages.HeaderCodec):
@@ -200,6 +204,8 @@
         left = float(value)
     except ValueError as error:
         raise messages.MalformedError("the time left is no number") from error
+    if math.isnan(left):
+        raise messages.MalformedError("the time left is no number")
     left = min(max(left, 0.0), _MAX_TIME_LEFT_MS)
     return clocks.Deadline(arrived + left / 1000)
 
@@ -216,12 +222,14 @@
             if not entry.strip():
                 continue
             part, _, count = entry.strip().partition(b":")
-            listed.append(messages.PromptPart(part.decode(), int(count)))
+            listed.append(
+                messages.PromptPart(part.decode(), _parse_tokens(count))
+            )
         prompt_tokens, _, answer_tokens = (tokens or b"0,0").partition(b",")
         return messages.Prompt(
             model=first_values.get(MODEL, b"").decode(),
-            tokens=int(prompt_tokens),
-            answer_tokens=int(answer_tokens or b"0"),
+            tokens=_parse_tokens(prompt_tokens),
+            answer_tokens=_parse_tokens(answer_tokens or b"0"),
             parts=tuple(listed),
         )
     except ValueError as error:
@@ -234,13 +242,34 @@
     if value is None:
         return None
     try:
-        return int(value)
+        return _parse_number(value, _MAX_DIGITS)
     except ValueError as error:
         raise messages.MalformedError(
             "the last event's id is no number"
         ) from error
 
 
+def _parse_tokens(value: bytes) -> int:
+    """Returns a number of tokens.
+
+    Raises:
+        ValueError: If the value is none that a prompt can have.
+    """
+    return _parse_number(value, _MAX_TOKEN_DIGITS)
+
+
+def _parse_number(value: bytes, max_digits: int) -> int:
+    """Returns a decimal number.
+
+    Raises:
+        ValueError: If the value is none, or too long.
+    """
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > max_digits:
+        raise ValueError("no decimal number of the expected length")
+    return int(digits)
+
+
 def _read_number(value: bytes) -> int:
     """Returns a decimal number; 0 if the value is none or too long."""
     is_number = value.isdigit() and len(value) <= _MAX_DIGITS
