Let an odd entry of the store cost only itself

Seen: an entry under servers/ or sardinewharf/members/ that was nested some thousand levels deep ended "sync" for good, also at the start of a gateway, in op/config, in op/version/ and in the leader's lease record, which ended "office" too. An address with a port above 65535, below 0 or of thirty digits gave callers 500. A gateway's registration without a usable port ended "peers"; one with port 70000 or -1, thirty digits or a NUL made asyncio close the gossip's socket for good, which no log line of ours told. A target version of 10^30 ended "peers" as well.

Cause: RecursionError is no MsgspecError, OverflowError no OSError, and the address was parsed where it was used.

Now each entry is decoded alone, with one type of error, and rejected with one log line: it names no endpoint and no gateway, and what the operator wrote before stays in force. Addresses are parsed where the entry is read; those of gateways must be IP addresses, as asyncio looks host names up in the event loop for each datagram. http1.connect raises ConnectError for all others.

--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from sardinewharf import decoding
+
 # Compression takes a fraction of a millisecond at this level.
 _COMPRESSION_LEVEL = 1
 
@@ -23,9 +25,9 @@
     """
 
     endpoint: str
-    running: int
-    prompt_tokens: int
-    held_tokens: int
+    running: decoding.Integer
+    prompt_tokens: decoding.Integer
+    held_tokens: decoding.Integer
 
 
 class WeightsUpdate(msgspec.Struct, array_like=True):
@@ -33,7 +35,7 @@
 
     endpoint: str
     model: str
-    version: int
+    version: decoding.Integer
 
 
 class TargetVersionUpdate(msgspec.Struct, array_like=True):
@@ -47,9 +49,9 @@
     """
 
     model: str
-    version: int
-    age_ms: int
-    slack_ms: int = 0
+    version: decoding.Integer
+    age_ms: decoding.Integer
+    slack_ms: decoding.Integer = 0
 
 
 class PrefillUpdate(msgspec.Struct, array_like=True):
@@ -63,7 +65,7 @@
 
     key: int
     incarnation: str
-    age_ms: int
+    age_ms: decoding.Integer
 
 
 class CacheUseUpdate(msgspec.Struct, array_like=True):
@@ -78,8 +80,8 @@
 
     key: int
     incarnation: str
-    tokens: int
-    age_ms: int
+    tokens: decoding.Integer
+    age_ms: decoding.Integer
 
 
 class CrashUpdate(msgspec.Struct, array_like=True):
@@ -93,7 +95,7 @@
 
     fingerprint: bytes
     incarnation: str
-    age_ms: int
+    age_ms: decoding.Integer
 
 
 class FeedEntry(msgspec.Struct, array_like=True):
@@ -101,7 +103,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: decoding.Integer
 
 
 def compress_entries(entries: list[FeedEntry]) -> bytes:
@@ -119,11 +121,11 @@
     """Returns the changes that ``compress_entries`` compressed.
 
     Raises:
-        msgspec.MsgspecError: If the data hold no list of changes.
-        zlib.error: If the data are not compressed.
+        DecodeError: If the data hold no list of changes.
     """
-    decompressed = zlib.decompress(compressed)
-    return msgspec.msgpack.decode(decompressed, type=list[FeedEntry])
+    with decoding.convert_errors():
+        decompressed = zlib.decompress(compressed)
+    return decoding.decode_msgpack(decompressed, list[FeedEntry])
 
 
 class FeedRequest(msgspec.Struct, array_like=True, tag=1):
@@ -136,7 +138,7 @@
     """
 
     number: int
-    revision: int
+    revision: decoding.Integer
 
 
 class FeedResponse(msgspec.Struct, array_like=True, tag=2):
@@ -157,12 +159,12 @@
     """
 
     number: int
-    revision: int
-    age_ms: int
+    revision: decoding.Integer
+    age_ms: decoding.Integer
     chunk: bytes | None
-    reregistration_ms: int = 0
-    chunk_index: int = 0
-    chunk_count: int = 1
+    reregistration_ms: decoding.Integer = 0
+    chunk_index: decoding.Integer = 0
+    chunk_count: decoding.Integer = 1
     has_store_contact: bool = True
 
 
@@ -170,7 +172,7 @@
     """An engine that the sender drains, and for how long at most."""
 
     endpoint: str
-    left_ms: int
+    left_ms: decoding.Integer
 
 
 class UrgentUpdate(msgspec.Struct, array_like=True, tag=3):
@@ -189,7 +191,7 @@
     """
 
     sender: str
-    started: int
+    started: decoding.Integer
     number: int
     draining: list[DrainUpdate] = []
     weights: list[WeightsUpdate] = []
@@ -222,9 +224,9 @@
     """
 
     sender: str
-    started: int
+    started: decoding.Integer
     number: int
-    revision: int
+    revision: decoding.Integer
     loads: list[LoadUpdate] = []
     draining: list[str] = []
     weights: list[WeightsUpdate] = []
@@ -233,7 +235,7 @@
     is_leaving: bool = False
     prefills: list[PrefillUpdate] = []
     cache_uses: list[CacheUseUpdate] = []
-    cache_store_age_ms: int | None = None
+    cache_store_age_ms: decoding.Integer | None = None
     cache_store: str = ""
 
 
--- a/sardinewharf/gateway/feeds.py
+++ b/sardinewharf/gateway/feeds.py
@@ -261,8 +261,7 @@
         """Handles another gateway's response, or a chunk of it.
 
         Raises:
-            msgspec.MsgspecError: If it holds no list of changes.
-            zlib.error: If its changes are not compressed.
+            DecodeError: If it holds no list of changes.
         """
         pending = self._pending.get(response.number)
         if pending is None or pending.response.done():
--- a/sardinewharf/gateway/members.py
+++ b/sardinewharf/gateway/members.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from sardinewharf import addresses
+from sardinewharf import decoding
 from sardinewharf import keyvalue
 from sardinewharf.gateway import changes
 
@@ -31,16 +33,24 @@
     return keyvalue.Entry(KEY_PREFIX + name, value, 0)
 
 
+def make_removal(entry: keyvalue.Entry) -> changes.MemberChange:
+    """Returns the removal of the gateway whose registration an entry was."""
+    return changes.MemberChange(entry.key.removeprefix(KEY_PREFIX), "")
+
+
 def read_member(entry: keyvalue.Entry) -> changes.MemberChange:
-    """Returns the gateway that an entry registers or removes."""
+    """Returns the gateway that an entry registers or removes.
+
+    Raises:
+        DecodeError: If the entry holds no registration.
+        AddressError: If the gateway's address is none.
+    """
     name = entry.key.removeprefix(KEY_PREFIX)
     if entry.value is None:
-        return changes.MemberChange(name, "")
-    try:
-        registration = msgspec.json.decode(entry.value, type=Registration)
-    except msgspec.MsgspecError:
-        # Without a readable address the gateway cannot be reached.
-        return changes.MemberChange(name, "")
+        return make_removal(entry)
+    registration = decoding.decode_json(entry.value, Registration)
+    # Datagrams are sent to it, and no host name may be looked up for each.
+    addresses.parse_ip_address(registration.address)
     return changes.MemberChange(
         name, registration.address, registration.failure_domain
     )
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -12,10 +12,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
-import zlib
 
 import msgspec
 
+from sardinewharf import addresses
+from sardinewharf import decoding
 from sardinewharf import logs
 from sardinewharf.gateway import broadcasts
 from sardinewharf.gateway import digests
@@ -161,12 +162,11 @@
             return self._random.sample(others, _GOSSIP_FANOUT)
         return others
 
-    def _send_to(self, addresses: Iterable[str], datagram: bytes) -> None:
+    def _send_to(self, recipients: Iterable[str], datagram: bytes) -> None:
         if not self._is_open:
             return
-        for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(datagram, (host, int(port)))
+        for address in recipients:
+            self._transport.sendto(datagram, addresses.parse_address(address))
 
     @property
     def _is_open(self) -> bool:
@@ -179,8 +179,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handles a datagram from another gateway."""
         try:
-            message = msgspec.msgpack.decode(data, type=digests.Message)
-        except msgspec.MsgspecError as error:
+            message = decoding.decode_msgpack(data, digests.Message)
+        except decoding.DecodeError as error:
             _log.warning(
                 "A datagram from {} cannot be decoded: {}.", addr[0], error
             )
@@ -209,7 +209,7 @@
         """Passes a response to the feed; logs one that cannot be decoded."""
         try:
             self._feed.handle_response(response)
-        except (msgspec.MsgspecError, zlib.error) as error:
+        except decoding.DecodeError as error:
             _log.warning(
                 "Changes from {} cannot be decoded: {}.", sender, error
             )
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from sardinewharf import addresses
 from sardinewharf import clocks
 
 # A connection is closed if sent bytes or keep-alive probes were not
@@ -356,13 +357,12 @@
     Raises:
         ConnectError: If it could not be opened by the deadline.
     """
-    host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
+        host, port = addresses.parse_address(address)
         async with asyncio.timeout(deadline.remaining()):
-            _, connection = await loop.create_connection(
-                Connection, host, int(port)
-            )
+            _, connection = await loop.create_connection(Connection, host, port)
+    # A host name that cannot be encoded is a ValueError.
     except (OSError, TimeoutError, ValueError) as error:
         reason = str(error) or type(error).__name__
         raise ConnectError(f"{address}: {reason}") from error
--- a/sardinewharf/leases/leader_lease.py
+++ b/sardinewharf/leases/leader_lease.py
@@ -10,10 +10,13 @@
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import keyvalue
 
 # Prefix of the keys of lease records in the key-value service.
 KEY_PREFIX = "sardinewharf/placement/"
+# Holder of a lease whose record cannot be decoded.
+UNKNOWN_HOLDER = "unknown"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
     """
 
     holder: str
-    quiet_ms: int = 0
+    quiet_ms: decoding.Integer = 0
 
 
 def decode_lease_record(value: bytes | None) -> LeaseRecord:
@@ -63,10 +66,10 @@
     if not value:
         return LeaseRecord("")
     try:
-        return msgspec.json.decode(value, type=LeaseRecord)
-    except msgspec.MsgspecError:
+        return decoding.decode_json(value, LeaseRecord)
+    except decoding.DecodeError:
         # The process that wrote it may be acting until its lease expires.
-        return LeaseRecord("unknown")
+        return LeaseRecord(UNKNOWN_HOLDER)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/platform/changes.py
+++ b/sardinewharf/platform/changes.py
@@ -1,8 +1,8 @@
 """Decodes the entries of the platform's store."""
 
-import msgspec
-
+from sardinewharf import addresses
 from sardinewharf import catalog
+from sardinewharf import decoding
 from sardinewharf import fleet
 from sardinewharf import ids
 from sardinewharf import keyvalue
@@ -43,62 +43,81 @@
 
         None is returned for an entry that is irrelevant or cannot be decoded.
         """
-        if entry.key.startswith(_SERVERS_PREFIX):
-            return self._read_server(entry)
+        try:
+            change = self._decode(entry)
+        except (ValueError, KeyError) as error:
+            self._reject(entry, str(error))
+            return _replace_unreadable(entry)
+        return change
+
+    def _decode(self, entry: keyvalue.Entry) -> changes.Change | None:
+        """Returns the change that an entry holds; None if it is irrelevant.
+
+        Raises:
+            ValueError: If the entry cannot be decoded.
+            KeyError: If it names a kind or state that is not known.
+        """
+        if entry.key == leases.KEY_PREFIX + changes.ROLLOUT_LEASE:
+            return self._read_leader(entry)
         if entry.key.startswith(members.KEY_PREFIX):
             return members.read_member(entry)
-        if entry.key == leases.KEY_PREFIX + changes.ROLLOUT_LEASE:
-            return changes.LeaderChange(
-                leases.decode_lease_record(entry.value).holder
-            )
         if entry.value is None:
-            return None
-        try:
-            if entry.key == _CONFIGURATION_KEY:
-                manifest = msgspec.json.decode(entry.value, type=wire.Manifest)
-                return changes.ConfigurationChange(_read_manifest(manifest))
-            if entry.key.startswith(_WEIGHTS_PREFIX):
-                target = msgspec.json.decode(
-                    entry.value, type=wire.TargetVersionEntry
-                )
-                return changes.TargetVersionChange(target.model, target.version)
-        except (msgspec.MsgspecError, KeyError, ValueError) as error:
-            self._reject(entry, str(error))
+            return _replace_unreadable(entry)
+        if entry.key.startswith(_SERVERS_PREFIX):
+            return _read_server(entry)
+        if entry.key == _CONFIGURATION_KEY:
+            manifest = decoding.decode_json(entry.value, wire.Manifest)
+            return changes.ConfigurationChange(_read_manifest(manifest))
+        if entry.key.startswith(_WEIGHTS_PREFIX):
+            target = decoding.decode_json(entry.value, wire.TargetVersionEntry)
+            return changes.TargetVersionChange(target.model, target.version)
         return None
 
+    def _read_leader(self, entry: keyvalue.Entry) -> changes.LeaderChange:
+        holder = leases.decode_lease_record(entry.value).holder
+        if holder == leases.UNKNOWN_HOLDER:
+            self._reject(entry, "the holder of the lease is not known")
+        return changes.LeaderChange(holder)
+
     def _reject(self, entry: keyvalue.Entry, detail: str) -> None:
         """Logs an entry that cannot be decoded, once for each revision."""
         if self._rejected.get(entry.key) != entry.revision:
             self._rejected[entry.key] = entry.revision
             self._log.write(records.events.EntryRejected(entry.key, detail))
 
-    def _read_server(
-        self, entry: keyvalue.Entry
-    ) -> changes.EndpointChange | changes.EndpointRemoval:
-        """Returns the registration of an endpoint, or its removal.
 
-        An endpoint whose entry cannot be decoded counts as removed.
-        """
-        endpoint_id = ids.EndpointId(entry.key.removeprefix(_SERVERS_PREFIX))
-        if entry.value is None:
-            return changes.EndpointRemoval(endpoint_id)
-        try:
-            server = msgspec.json.decode(entry.value, type=wire.ServerEntry)
-            return changes.EndpointChange(
-                fleet.Endpoint(
-                    id=endpoint_id,
-                    service=server.service,
-                    address=server.address,
-                    failure_domain=server.zone,
-                    slots=max(1, server.slots),
-                    state=_ENDPOINT_STATES[server.state],
-                    started_ms=server.born,
-                    weights={row.name: row.version for row in server.models},
-                )
-            )
-        except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
-            self._reject(entry, str(error))
-            return changes.EndpointRemoval(endpoint_id)
+def _replace_unreadable(entry: keyvalue.Entry) -> changes.Change | None:
+    """Returns the change for an entry that was removed or cannot be decoded.
+
+    It names no endpoint and no gateway. A configuration and a target version
+    stay as they were.
+    """
+    if entry.key.startswith(_SERVERS_PREFIX):
+        return changes.EndpointRemoval(_read_endpoint_id(entry))
+    if entry.key.startswith(members.KEY_PREFIX):
+        return members.make_removal(entry)
+    return None
+
+
+def _read_endpoint_id(entry: keyvalue.Entry) -> ids.EndpointId:
+    return ids.EndpointId(entry.key.removeprefix(_SERVERS_PREFIX))
+
+
+def _read_server(entry: keyvalue.Entry) -> changes.EndpointChange:
+    server = decoding.decode_json(entry.value, wire.ServerEntry)
+    addresses.parse_address(server.address)
+    return changes.EndpointChange(
+        fleet.Endpoint(
+            id=_read_endpoint_id(entry),
+            service=server.service,
+            address=server.address,
+            failure_domain=server.zone,
+            slots=max(1, server.slots),
+            state=_ENDPOINT_STATES[server.state],
+            started_ms=server.born,
+            weights={row.name: row.version for row in server.models},
+        )
+    )
 
 
 def _read_manifest(manifest: wire.Manifest) -> catalog.Configuration:
