--- /dev/null
+++ b/sardinewharf/soak/invariants/timelines.py
@@ -0,0 +1,80 @@
+"""When faults were injected into a soak run, and what they affect."""
+
+import dataclasses
+
+from sardinewharf import clocks
+from sardinewharf.soak import callers
+from sardinewharf.soak import deployment as deployment_lib
+from sardinewharf.soak import faults as faults_lib
+
+_RECOVERY_S = deployment_lib.GUARANTEES.recovery_ms / 1000
+# A gateway's fault affects requests that are sent this soon after its end.
+_AFTERMATH_S = 1.0
+# Faults are written down slightly later than they begin and end.
+CLOCK_SLACK_S = 0.3
+# A gateway that was started accepts connections after this time at most.
+_STARTUP_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timeline:
+    """The faults and planned operations of a soak run.
+
+    Attributes:
+        started_at: Monotonic time of the start, in seconds.
+        faults: Faults, with times relative to the start.
+    """
+
+    started_at: float
+    faults: list[faults_lib.Fault]
+
+    def is_fault_free(self, since: float, until: float) -> bool:
+        """Returns whether no unplanned fault affects a time span.
+
+        A fault also affects the span if it ended less than the recovery bound
+        before it.
+
+        Args:
+            since: Monotonic time of the span's start, in seconds.
+            until: Monotonic time of the span's end, in seconds.
+        """
+        start = since - _RECOVERY_S - self.started_at
+        end = until - self.started_at
+        unplanned = [f for f in self.faults if not f.is_planned]
+        return not faults_lib.overlaps(
+            unplanned, clocks.Deadline(start), clocks.Deadline(end)
+        )
+
+    def affects_gateway(
+        self, attempt: callers.Attempt, kinds: tuple[type, ...]
+    ) -> bool:
+        """Returns whether a fault of an attempt's gateway affects it.
+
+        Args:
+            attempt: The attempt.
+            kinds: Classes of the faults that are considered. A link's faults
+                affect only what passes through the proxy.
+        """
+        link = "" if attempt.is_direct else f"front-{attempt.gateway}"
+        own = [
+            fault
+            for fault in self.faults
+            if isinstance(fault, kinds)
+            and fault.name in (attempt.gateway, link)
+        ]
+        start = attempt.sent_at - _AFTERMATH_S - self.started_at
+        end = attempt.ended_at + CLOCK_SLACK_S - self.started_at
+        return faults_lib.overlaps(
+            own, clocks.Deadline(start), clocks.Deadline(end)
+        )
+
+    def is_gateway_down(self, attempt: callers.Attempt) -> bool:
+        """Returns whether a gateway stops, or may not have started yet."""
+        return any(
+            isinstance(fault, (faults_lib.Kill, faults_lib.Restart))
+            and fault.name == attempt.gateway
+            and fault.at - CLOCK_SLACK_S
+            < attempt.ended_at - self.started_at
+            < fault.until + _STARTUP_S
+            for fault in self.faults
+        )
