Let the soak's endpoints refuse falsely for a whole run

Change: a family of faults 'refusals' with a generator of its own, at one to all endpoints of a service, which outlives restarts and overlaps other faults. An earlier refusal may also come behind an interim response or in two pieces. Each family can be played alone (--family).

--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -97,6 +97,9 @@
         self._network = _choose_loopback_network()
         self._specs: dict[str, _ProcessSpec] = {}
         self._links: dict[str, tuple[int, str]] = {}
+        # Faults of each server, of which the lasting ones outlive its restart.
+        self._faults: dict[str, dict[str, object]] = {}
+        self._lasting_faults: dict[str, dict[str, object]] = {}
         self._host = self._make_address(1)
         self.store = f"{self._host}:{_STORE_PORT}"
         self._plan_processes()
@@ -123,6 +126,9 @@
         flags = [
             flag.replace("@START", str(spec.start_count)) for flag in spec.flags
         ]
+        if name in self._lasting_faults:
+            faults = msgspec.json.encode(self._lasting_faults[name])
+            flags.append(f"--faults={faults.decode()}")
         arguments = [sys.executable, "-m", spec.module, *flags]
         self.processes[name] = processes.start_process(
             name, "", arguments, self.folder / f"{name}.log", **spec.env
@@ -178,7 +184,23 @@
         return self._post(control, f"/links/{link}", body)
 
     def set_server_faults(self, name: str, **faults: object) -> bool:
-        """Sets the faults that a server or engine injects."""
+        """Sets the faults that a server or engine injects.
+
+        Lasting faults stay, unless a given one takes their place.
+        """
+        self._faults[name] = faults
+        return self._send_faults(name)
+
+    def set_lasting_fault(self, name: str, harm: str, value: object) -> bool:
+        """Sets or, with None, clears a fault that outlives restarts."""
+        lasting = self._lasting_faults.setdefault(name, {})
+        lasting[harm] = value
+        if value is None:
+            del lasting[harm]
+        return self._send_faults(name)
+
+    def _send_faults(self, name: str) -> bool:
+        faults = self._lasting_faults.get(name, {}) | self._faults.get(name, {})
         body = msgspec.json.encode(faults)
         return self._post(self._find_server(name), "/soak/faults", body)
 
--- /dev/null
+++ b/sardinewharf/soak/families.py
@@ -0,0 +1,87 @@
+"""Draws faults of endpoints that go on for a whole soak run, or in series.
+
+Each family of faults has a random generator of its own, so that the other
+faults of a seed stay the same.
+"""
+
+import abc
+import random
+
+from sardinewharf.soak import deployment as deployment_lib
+from sardinewharf.soak import faults
+from sardinewharf.standins import platform_servers
+
+_REFUSAL_STATUSES = (421, 429, 503)
+# With these, callers read an error of a request that ran as a refusal.
+_ERROR_STATUSES = (408, 429, 503)
+_MAX_ERROR_INTERVAL = 4
+
+
+class Family(abc.ABC):
+    """A kind of faults that is drawn on its own.
+
+    Attributes:
+        name: Name of the family.
+        share: Share of seeds that have it.
+        is_planned: Whether seeds without unplanned faults may have it.
+    """
+
+    name: str
+    share: float
+    is_planned: bool
+
+    @abc.abstractmethod
+    def draw(
+        self,
+        rng: random.Random,
+        deployment: deployment_lib.Deployment,
+        seconds: float,
+    ) -> list[faults.Fault]:
+        """Returns the faults of a soak run.
+
+        Args:
+            rng: Source of the random choice.
+            deployment: Deployment whose processes are the targets.
+            seconds: Time by which all faults have ended.
+        """
+
+
+class FalseRefusals(Family):
+    """Endpoints that refuse all the time what they run or have run."""
+
+    name = "refusals"
+    share = 0.4
+    is_planned = False
+
+    def draw(self, rng, deployment, seconds):
+        """Returns lasting faults of one to all endpoints of a service."""
+        names = _draw_endpoints(rng, deployment)
+        return [
+            faults.LastingServerFault(
+                0.0, seconds, *self._draw_harm(rng), name=name
+            )
+            for name in names
+        ]
+
+    def _draw_harm(self, rng: random.Random) -> tuple[str, object]:
+        if rng.random() < 0.5:
+            return "failed_run", {
+                "status": rng.choice(_ERROR_STATUSES),
+                "every": rng.randint(1, _MAX_ERROR_INTERVAL),
+            }
+        return "stale_refusal", {
+            "status": rng.choice(_REFUSAL_STATUSES),
+            "place": rng.choice(list(platform_servers.RefusalPlace)).value,
+            "is_named": rng.random() < 0.5,
+        }
+
+
+def _draw_endpoints(
+    rng: random.Random, deployment: deployment_lib.Deployment
+) -> list[str]:
+    """Returns one to all endpoints of a service."""
+    names = rng.choice((deployment.engines, deployment.servers))
+    return rng.sample(names, rng.randint(1, len(names)))
+
+
+FAMILIES: tuple[Family, ...] = (FalseRefusals(),)
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -31,6 +31,15 @@
     until: float
     is_planned = False
 
+    @property
+    def target(self) -> str:
+        """What it affects, which has one fault at a time.
+
+        It is the process or link; faults without one, such as those of the
+        store, have their class as target.
+        """
+        return getattr(self, "name", type(self).__name__)
+
     @abc.abstractmethod
     def begin(
         self,
@@ -185,6 +194,27 @@
         deployment.set_server_faults(self.name, **faults)
 
 
+@dataclasses.dataclass(slots=True)
+class LastingServerFault(ServerFault):
+    """A fault of a server that outlives its restarts.
+
+    Other faults of the server may overlap it.
+    """
+
+    @property
+    def target(self):
+        """The fault itself, beside others of the server."""
+        return f"{self.name} {self.harm}"
+
+    def begin(self, deployment, operator):
+        """Sets the fault."""
+        deployment.set_lasting_fault(self.name, self.harm, self.value)
+
+    def end(self, deployment, operator):
+        """Clears the fault."""
+        deployment.set_lasting_fault(self.name, self.harm, None)
+
+
 @dataclasses.dataclass(slots=True)
 class StoreFault(StandInFault):
     """Makes the store return errors, hang or drop responses."""
--- a/sardinewharf/soak/program.py
+++ b/sardinewharf/soak/program.py
@@ -11,6 +11,7 @@
 from cleo.helpers import option
 
 from sardinewharf.soak import deployment
+from sardinewharf.soak import families
 from sardinewharf.soak import runner
 
 _LOG_FOLDER = pathlib.Path("build/soak")
@@ -42,6 +43,13 @@
             flag=False,
             default="20",
         ),
+        option(
+            "family",
+            None,
+            "only family of faults to inject; all faults by default",
+            flag=False,
+            default="",
+        ),
         option(
             "gateways",
             None,
@@ -62,6 +70,10 @@
             )
             seeds = range(first, first + int(self.option("seeds")))
             seconds = float(self.option("seconds"))
+            family = self.option("family")
+            known = ["", *(row.name for row in families.FAMILIES)]
+            if family not in known:
+                raise ValueError(f"--family must be one of {known[1:]}")
             size = deployment.DeploymentSize(int(self.option("gateways")))
         except ValueError as error:
             self.line_error(
@@ -73,7 +85,7 @@
             seed
             for seed in seeds
             if not self._holds_invariants(
-                runner.SoakSettings(seed, seconds, size)
+                runner.SoakSettings(seed, seconds, family, size)
             )
         ]
         return _EXIT_VIOLATION if failed_seeds else 0
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -27,11 +27,14 @@
     Attributes:
         seed: Seed of the random choice of faults and requests.
         seconds: Time span within which faults start and end.
+        family: Name of the only family of faults to inject; empty for all
+            faults.
         size: Numbers of processes.
     """
 
     seed: int
     seconds: float = 20.0
+    family: str = ""
     size: deployment_lib.DeploymentSize = deployment_lib.DeploymentSize()
 
 
@@ -72,7 +75,9 @@
     operator = operators.Operator(deployment)
     await asyncio.to_thread(operator.write_manifest)
     pool = callers.CallerPool(deployment, operator, settings.seed)
-    faults = schedules.draw_faults(settings.seed, deployment, settings.seconds)
+    faults = schedules.draw_faults(
+        settings.seed, deployment, settings.seconds, settings.family
+    )
     timeline = invariants.Timeline(clocks.read_monotonic(), faults)
     checker = invariants.InvariantChecker(deployment, pool, operator, timeline)
     sending = asyncio.create_task(pool.run())
--- a/sardinewharf/soak/schedules.py
+++ b/sardinewharf/soak/schedules.py
@@ -3,6 +3,7 @@
 import random
 
 from sardinewharf.soak import deployment as deployment_lib
+from sardinewharf.soak import families
 from sardinewharf.soak import faults
 from sardinewharf.soak import operators
 from sardinewharf.standins import platform_servers
@@ -53,6 +54,13 @@
     ("is_silent", True),
     ("lose_answers", 4),
 )
+# Seeds draw from these alone, so that they keep their faults.
+_SHORT_REFUSAL_PLACES = (
+    platform_servers.RefusalPlace.INSTEAD,
+    platform_servers.RefusalPlace.BEFORE,
+    platform_servers.RefusalPlace.BEHIND,
+    platform_servers.RefusalPlace.LATER,
+)
 # One seed in so many has only planned operations and short pauses, so that no
 # fault excuses a stream that is cut.
 _SEEDS_PER_CALM_SEED = 3
@@ -71,7 +79,10 @@
 
 
 def draw_faults(
-    seed: int, deployment: deployment_lib.Deployment, seconds: float
+    seed: int,
+    deployment: deployment_lib.Deployment,
+    seconds: float,
+    only: str = "",
 ) -> list[faults.Fault]:
     """Returns the faults of a soak run, sorted by start.
 
@@ -81,9 +92,32 @@
         seed: Seed of the random choice.
         deployment: Deployment whose processes and links are the targets.
         seconds: Time by which all faults have ended.
+        only: Name of the only family of faults to draw; empty for all faults.
     """
     schedule = _Schedule()
     is_calm = seed % _SEEDS_PER_CALM_SEED == _CALM_REMAINDER
+    if not only:
+        _add_short_faults(schedule, seed, deployment, seconds, is_calm=is_calm)
+    for family in families.FAMILIES:
+        rng = random.Random(f"{family.name} {seed}")
+        is_drawn = rng.random() < family.share and (
+            family.is_planned or not is_calm
+        )
+        if family.name == only or (is_drawn and not only):
+            for fault in family.draw(rng, deployment, seconds):
+                schedule.add(fault)
+    return sorted(schedule.faults, key=lambda fault: fault.at)
+
+
+def _add_short_faults(
+    schedule: "_Schedule",
+    seed: int,
+    deployment: deployment_lib.Deployment,
+    seconds: float,
+    *,
+    is_calm: bool,
+) -> None:
+    """Adds faults that each last for some seconds at most."""
     if not is_calm:
         _add_general_faults(schedule, seed, deployment, seconds)
     # A generator of its own: the faults above stay those of their seed.
@@ -95,7 +129,6 @@
         for fault in rng.choice(factories)(rng, deployment, at, until):
             if fault.until <= seconds:
                 schedule.add(fault)
-    return sorted(schedule.faults, key=lambda fault: fault.at)
 
 
 def _add_general_faults(
@@ -124,14 +157,9 @@
         self._spans_by_target: dict[str, list[tuple[float, float]]] = {}
 
     def add(self, fault: faults.Fault) -> None:
-        """Adds a fault unless its target has another one at that time.
-
-        The target is the process or link; faults without one, such as those
-        of the store, have their class as target.
-        """
-        target = getattr(fault, "name", type(fault).__name__)
+        """Adds a fault unless its target has another one at that time."""
         end = max(fault.until, fault.at + _find_min_span_s(fault))
-        spans = self._spans_by_target.setdefault(target, [])
+        spans = self._spans_by_target.setdefault(fault.target, [])
         if all(end < begin or fault.at > until for begin, until in spans):
             spans.append((fault.at, end))
             self.faults.append(fault)
@@ -216,7 +244,7 @@
 def _draw_stale_refusal(rng, deployment, at, until) -> list[faults.Fault]:
     value = {
         "status": rng.choice((421, 429, 503)),
-        "place": rng.choice(list(platform_servers.RefusalPlace)).value,
+        "place": rng.choice(_SHORT_REFUSAL_PLACES).value,
         "is_named": rng.random() < 0.5,
     }
     name = rng.choice([*deployment.engines, *deployment.servers])
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -69,14 +69,16 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         match url.path:
             case "/soak/faults":
-                self.faults = msgspec.json.decode(
-                    request.body, type=type(self.faults)
-                )
+                self.set_faults(request.body)
             case "/soak/pause":
                 self.pause(float(query["s"]))
             case "/soak/state":
                 self.registrar.state = query["is"]
 
+    def set_faults(self, encoded: bytes | str) -> None:
+        """Sets the faults that a JSON object names, and clears all others."""
+        self.faults = msgspec.json.decode(encoded, type=type(self.faults))
+
     def record_start(self, request) -> None:
         """Records that a request starts to run."""
         headers = request.headers
@@ -158,6 +160,7 @@
         else gateway_harness.ORDERS
     )
     server.journal = journals.Journal(arguments.journal)
+    server.set_faults(arguments.faults)
     entry = {
         "service": server.service,
         "address": arguments.address,
@@ -191,6 +194,7 @@
     parser.add_argument("--store", required=True, help="IP:PORT of the store")
     parser.add_argument("--zone", required=True, help="its failure domain")
     parser.add_argument("--journal", required=True, type=pathlib.Path)
+    parser.add_argument("--faults", default="{}", help="its faults as JSON")
     parser.add_argument("--is-engine", action="store_true")
     asyncio.run(serve(parser.parse_args()))
 
--- a/sardinewharf/soak/tests/test_server_faults.py
+++ b/sardinewharf/soak/tests/test_server_faults.py
@@ -116,6 +116,46 @@
     assert statuses == ([b"503", b"200"] if before else [b"200", b"503"])
 
 
+async def test_a_refusal_follows_an_interim_response(connect, server):
+    client = await connect(server)
+    place = platform_servers.RefusalPlace.INTERIM
+    await refuse_first(server, client, place=place)
+    await client.send("second")
+    received = await client.read()
+    statuses = [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"103", b"503", b"200"]
+
+
+async def test_a_refusal_comes_in_two_pieces(connect, server):
+    client = await connect(server)
+    place = platform_servers.RefusalPlace.PIECES
+    await refuse_first(server, client, place=place)
+    await client.send("second")
+    first = await client.read()
+    await client.send("third")
+    both = first + await client.read()
+    start, refusal, last = both.split(b"HTTP/1.1 ")[1:4]
+    assert start.startswith(b"200") and last.startswith(b"200")
+    assert refusal.startswith(b"503") and refusal.endswith(b"\r\n\r\n")
+    assert b"\r\n\r\n" not in first.split(b"HTTP/1.1 ")[2]
+
+
+@pytest.mark.parametrize("index", [0, 1])
+async def test_some_runs_end_with_an_error(connect, server, engine, index):
+    double = (server, engine)[index]
+    double.faults.failed_run = platform_servers.FailedRun(429, every=2)
+    client = await connect(double)
+    received = []
+    for request_id in ("first", "second"):
+        await client.send(request_id)
+        received.append(await client.read())
+    assert received[0].startswith(b"HTTP/1.1 200")
+    assert received[1].startswith(b"HTTP/1.1 429")
+    assert b"not-run" not in received[1]
+    assert b"request-id: second" in received[1]
+    assert len(double.executed) == 2
+
+
 async def test_a_refusal_behind_a_stream_shares_its_last_segment(
     connect, engine
 ):
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -22,6 +22,7 @@
 _LATE_REFUSAL_S = 0.02
 # A server that repeats refusals truly refuses one in so many requests.
 _REQUESTS_PER_REFUSAL = 5
+_INTERIM_RESPONSE = b"HTTP/1.1 103 X\r\n\r\n"
 
 ServerRequest = server_connections.ServerRequest
 
@@ -33,6 +34,8 @@
     BEFORE = "before"
     BEHIND = "behind"
     LATER = "later"
+    INTERIM = "interim"
+    PIECES = "pieces"
 
 
 @dataclasses.dataclass
@@ -43,7 +46,8 @@
         status: Status of the refusals.
         place: Whether the repeated refusal comes instead of the true response
             to a later request, before it, right behind it in the same segment,
-            or a little later.
+            a little later, before it behind an interim response, or in two
+            pieces, of which the second comes with the next request.
         is_named: Whether it bears the id of the earlier request.
     """
 
@@ -52,6 +56,32 @@
     is_named: bool = True
 
 
+@dataclasses.dataclass
+class FailedRun:
+    """Responds with an error to some of the requests that are executed.
+
+    Attributes:
+        status: Status of the response, without a header that says that the
+            request was not executed.
+        every: Fails one in so many requests of each connection.
+    """
+
+    status: int = 503
+    every: int = 1
+
+    def find_status(self, handled: int) -> int:
+        """Returns the status for a request, or 0 if it does not fail.
+
+        Args:
+            handled: Number of earlier requests on its connection.
+
+        Examples:
+            >>> [FailedRun(429, every=2).find_status(n) for n in range(4)]
+            [0, 429, 0, 429]
+        """
+        return self.status if (handled + 1) % self.every == 0 else 0
+
+
 class Framing(enum.Enum):
     """How an error response ends."""
 
@@ -93,6 +123,7 @@
             not executed.
         moved: Responds with 421, as if another server had the address.
         status: Executes the request and responds with this status; 0 for 200.
+        failed_run: The same for some requests.
         reset: Executes the request and resets the connection.
         hang: Executes the request and never responds.
         cut_after: Aborts a stream within the event after this one; 0 for
@@ -115,6 +146,7 @@
     refuse: bool = False
     moved: bool = False
     status: int = 0
+    failed_run: FailedRun | None = None
     reset: bool = False
     hang: bool = False
     cut_after: int = 0
@@ -253,18 +285,30 @@
         headers = _make_refusal_headers(stale.status)
         if stale.is_named:
             headers.append(_make_id(self._refused_id))
-        if stale.place in (RefusalPlace.INSTEAD, RefusalPlace.BEFORE):
-            connection.reply(stale.status, headers)
-            if stale.place is RefusalPlace.BEFORE:
+        refusal = server_connections.make_head(stale.status, headers, 0)
+        match stale.place:
+            case RefusalPlace.INSTEAD:
+                connection.write(refusal)
+            case RefusalPlace.BEFORE:
+                connection.write(refusal)
                 await self.respond(connection, request)
-        elif stale.place is RefusalPlace.BEHIND:
-            with connection.join_writes():
+            case RefusalPlace.INTERIM:
+                connection.write(_INTERIM_RESPONSE + refusal)
                 await self.respond(connection, request)
-                connection.reply(stale.status, headers)
-        else:
-            await self.respond(connection, request)
-            await asyncio.sleep(_LATE_REFUSAL_S)
-            connection.reply(stale.status, headers)
+            case RefusalPlace.BEHIND:
+                with connection.join_writes():
+                    await self.respond(connection, request)
+                    connection.write(refusal)
+            case RefusalPlace.LATER:
+                await self.respond(connection, request)
+                await asyncio.sleep(_LATE_REFUSAL_S)
+                connection.write(refusal)
+            case RefusalPlace.PIECES:
+                connection.write(connection.unsent)
+                await self.respond(connection, request)
+                half = len(refusal) // 2
+                connection.write(refusal[:half])
+                connection.unsent = refusal[half:]
 
     def record_start(self, request: ServerRequest) -> None:
         """Records that the execution of a request starts."""
@@ -307,13 +351,23 @@
             connection.write(body)
             connection.close()
         else:
-            connection.reply(faults.status or 200, headers, body)
+            status = self.find_error_status(connection) or 200
+            connection.reply(status, headers, body)
         request.ended = "whole"
         if faults.extra:
             connection.reply(
                 200, self.make_headers(request), b"an extra answer"
             )
 
+    def find_error_status(
+        self, connection: server_connections.ServerConnection
+    ) -> int:
+        """Returns the error status of an executed request; 0 for none."""
+        failed_run = self.faults.failed_run
+        if failed_run:
+            return failed_run.find_status(connection.handled)
+        return self.faults.status
+
     def make_headers(self, request: ServerRequest) -> list[tuple[str, str]]:
         """Returns the headers of the response to a request."""
         request_id = "another" if self.faults.wrong_id else request.request_id
@@ -409,7 +463,7 @@
             faults.hang
             or faults.reset
             or faults.garbage
-            or faults.status
+            or self.find_error_status(connection)
             or faults.cut_head
         ):
             await super().respond(connection, request)
--- a/sardinewharf/standins/server_connections.py
+++ b/sardinewharf/standins/server_connections.py
@@ -72,6 +72,7 @@
     Attributes:
         transport: Transport of the open connection.
         handled: Number of requests that were handled before the current one.
+        unsent: Rest of a response that is sent with the next one.
     """
 
     def __init__(self, server: Server, connections: "set[ServerConnection]"):
@@ -86,6 +87,7 @@
         self._segment: list[bytes] | None = None
         self.transport: asyncio.Transport | None = None
         self.handled = 0
+        self.unsent = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of a new connection."""
