Let the soak write odd entries, and see who stops following changes

Change: a family 'entries' writes such entries under servers/ and beside the gateways' registrations while servers drain, keys and routes change and a gateway restarts. Servers record refusals, and which state the store has of them. New checks: INTERNAL (no 500 of a gateway's own), DRAIN (a gateway in touch sends nothing to a server whose entry left drain_ms ago), and PROCESS also reads which background tasks ended.

--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -131,7 +131,7 @@
             flags.append(f"--faults={faults.decode()}")
         arguments = [sys.executable, "-m", spec.module, *flags]
         self.processes[name] = processes.start_process(
-            name, "", arguments, self.folder / f"{name}.log", **spec.env
+            name, "", arguments, self.find_log(name), **spec.env
         )
         # Only now: until then the former process is checked, which has exited.
         spec.should_run = True
@@ -168,6 +168,10 @@
         body = value if isinstance(value, bytes) else msgspec.json.encode(value)
         return self._post(self.store, f"/soak/put?key={key}", body)
 
+    def remove(self, key: str) -> bool:
+        """Removes a key from the store; returns whether the store did."""
+        return self._post(self.store, f"/soak/remove?key={key}", b"")
+
     def set_store_faults(self, **faults: object) -> bool:
         """Sets the faults that the store injects; returns whether it did."""
         body = msgspec.json.encode(faults)
@@ -245,6 +249,10 @@
         """Returns the path of a server's journal."""
         return self.folder / f"{name}.jsonl"
 
+    def find_log(self, name: str) -> pathlib.Path:
+        """Returns the path of a process's log."""
+        return self.folder / f"{name}.log"
+
     def wait(self, check, name: str) -> None:
         """Waits until a process meets a condition.
 
@@ -259,7 +267,7 @@
         end = clocks.Deadline.after(_START_TIMEOUT_S)
         while not check():
             if name in self.list_unexpected_exits() or end.is_past():
-                log = (self.folder / f"{name}.log").read_text()[-2000:]
+                log = self.find_log(name).read_text()[-2000:]
                 raise processes.DeploymentError(
                     f"{name} did not start; end of its log: {log}"
                 )
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -9,12 +9,18 @@
 
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
+from sardinewharf.soak import odd_entries
 from sardinewharf.standins import platform_servers
+from sardinewharf.testbed import gateway_harness
 
 _REFUSAL_STATUSES = (421, 429, 503)
 # With these, callers read an error of a request that ran as a refusal.
 _ERROR_STATUSES = (408, 429, 503)
 _MAX_ERROR_INTERVAL = 4
+_SERVICES = (gateway_harness.ENGINES, gateway_harness.ORDERS)
+_MAX_ODD_ENTRIES = 5
+_MIN_ENTRY_S = 3.0
+_CHANGE_DELAY_S = 0.5
 
 
 class Family(abc.ABC):
@@ -76,6 +82,44 @@
         }
 
 
+class OddEntries(Family):
+    """Odd entries in the store while servers, gateways and keys change."""
+
+    name = "entries"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns odd entries, and changes that gateways must follow."""
+        drawn: list[faults.Fault] = []
+        for number in range(rng.randint(2, _MAX_ODD_ENTRIES)):
+            at = rng.uniform(0.0, seconds / 2)
+            until = rng.uniform(at + _MIN_ENTRY_S, seconds)
+            drawn.append(
+                faults.OddEntry(
+                    at,
+                    min(until, seconds),
+                    rng.choice(odd_entries.PREFIXES),
+                    f"odd-{number}",
+                    rng.choice(list(odd_entries.Oddity)),
+                    rng.choice(_SERVICES),
+                )
+            )
+        return drawn + self._draw_changes(rng, deployment, seconds, drawn[0].at)
+
+    def _draw_changes(self, rng, deployment, seconds, since):
+        """Returns changes after the first odd entry."""
+        changed = rng.sample([*deployment.engines, *deployment.servers], 2)
+        at = rng.uniform(since, seconds / 2)
+        later = at + _CHANGE_DELAY_S
+        return [
+            faults.AddRoute(at, at),
+            faults.RevokeKey(at, at),
+            *(faults.Drain(later, seconds, name) for name in changed),
+            faults.Restart(later, later, rng.choice(deployment.gateways)),
+        ]
+
+
 def _draw_endpoints(
     rng: random.Random, deployment: deployment_lib.Deployment
 ) -> list[str]:
@@ -84,4 +128,4 @@
     return rng.sample(names, rng.randint(1, len(names)))
 
 
-FAMILIES: tuple[Family, ...] = (FalseRefusals(),)
+FAMILIES: tuple[Family, ...] = (FalseRefusals(), OddEntries())
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -11,7 +11,9 @@
 
 from sardinewharf import clocks
 from sardinewharf.soak import deployment as deployment_lib
+from sardinewharf.soak import odd_entries
 from sardinewharf.soak import operators
+from sardinewharf.testbed import gateway_harness
 
 _RESTORE_INTERVAL_S = 0.2
 
@@ -343,6 +345,39 @@
             time.sleep(_RESTORE_INTERVAL_S)
 
 
+@dataclasses.dataclass(slots=True)
+class OddEntry(Fault):
+    """Writes an entry of a server or gateway that cannot be right.
+
+    Attributes:
+        prefix: Prefix of the key.
+        name: Rest of the key.
+        oddity: What is odd about the entry.
+        service: Service of a server's entry.
+    """
+
+    prefix: str
+    name: str
+    oddity: odd_entries.Oddity
+    service: str = gateway_harness.ORDERS
+    is_planned = True
+
+    @property
+    def target(self):
+        """The key."""
+        return self.prefix + self.name
+
+    def begin(self, deployment, operator):
+        """Writes the entry."""
+        value = odd_entries.make_value(self.oddity, self.prefix, self.service)
+        deployment.put(self.target, value)
+
+    def end(self, deployment, operator):
+        """Removes the entry, if need be once the store responds again."""
+        while not deployment.remove(self.target):
+            time.sleep(_RESTORE_INTERVAL_S)
+
+
 def overlaps(
     faults: list[Fault], since: clocks.Deadline, until: clocks.Deadline
 ) -> bool:
--- a/sardinewharf/soak/invariants/checker.py
+++ b/sardinewharf/soak/invariants/checker.py
@@ -4,6 +4,7 @@
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import operators
 from sardinewharf.soak.invariants import checks
+from sardinewharf.soak.invariants import drains
 from sardinewharf.soak.invariants import engines
 from sardinewharf.soak.invariants import processes
 from sardinewharf.soak.invariants import records
@@ -16,6 +17,7 @@
     runs.RunCheck,
     engines.EngineCheck,
     responses.ResponseCheck,
+    drains.DrainCheck,
     processes.ProcessCheck,
     totals.TotalCheck,
 )
--- a/sardinewharf/soak/invariants/checks.py
+++ b/sardinewharf/soak/invariants/checks.py
@@ -21,6 +21,8 @@
     DENIED = "what is allowed is not refused as wrong"
     RETRIES = "retries stay within their budget"
     LOST = "what a gateway has read ends with an answer or a refusal"
+    INTERNAL = "no gateway fails because of an error of its own"
+    DRAIN = "a server that leaves gets no requests later on"
     CALM = "without a fault, answers are whole and do not fail"
     GONE = "servers stop when the caller has left"
     HOLDER = "one holder for each fencing token"
--- a/sardinewharf/soak/invariants/records.py
+++ b/sardinewharf/soak/invariants/records.py
@@ -24,6 +24,8 @@
         operator: The operator.
         timeline: The faults.
         arrived: Arrivals of requests at servers.
+        refused: Refusals, by request and server.
+        states: Starts and changed entries of each server, oldest first.
         began: Runs of each request.
         ended: Ends of runs, by request and server.
         ordered: Orders to load weights.
@@ -41,6 +43,10 @@
         self.operator = operator
         self.timeline = timeline
         self.arrived: list[journals.Arrived] = []
+        self.refused: dict[tuple[str, str], journals.Refused] = {}
+        self.states: dict[str, list[journals.Started | journals.Registered]] = (
+            collections.defaultdict(list)
+        )
         self.began: dict[str, list[journals.Began]] = collections.defaultdict(
             list
         )
@@ -57,6 +63,10 @@
             for note in reader.read():
                 self._add_note(note)
 
+    def list_attempts(self) -> dict[str, callers.Attempt]:
+        """Returns all attempts by the id of their request."""
+        return {attempt.request: attempt for attempt in self.pool.attempts}
+
     def list_runs(self, request: str) -> list[journals.Began]:
         """Returns the runs of a request."""
         return self.began.get(request, [])
@@ -73,6 +83,10 @@
         match note:
             case journals.Arrived():
                 self.arrived.append(note)
+            case journals.Refused():
+                self.refused[note.request, note.server] = note
+            case journals.Started() | journals.Registered():
+                self.states[note.server].append(note)
             case journals.Began():
                 self.began[note.request].append(note)
             case journals.Ended():
--- a/sardinewharf/soak/invariants/responses.py
+++ b/sardinewharf/soak/invariants/responses.py
@@ -42,6 +42,10 @@
                 self._check_events(attempt, name)
             else:
                 self._check_body(attempt, name)
+        elif attempt.status == 500 and not attempt.stamp:
+            self.add_finding(
+                checks.Invariant.INTERNAL, f"{name} failed with 500"
+            )
         elif attempt.status == 404 and self._must_have_route(attempt):
             self.add_finding(checks.Invariant.APPLIED, f"{name} has no route")
         if attempt.answered_request not in ("", attempt.request):
--- a/sardinewharf/soak/invariants/runs.py
+++ b/sardinewharf/soak/invariants/runs.py
@@ -16,9 +16,7 @@
 
     def check(self) -> None:
         """Checks all runs."""
-        sent = {
-            attempt.request: attempt for attempt in self.record.pool.attempts
-        }
+        sent = self.record.list_attempts()
         for request, runs in self.record.began.items():
             attempt = sent.get(request)
             if attempt is None:
--- a/sardinewharf/soak/invariants/timelines.py
+++ b/sardinewharf/soak/invariants/timelines.py
@@ -14,6 +14,14 @@
 CLOCK_SLACK_S = 0.3
 # A gateway that was started accepts connections after this time at most.
 _STARTUP_S = 15.0
+_STORE_FAULTS = (faults_lib.StoreFault, faults_lib.CompactStore)
+# Faults of a gateway's VM; a restart is planned, yet the gateway is away.
+_VM_FAULTS = (
+    faults_lib.Kill,
+    faults_lib.Pause,
+    faults_lib.Restart,
+    faults_lib.LinkFault,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +53,30 @@
             unplanned, clocks.Deadline(start), clocks.Deadline(end)
         )
 
+    def is_in_touch(self, gateway: str, since: float, until: float) -> bool:
+        """Returns whether a gateway ran and reached the store for some time.
+
+        A fault of the gateway, its links or the store also counts if it ended
+        less than the recovery bound before the time span.
+
+        Args:
+            gateway: Name of the gateway.
+            since: Monotonic time of the span's start, in seconds.
+            until: Monotonic time of the span's end, in seconds.
+        """
+        names = {gateway, f"front-{gateway}", f"store-{gateway}", "store"}
+        own = [
+            fault
+            for fault in self.faults
+            if isinstance(fault, _STORE_FAULTS)
+            or (isinstance(fault, _VM_FAULTS) and fault.name in names)
+        ]
+        start = since - _RECOVERY_S - self.started_at
+        end = until + CLOCK_SLACK_S - self.started_at
+        return not faults_lib.overlaps(
+            own, clocks.Deadline(start), clocks.Deadline(end)
+        )
+
     def affects_gateway(
         self, attempt: callers.Attempt, kinds: tuple[type, ...]
     ) -> bool:
--- a/sardinewharf/soak/journals.py
+++ b/sardinewharf/soak/journals.py
@@ -22,10 +22,48 @@
     Attributes:
         request: Id of the request.
         service: The service that the server belongs to.
+        server: Id of the server.
     """
 
     request: str
     service: str
+    server: str = ""
+
+
+class Refused(Note, frozen=True):
+    """A server refused a request without running it.
+
+    Attributes:
+        request: Id of the request.
+        server: Id of the server.
+        status: Status of the response.
+    """
+
+    request: str
+    server: str
+    status: int
+
+
+class Started(Note, frozen=True):
+    """A server process started.
+
+    Attributes:
+        server: Id of the server.
+    """
+
+    server: str
+
+
+class Registered(Note, frozen=True):
+    """The store acknowledged a changed entry of a server.
+
+    Attributes:
+        server: Id of the server.
+        state: State in the entry.
+    """
+
+    server: str
+    state: str
 
 
 class Began(Note, frozen=True):
@@ -80,7 +118,7 @@
     weights: int
 
 
-AnyNote = Arrived | Began | Ended | Ordered
+AnyNote = Arrived | Refused | Started | Registered | Began | Ended | Ordered
 
 
 class Journal:
@@ -114,7 +152,7 @@
         >>> Journal(path).write(Arrived(1.0, "r1", "orders"))
         >>> reader = JournalReader(path)
         >>> reader.read()
-        [Arrived(at=1.0, request='r1', service='orders')]
+        [Arrived(at=1.0, request='r1', service='orders', server='')]
         >>> reader.read()
         []
     """
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -59,8 +59,9 @@
             return
         if request.request_id:
             now = clocks.read_monotonic()
-            note = journals.Arrived(now, request.request_id, self.service)
-            self.journal.write(note)
+            self.journal.write(
+                journals.Arrived(now, request.request_id, self.service, self.id)
+            )
         await super().handle_request(connection, request)
 
     def _control(self, request) -> None:
@@ -96,6 +97,18 @@
             )
         )
 
+    def record_refusal(self, request, status: int) -> None:
+        """Records that a request is refused."""
+        now = clocks.read_monotonic()
+        self.journal.write(
+            journals.Refused(now, request.request_id, self.id, status)
+        )
+
+    def record_state(self, state: str) -> None:
+        """Records that the store has an entry with a state."""
+        now = clocks.read_monotonic()
+        self.journal.write(journals.Registered(now, self.id, state))
+
     def record_end(self, request) -> None:
         """Records that a request has stopped running."""
         now = clocks.read_monotonic()
@@ -160,6 +173,7 @@
         else gateway_harness.ORDERS
     )
     server.journal = journals.Journal(arguments.journal)
+    server.journal.write(journals.Started(clocks.read_monotonic(), server.id))
     server.set_faults(arguments.faults)
     entry = {
         "service": server.service,
@@ -171,6 +185,7 @@
     registrar = registrations.Registrar(
         server, gateway_harness.MODEL, arguments.store, entry
     )
+    registrar.on_written = server.record_state
     server.registrar = registrar
     host, port = arguments.listen.rsplit(":", 1)
     await server.start(int(port), host)
--- a/sardinewharf/soak/store.py
+++ b/sardinewharf/soak/store.py
@@ -10,7 +10,7 @@
 
 
 class StoreControl:
-    """HTTP routes for a soak run to write keys, set faults and compact.
+    """HTTP routes for a soak run to change keys, set faults and compact.
 
     Args:
         store: The store.
@@ -22,6 +22,7 @@
     def add_to(self, app: web.Application) -> web.Application:
         """Adds the routes to the store's application and returns it."""
         app.router.add_post("/soak/put", self._put)
+        app.router.add_post("/soak/remove", self._remove)
         app.router.add_post("/soak/faults", self._set_faults)
         app.router.add_post("/soak/compact", self._compact)
         return app
@@ -32,6 +33,10 @@
         )
         return program.make_json_response(revision)
 
+    async def _remove(self, request: web.Request) -> web.Response:
+        await self._store.remove(request.query["key"])
+        return program.make_json_response(None)
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         faults = msgspec.json.decode(
             await request.read(), type=platform_store.Faults
--- a/sardinewharf/soak/tests/test_invariants.py
+++ b/sardinewharf/soak/tests/test_invariants.py
@@ -325,3 +325,72 @@
 def test_refusals_at_the_end(history):
     history.send("r1", sent_at=141.0, ended_at=141.1, status=503)
     assert history.list_violated() == {invariants.Invariant.RECOVERY}
+
+
+def test_an_error_of_the_gateway_itself(history):
+    history.send("r1", status=500, stamp="")
+    history.faults.append(faults.Kill(8.0, 11.0, "g0"))
+    assert history.list_violated() == {invariants.Invariant.INTERNAL}
+
+
+def test_a_background_task_that_ended(history):
+    log = history.deployment.find_log("g0")
+    log.write_text("ERROR tasks: Task sync failed.\n")
+    assert history.list_violated() == {invariants.Invariant.PROCESS}
+
+
+def leave(history, *notes):
+    """Registers s0 as draining, and lets r1 arrive there 3 s later."""
+    history.record("s0", journals.Registered(107.0, "s0.1", "draining"))
+    for note in notes:
+        history.record("s0", note)
+    history.send("r1", sent_at=110.0, ended_at=110.1)
+    history.run("r1")
+    arrival = journals.Arrived(110.0, "r1", "orders", "s0.1")
+    history.record("s0", arrival)
+
+
+def test_a_request_to_a_server_whose_entry_left(history):
+    leave(history)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+@pytest.mark.parametrize(
+    "note",
+    [
+        journals.Registered(109.0, "s0.1", "ready"),
+        journals.Started(109.0, "s0.1"),
+        journals.Refused(110.0, "r1", "s0.1", 421),
+    ],
+)
+def test_a_server_that_is_back_or_another_gets_requests(history, note):
+    leave(history, note)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Pause(3.0, 5.0, "g0"),
+        faults.LinkFault(8.0, 9.0, "cut", True, "store-g0"),
+        faults.StoreFault(8.0, 9.0, "status", 503),
+    ],
+)
+def test_a_gateway_out_of_touch_may_miss_a_drain(history, fault):
+    history.faults.append(fault)
+    leave(history)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Pause(8.0, 9.0, "g1"),
+        faults.ServerFault(8.0, 9.0, "status", 500, "s0"),
+        faults.Reload(8.0, 8.0, "g0"),
+    ],
+)
+def test_other_faults_excuse_no_drain(history, fault):
+    history.faults.append(fault)
+    leave(history)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -272,6 +272,7 @@
         status: int,
     ) -> None:
         """Refuses a request that is not executed."""
+        self.record_refusal(request, status)
         headers = [] if self.faults.no_id else [_make_id(request.request_id)]
         connection.reply(status, _make_refusal_headers(status) + headers)
 
@@ -314,6 +315,9 @@
         """Records that the execution of a request starts."""
         self.executed.append(request)
 
+    def record_refusal(self, request: ServerRequest, status: int) -> None:
+        """Called when a request is refused; subclasses may override it."""
+
     def record_end(self, request: ServerRequest) -> None:
         """Called when a request ends; subclasses may override it."""
 
@@ -436,6 +440,7 @@
                 _make_id(request.request_id),
             ]
             self.refused += 1
+            self.record_refusal(request, 421)
             connection.reply(421, headers)
             return
         if self._is_busy():
--- a/sardinewharf/standins/registrations.py
+++ b/sardinewharf/standins/registrations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 import contextlib
 
 import aiohttp
@@ -26,6 +27,7 @@
 
     Attributes:
         state: State of the server in its entry.
+        on_written: Called with the state once the store has an entry with it.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self._lease = 0
         self._written = b""
         self.state = "ready"
+        self.on_written: Callable[[str], None] = lambda state: None
 
     async def run(self) -> None:
         """Writes the entry and renews its lease until cancelled."""
@@ -68,13 +71,15 @@
                 if response.status != 200:
                     return
                 self._lease = (await response.json())["lease"]
+        state = self.state
         value = msgspec.json.encode(self._describe())
-        if value != self._written:
-            await self._write(session, value)
+        if value != self._written and await self._write(session, value):
+            self.on_written(state)
 
     async def _write(
         self, session: aiohttp.ClientSession, value: bytes
-    ) -> None:
+    ) -> bool:
+        """Writes the entry; returns whether the store has acknowledged it."""
         put = {
             "key": f"servers/{self._server.id}",
             "value": base64.b64encode(value).decode(),
@@ -82,8 +87,10 @@
         }
         body = msgspec.json.encode({"expected": [], "put": [put]})
         async with session.post(f"{self._store}/kv-txn", data=body) as response:
-            if response.status == 200:
-                self._written = value
+            is_written = response.status == 200
+        if is_written:
+            self._written = value
+        return is_written
 
     def _describe(self) -> dict[str, object]:
         entry = self._entry | {"state": self.state}
