Send requests that outlast it to a gateway that shuts down

Long requests have routes of their own with a timeout of 30 s. LOST and INTERNAL see those that end without an answer; a stream that is cut though it was sent 3 s after the signal or later is LOST too. What a shutdown may cost a long request is no CALM finding.

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -15,6 +15,7 @@
 from sardinewharf.testbed import gateway_harness
 
 DEADLINE_MS = 3_000
+LONG_DEADLINE_MS = 30_000
 _CALLERS_PER_GATEWAY = 5
 _PAUSE_RANGE_S = (0.02, 0.12)
 # One caller of each gateway connects without the proxy, which ends connections
@@ -22,6 +23,9 @@
 _DIRECT_CALLER = 0
 _HALF_CLOSE_SHARE = 0.3
 _PATHS = ("/book/", "/look/", "/chat/", "/ask/")
+# Routes like the others, with a longer timeout.
+LONG_PATHS = ("/book-long/", "/look-long/", "/chat-long/", "/ask-long/")
+_LONG_SUFFIX = "-long"
 _WORK_MS = (0, 0, 0, 20, 20, 900)
 # Callers that disconnect do so while the request is still running.
 _DISCONNECT_SHARE = 0.03
@@ -55,6 +59,7 @@
         is_half_closed: Whether the caller closed its sending direction.
         body: Received part of the response body.
         is_complete: Whether the body was received to its end.
+        work_ms: Time that a server works on it.
     """
 
     request: str
@@ -73,16 +78,36 @@
     is_half_closed: bool = False
     body: bytes = b""
     is_complete: bool = False
+    work_ms: int = 0
 
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may run more than once, on a retry."""
-        return self.path not in ("/book/", "/chat/")
+        return self._kind not in ("book", "chat")
 
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
-        return self.path in ("/chat/", "/ask/")
+        return self._kind in ("chat", "ask")
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the route has a longer timeout than others."""
+        return self.path in LONG_PATHS
+
+    @property
+    def deadline_ms(self) -> int:
+        """Time within which the caller wants the response."""
+        return LONG_DEADLINE_MS if self.is_long else DEADLINE_MS
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return "GET" if self._kind == "look" else "POST"
+
+    @property
+    def _kind(self) -> str:
+        return self.path.strip("/").removesuffix(_LONG_SUFFIX)
 
     def record_response(self, connection: connections.CallerConnection) -> None:
         """Records what a connection received since the request was sent."""
@@ -136,9 +161,9 @@
         connection = None
         try:
             while True:
-                attempt = self._make_attempt(gateway)
+                attempt = self.make_attempt(gateway)
                 attempt.is_direct = is_direct
-                connection = await self._send(connection, attempt)
+                connection = await self._send_random(connection, attempt)
                 await asyncio.sleep(self._rng.uniform(*_PAUSE_RANGE_S))
                 if connection is not None and not connection.is_open:
                     self._record_stray(attempt, connection)
@@ -157,21 +182,31 @@
                 f" {attempt.request}"
             )
 
-    def _make_attempt(self, gateway: str) -> Attempt:
-        path = self._rng.choice(_PATHS)
-        routes = self._operator.routes
-        if routes and self._rng.random() < _NEW_ROUTE_SHARE:
-            path = self._rng.choice(routes).name
+    def make_attempt(self, gateway: str, path: str = "") -> Attempt:
+        """Returns a new attempt, which is recorded.
+
+        Args:
+            gateway: Name of the gateway.
+            path: Path prefix of the route; empty for a random one.
+        """
         attempt = Attempt(
             request=f"r{next(self._ids)}",
             gateway=gateway,
-            path=path,
+            path=path or self._choose_path(),
             key=self._choose_key(),
             sent_at=clocks.read_monotonic(),
         )
         self.attempts.append(attempt)
         return attempt
 
+    def _choose_path(self) -> str:
+        """Returns the path of a random route, now and then a new one."""
+        path = self._rng.choice(_PATHS)
+        routes = self._operator.routes
+        if routes and self._rng.random() < _NEW_ROUTE_SHARE:
+            path = self._rng.choice(routes).name
+        return path
+
     def _choose_key(self) -> str:
         """Returns a random key, with a higher share of revoked ones."""
         revoked = list(self._operator.revoked)
@@ -179,22 +214,39 @@
             return self._rng.choice(revoked)
         return self._rng.choice(self._operator.keys)
 
-    async def _send(
+    async def _send_random(
         self,
         connection: connections.CallerConnection | None,
         attempt: Attempt,
     ) -> connections.CallerConnection | None:
-        """Sends a request; returns its connection if it can be used again."""
+        """Sends a request as a random caller does; see ``send``."""
         disconnects = self._rng.random() < _DISCONNECT_SHARE
         attempt.is_half_closed = (
             attempt.is_direct and self._rng.random() < _HALF_CLOSE_SHARE
         )
-        limit_s = (
-            _DISCONNECT_AFTER_S
-            if disconnects
-            else DEADLINE_MS / 1000 + _DEADLINE_MARGIN_S
-        )
-        work_ms = 900 if disconnects else self._rng.choice(_WORK_MS)
+        attempt.work_ms = 900 if disconnects else self._rng.choice(_WORK_MS)
+        limit_s = _DISCONNECT_AFTER_S if disconnects else None
+        return await self.send(connection, attempt, limit_s)
+
+    async def send(
+        self,
+        connection: connections.CallerConnection | None,
+        attempt: Attempt,
+        limit_s: float | None = None,
+    ) -> connections.CallerConnection | None:
+        """Sends a request and records its outcome.
+
+        Args:
+            connection: Connection in use; None to open one.
+            attempt: The request.
+            limit_s: The caller gives up after this time; by default only when
+                its deadline has passed.
+
+        Returns:
+            The connection if it can be used again.
+        """
+        if limit_s is None:
+            limit_s = attempt.deadline_ms / 1000 + _DEADLINE_MARGIN_S
         attempt.is_reused = connection is not None
         try:
             async with asyncio.timeout(limit_s):
@@ -205,7 +257,7 @@
                 attempt.sent_at = clocks.read_monotonic()
                 attempt.was_sent = True
                 await connection.exchange(
-                    _make_request(attempt, work_ms),
+                    _make_request(attempt),
                     closes_sending=attempt.is_half_closed,
                 )
         except TimeoutError:
@@ -230,14 +282,13 @@
         return self._deployment.find_front_address(attempt.gateway)
 
 
-def _make_request(attempt: Attempt, work_ms: int) -> bytes:
+def _make_request(attempt: Attempt) -> bytes:
     """Returns the bytes of a request."""
-    method = "POST" if attempt.path != "/look/" else "GET"
-    body = b"a body" if method == "POST" else b""
+    body = b"a body" if attempt.method == "POST" else b""
     headers = gateway_harness.make_headers(
-        attempt.request, attempt.path, attempt.key, DEADLINE_MS
+        attempt.request, attempt.path, attempt.key, attempt.deadline_ms
     )
     headers["content-length"] = str(len(body))
-    lines = [f"{method} {attempt.path}1?ms={work_ms} HTTP/1.1"]
+    lines = [f"{attempt.method} {attempt.path}1?ms={attempt.work_ms} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -21,6 +21,8 @@
 _MAX_ODD_ENTRIES = 5
 _MIN_ENTRY_S = 3.0
 _CHANGE_DELAY_S = 0.5
+# Callers use their connections for some time before the stop signal.
+_MIN_LATE_S = 3.0
 
 
 class Family(abc.ABC):
@@ -120,6 +122,23 @@
         ]
 
 
+class LateRequests(Family):
+    """Gateways that restart while they get requests which outlast them."""
+
+    name = "late"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns restarts of one or two gateways."""
+        names = rng.sample(deployment.gateways, rng.randint(1, 2))
+        drawn: list[faults.Fault] = []
+        for name in names:
+            at = rng.uniform(_MIN_LATE_S, max(_MIN_LATE_S, seconds / 2))
+            drawn.append(faults.BusyRestart(at, at, name))
+        return drawn
+
+
 def _draw_endpoints(
     rng: random.Random, deployment: deployment_lib.Deployment
 ) -> list[str]:
@@ -128,4 +147,8 @@
     return rng.sample(names, rng.randint(1, len(names)))
 
 
-FAMILIES: tuple[Family, ...] = (FalseRefusals(), OddEntries())
+FAMILIES: tuple[Family, ...] = (
+    FalseRefusals(),
+    OddEntries(),
+    LateRequests(),
+)
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -125,6 +125,11 @@
         deployment.start_process(self.name)
 
 
+@dataclasses.dataclass(slots=True)
+class BusyRestart(Restart):
+    """A graceful restart of a gateway to which callers send long requests."""
+
+
 @dataclasses.dataclass(slots=True)
 class Reload(Fault):
     """Makes a gateway reload its settings.
--- a/sardinewharf/soak/invariants/records.py
+++ b/sardinewharf/soak/invariants/records.py
@@ -76,7 +76,7 @@
         timeouts_ms = self.operator.list_overrides(
             operators.Override.TIMEOUT_MS, attempt.sent_at, attempt.ended_at
         )
-        limit_ms = min([callers.DEADLINE_MS, *timeouts_ms])
+        limit_ms = min([attempt.deadline_ms, *timeouts_ms])
         return attempt.ended_at - attempt.sent_at >= limit_ms / 1000
 
     def _add_note(self, note: journals.AnyNote) -> None:
--- a/sardinewharf/soak/invariants/responses.py
+++ b/sardinewharf/soak/invariants/responses.py
@@ -9,6 +9,8 @@
 
 _APPLY_S = deployment_lib.GUARANTEES.apply_ms / 1000
 _EVENTS_PER_STREAM = 4
+# Streams that are sent this soon after a stop signal may be cut at its end.
+_CUT_S = 3.0
 # A request without an answer after this time was read.
 _READ_S = 0.5
 # Callers are idle for less than this, so that only lower limits end their
@@ -63,6 +65,7 @@
             return
         took_s = attempt.ended_at - attempt.sent_at
         end = f"after {took_s:.2f} s{_describe_connection(attempt)}"
+        stop_at = self.record.timeline.find_stop(attempt)
         if attempt.status == 0:
             if self._was_read(attempt, has_run) and self._is_unharmed(attempt):
                 verb = "ran" if has_run else "was read"
@@ -70,6 +73,10 @@
                     checks.Invariant.LOST,
                     f"{name} {verb} but got no response {end}",
                 )
+        elif attempt.is_long and stop_at is not None:
+            # It may outlast the shutdown of its gateway, which ends it then.
+            if attempt.sent_at > stop_at + _CUT_S:
+                self._check_late_end(attempt, f"{name} was cut {end}")
         elif attempt.is_half_closed or not self.record.timeline.is_fault_free(
             attempt.sent_at, attempt.ended_at
         ):
@@ -84,6 +91,22 @@
                 f"{name} failed with {attempt.status} {end}",
             )
 
+    def _check_late_end(self, attempt: callers.Attempt, detail: str) -> None:
+        """Checks that a stream is not cut that began late in a shutdown."""
+        servers = {
+            run.server.split(".")[0]
+            for run in self.record.list_runs(attempt.request)
+        }
+        is_server_harmed = self.record.timeline.affects_any(
+            servers, attempt.sent_at, attempt.ended_at
+        )
+        if (
+            not attempt.is_complete
+            and not is_server_harmed
+            and self._is_unharmed(attempt)
+        ):
+            self.add_finding(checks.Invariant.LOST, detail)
+
     def _was_read(self, attempt: callers.Attempt, has_run: bool) -> bool:
         """Returns whether a gateway must have read an attempt.
 
--- a/sardinewharf/soak/invariants/timelines.py
+++ b/sardinewharf/soak/invariants/timelines.py
@@ -8,6 +8,7 @@
 from sardinewharf.soak import faults as faults_lib
 
 _RECOVERY_S = deployment_lib.GUARANTEES.recovery_ms / 1000
+_GRACE_S = deployment_lib.GUARANTEES.grace_ms / 1000
 # A gateway's fault affects requests that are sent this soon after its end.
 _AFTERMATH_S = 1.0
 # Faults are written down slightly later than they begin and end.
@@ -100,6 +101,40 @@
             own, clocks.Deadline(start), clocks.Deadline(end)
         )
 
+    def affects_any(self, names: set[str], since: float, until: float) -> bool:
+        """Returns whether a fault of a named process or link overlaps a span.
+
+        Args:
+            names: Names of processes and links.
+            since: Monotonic time of the span's start, in seconds.
+            until: Monotonic time of the span's end, in seconds.
+        """
+        own = [
+            fault
+            for fault in self.faults
+            if names & {getattr(fault, "name", "")}
+        ]
+        start = since - _AFTERMATH_S - self.started_at
+        end = until + CLOCK_SLACK_S - self.started_at
+        return faults_lib.overlaps(
+            own, clocks.Deadline(start), clocks.Deadline(end)
+        )
+
+    def find_stop(self, attempt: callers.Attempt) -> float | None:
+        """Returns when the shutdown began within which an attempt ended."""
+        ended_at = attempt.ended_at - self.started_at
+        for fault in self.faults:
+            if (
+                not isinstance(fault, faults_lib.Restart)
+                or fault.name != attempt.gateway
+            ):
+                continue
+            # Until the process has started again, the end is not known.
+            end = max(fault.until, fault.at + _GRACE_S)
+            if fault.at < ended_at < end + CLOCK_SLACK_S:
+                return self.started_at + fault.at
+        return None
+
     def is_gateway_down(self, attempt: callers.Attempt) -> bool:
         """Returns whether a gateway stops, or may not have started yet."""
         return any(
--- a/sardinewharf/soak/operators.py
+++ b/sardinewharf/soak/operators.py
@@ -11,6 +11,7 @@
 
 _FIRST_VERSION = 1
 _VERSION_STEP = 3
+_LONG_TIMEOUT_MS = 30_000
 PERMANENT_KEYS = (gateway_harness.KEY,)
 # An API key that is dropped and comes back.
 TEMPORARY_KEY = "key-d"
@@ -134,6 +135,7 @@
         manifest = gateway_harness.make_manifest(self._version)
         routes = manifest["routes"]
         look = next(r for r in routes if r["name"] == "look")
+        routes += [_make_long_route(row) for row in routes]
         routes += [look | row for row in self._added_routes]
         manifest["tenants"][0]["api_keys"] = [
             *PERMANENT_KEYS,
@@ -171,6 +173,16 @@
             self.target_versions.append(change)
 
 
+def _make_long_route(route: dict[str, object]) -> dict[str, object]:
+    """Returns a route like another one, for requests that take long."""
+    name = f"{route['name']}-long"
+    return route | {
+        "name": name,
+        "prefix": f"/{name}/",
+        "timeout_ms": _LONG_TIMEOUT_MS,
+    }
+
+
 def _apply_override(manifest: dict[str, object], span: OverrideSpan) -> None:
     """Replaces or drops something in a manifest."""
     match span.override:
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -10,6 +10,7 @@
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults as faults_lib
 from sardinewharf.soak import invariants
+from sardinewharf.soak import late_callers
 from sardinewharf.soak import operators
 from sardinewharf.soak import schedules
 
@@ -80,7 +81,14 @@
     )
     timeline = invariants.Timeline(clocks.read_monotonic(), faults)
     checker = invariants.InvariantChecker(deployment, pool, operator, timeline)
-    sending = asyncio.create_task(pool.run())
+    late = [
+        late_callers.LateCallers(
+            pool, fault.name, timeline.started_at + fault.at
+        )
+        for fault in faults
+        if isinstance(fault, faults_lib.BusyRestart)
+    ]
+    sending = [asyncio.create_task(row.run()) for row in (pool, *late)]
     checking = asyncio.create_task(_check_periodically(checker))
     try:
         async with asyncio.TaskGroup() as group:
@@ -92,9 +100,9 @@
                 )
         await asyncio.sleep(_RECOVERY_OBSERVATION_S)
     finally:
-        for task in (sending, checking):
+        for task in (*sending, checking):
             task.cancel()
-        await asyncio.gather(sending, checking, return_exceptions=True)
+        await asyncio.gather(*sending, checking, return_exceptions=True)
     checker.check_final(clocks.read_monotonic())
     pool.write_attempts(deployment.folder / "attempts.jsonl")
     ended = [a for a in pool.attempts if a.ended_at and not a.disconnected_at]
--- a/sardinewharf/soak/tests/test_invariants.py
+++ b/sardinewharf/soak/tests/test_invariants.py
@@ -394,3 +394,64 @@
     history.faults.append(fault)
     leave(history)
     assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+def cut_long_stream(history, sent_at):
+    """Lets g0 stop from 106 to 114, and cuts a stream at the end of it."""
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    event = server.make_event("r1", 1)
+    history.send(
+        "r1",
+        "/ask-long/",
+        stamp="e0.1.stamp",
+        body=event,
+        is_complete=False,
+        sent_at=sent_at,
+        ended_at=113.9,
+    )
+    history.run("r1", "/ask-long/", "e0")
+
+
+def test_a_stream_that_was_taken_late_in_a_shutdown_and_cut(history):
+    cut_long_stream(history, 109.5)
+    assert history.list_violated() == {invariants.Invariant.LOST}
+
+
+def test_a_stream_from_before_a_shutdown_may_be_cut_at_its_end(history):
+    cut_long_stream(history, 108.5)
+    assert history.list_violated() == set()
+
+
+def test_a_stream_that_its_engine_cut_late_in_a_shutdown(history):
+    history.faults.append(faults.Kill(13.0, 14.0, "e0"))
+    cut_long_stream(history, 109.5)
+    assert history.list_violated() == set()
+
+
+def test_a_long_request_that_a_shutdown_left_without_an_answer(history):
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    lose(history, "r1", "/book-long/", sent_at=106.5, ended_at=113.9)
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == {invariants.Invariant.LOST}
+
+
+def test_a_long_request_that_a_shutdown_ended_with_a_failure(history):
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    long = {"sent_at": 106.5, "ended_at": 113.9}
+    history.send("r1", "/book-long/", status=502, stamp="", **long)
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == set()
+
+
+def test_a_long_request_that_ran_and_was_refused(history):
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    long = {"sent_at": 106.5, "ended_at": 113.9}
+    history.send("r1", "/book-long/", status=503, stamp="", **long)
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == {invariants.Invariant.NOT_RUN}
+
+
+def test_a_long_request_that_fails_without_a_shutdown(history):
+    history.send("r1", "/book-long/", status=502, stamp="")
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == {invariants.Invariant.CALM}
