Let the soak's servers say that they leave, and ask for pauses

Change: a family 'leaving' makes one to all servers of a service say in all responses that they leave, at times while their entry still says ready, then go and come back under a new or the same id; a family 'backoff' makes them refuse with Retry-After, in series, with fractions and odd values too. DRAIN and the new check BACKOFF look at arrivals by the gateway that the request was sent to. A restart, kill or pause of the gateway excuses; for BACKOFF also a fault of its links, and an unplanned fault of the server while it refused.

--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -55,16 +55,16 @@
 
     Attributes:
         module: Module to run.
-        flags: Command line flags; ``@START`` stands for the start count.
+        flags: Command line flags; ``@ID`` stands for the number of ids.
         env: Environment variables besides the inherited ones.
-        start_count: Number of times that it was started.
+        id_count: Number of ids that it had, one after the other.
         should_run: Whether it should be running now.
     """
 
     module: str
     flags: list[str]
     env: dict[str, str]
-    start_count: int = 0
+    id_count: int = 0
     should_run: bool = False
 
 
@@ -119,13 +119,12 @@
         for name in self.gateways:
             self.wait(lambda name=name: self.is_ready(name), name)
 
-    def start_process(self, name: str) -> None:
-        """Starts a process; a server gets a new id at each start."""
+    def start_process(self, name: str, *, keeps_id: bool = False) -> None:
+        """Starts a process; a server gets a new id unless it keeps its own."""
         spec = self._specs[name]
-        spec.start_count += 1
-        flags = [
-            flag.replace("@START", str(spec.start_count)) for flag in spec.flags
-        ]
+        if not keeps_id:
+            spec.id_count += 1
+        flags = [flag.replace("@ID", str(spec.id_count)) for flag in spec.flags]
         if name in self._lasting_faults:
             faults = msgspec.json.encode(self._lasting_faults[name])
             flags.append(f"--faults={faults.decode()}")
@@ -305,7 +304,7 @@
     def _plan_server(self, name: str, domain: str) -> None:
         target = self._find_server(name)
         flags = [
-            f"--id={name}.@START",
+            f"--id={name}.@ID",
             f"--listen={target}",
             f"--address={self._add_link(name, target)}",
             f"--store={self.store}",
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -23,6 +23,15 @@
 _CHANGE_DELAY_S = 0.5
 # Callers use their connections for some time before the stop signal.
 _MIN_LATE_S = 3.0
+_MIN_LEAVE_AT_S = 1.0
+_LEAVE_RANGE_S = (1.5, 5.0)
+_MIN_BACKOFF_S = 1.0
+_BACKOFF_RANGE_S = (1.0, 6.0)
+_MAX_BACKOFF_INTERVAL = 4
+# Seconds and fractions, twice each, and values that ask for no pause.
+_SOUND_RETRY_AFTER = ("1", "1.5", "2", "2.75", "3", "4")
+_ODD_RETRY_AFTER = ("Wed, 21 Oct 2026 07:28:00 GMT", "-3", "0", "soon", "")
+_RETRY_AFTER = (*_SOUND_RETRY_AFTER, *_SOUND_RETRY_AFTER, *_ODD_RETRY_AFTER)
 
 
 class Family(abc.ABC):
@@ -139,6 +148,51 @@
         return drawn
 
 
+class LeavingServers(Family):
+    """Servers that say in all responses that they leave."""
+
+    name = "leaving"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns departures of one to all endpoints of a service."""
+        at = rng.uniform(_MIN_LEAVE_AT_S, seconds / 3)
+        return [
+            faults.Leave(
+                at + rng.uniform(0.0, _CHANGE_DELAY_S),
+                at + rng.uniform(*_LEAVE_RANGE_S),
+                name,
+                drains=rng.random() < 0.3,
+                keeps_id=rng.random() < 0.5,
+            )
+            for name in _draw_endpoints(rng, deployment)
+        ]
+
+
+class Backoffs(Family):
+    """Servers that refuse requests and ask for pauses."""
+
+    name = "backoff"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns refusals of one to all endpoints of a service, in series."""
+        drawn: list[faults.Fault] = []
+        for name in _draw_endpoints(rng, deployment):
+            at = rng.uniform(0.0, seconds / 3)
+            while at < seconds - _MIN_BACKOFF_S:
+                until = min(at + rng.uniform(*_BACKOFF_RANGE_S), seconds)
+                value = {
+                    "retry_after": rng.choice(_RETRY_AFTER),
+                    "every": rng.randint(1, _MAX_BACKOFF_INTERVAL),
+                }
+                drawn.append(faults.Backoff(at, until, "backoff", value, name))
+                at = until + rng.uniform(*_BACKOFF_RANGE_S)
+        return drawn
+
+
 def _draw_endpoints(
     rng: random.Random, deployment: deployment_lib.Deployment
 ) -> list[str]:
@@ -151,4 +205,6 @@
     FalseRefusals(),
     OddEntries(),
     LateRequests(),
+    LeavingServers(),
+    Backoffs(),
 )
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -222,6 +222,13 @@
         deployment.set_lasting_fault(self.name, self.harm, None)
 
 
+@dataclasses.dataclass(slots=True)
+class Backoff(LastingServerFault):
+    """Makes a server refuse some requests and ask for pauses."""
+
+    is_planned = True
+
+
 @dataclasses.dataclass(slots=True)
 class StoreFault(StandInFault):
     """Makes the store return errors, hang or drop responses."""
@@ -312,6 +319,36 @@
         deployment.set_server_state(self.name, "ready")
 
 
+@dataclasses.dataclass(slots=True)
+class Leave(Fault):
+    """Makes a server say that it leaves, go, and come back.
+
+    Attributes:
+        name: The server or engine.
+        drains: Whether its entry says so at once, not only when it goes.
+        keeps_id: Whether it comes back under the same id.
+    """
+
+    name: str
+    drains: bool
+    keeps_id: bool
+    is_planned = True
+
+    def begin(self, deployment, operator):
+        """Makes it say in each response that it leaves."""
+        deployment.set_server_faults(self.name, leaving=True)
+        if self.drains:
+            deployment.set_server_state(self.name, "draining")
+
+    def end(self, deployment, operator):
+        """Shuts it down gracefully, and starts it once it has exited."""
+        deployment.terminate(self.name)
+        while not deployment.has_exited(self.name):
+            time.sleep(_RESTORE_INTERVAL_S)
+        deployment.set_server_faults(self.name)
+        deployment.start_process(self.name, keeps_id=self.keeps_id)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOverride:
     """An override of the configuration, and when it is written.
--- a/sardinewharf/soak/invariants/checker.py
+++ b/sardinewharf/soak/invariants/checker.py
@@ -3,6 +3,7 @@
 from sardinewharf.soak import callers
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import operators
+from sardinewharf.soak.invariants import backoffs
 from sardinewharf.soak.invariants import checks
 from sardinewharf.soak.invariants import drains
 from sardinewharf.soak.invariants import engines
@@ -18,6 +19,7 @@
     engines.EngineCheck,
     responses.ResponseCheck,
     drains.DrainCheck,
+    backoffs.BackoffCheck,
     processes.ProcessCheck,
     totals.TotalCheck,
 )
--- a/sardinewharf/soak/invariants/checks.py
+++ b/sardinewharf/soak/invariants/checks.py
@@ -23,6 +23,7 @@
     LOST = "what a gateway has read ends with an answer or a refusal"
     INTERNAL = "no gateway fails because of an error of its own"
     DRAIN = "a server that leaves gets no requests later on"
+    BACKOFF = "a server that asks for a pause gets it"
     CALM = "without a fault, answers are whole and do not fail"
     GONE = "servers stop when the caller has left"
     HOLDER = "one holder for each fencing token"
--- a/sardinewharf/soak/invariants/records.py
+++ b/sardinewharf/soak/invariants/records.py
@@ -1,6 +1,7 @@
 """Collects what servers, callers and the operator recorded in a soak run."""
 
 import collections
+import math
 
 from sardinewharf.soak import callers
 from sardinewharf.soak import deployment as deployment_lib
@@ -24,7 +25,8 @@
         operator: The operator.
         timeline: The faults.
         arrived: Arrivals of requests at servers.
-        refused: Refusals, by request and server.
+        refused: Refusals of requests by servers.
+        leaving: Responses which say that their server leaves.
         states: Starts and changed entries of each server, oldest first.
         began: Runs of each request.
         ended: Ends of runs, by request and server.
@@ -43,7 +45,8 @@
         self.operator = operator
         self.timeline = timeline
         self.arrived: list[journals.Arrived] = []
-        self.refused: dict[tuple[str, str], journals.Refused] = {}
+        self.refused: list[journals.Refused] = []
+        self.leaving: list[journals.Leaving] = []
         self.states: dict[str, list[journals.Started | journals.Registered]] = (
             collections.defaultdict(list)
         )
@@ -67,6 +70,17 @@
         """Returns all attempts by the id of their request."""
         return {attempt.request: attempt for attempt in self.pool.attempts}
 
+    def find_restart(self, server: str, since: float) -> float:
+        """Returns when a server id started anew after a time, or infinity."""
+        return min(
+            (
+                note.at
+                for note in self.states.get(server, [])
+                if isinstance(note, journals.Started) and note.at > since
+            ),
+            default=math.inf,
+        )
+
     def list_runs(self, request: str) -> list[journals.Began]:
         """Returns the runs of a request."""
         return self.began.get(request, [])
@@ -84,7 +98,9 @@
             case journals.Arrived():
                 self.arrived.append(note)
             case journals.Refused():
-                self.refused[note.request, note.server] = note
+                self.refused.append(note)
+            case journals.Leaving():
+                self.leaving.append(note)
             case journals.Started() | journals.Registered():
                 self.states[note.server].append(note)
             case journals.Began():
--- a/sardinewharf/soak/invariants/responses.py
+++ b/sardinewharf/soak/invariants/responses.py
@@ -9,6 +9,8 @@
 
 _APPLY_S = deployment_lib.GUARANTEES.apply_ms / 1000
 _EVENTS_PER_STREAM = 4
+# A server that is told to leave has exited after this time.
+_EXIT_S = 5.0
 # Streams that are sent this soon after a stop signal may be cut at its end.
 _CUT_S = 3.0
 # A request without an answer after this time was read.
@@ -77,6 +79,8 @@
             # It may outlast the shutdown of its gateway, which ends it then.
             if attempt.sent_at > stop_at + _CUT_S:
                 self._check_late_end(attempt, f"{name} was cut {end}")
+        elif attempt.is_long and self._has_server_left(attempt):
+            return
         elif attempt.is_half_closed or not self.record.timeline.is_fault_free(
             attempt.sent_at, attempt.ended_at
         ):
@@ -93,12 +97,8 @@
 
     def _check_late_end(self, attempt: callers.Attempt, detail: str) -> None:
         """Checks that a stream is not cut that began late in a shutdown."""
-        servers = {
-            run.server.split(".")[0]
-            for run in self.record.list_runs(attempt.request)
-        }
         is_server_harmed = self.record.timeline.affects_any(
-            servers, attempt.sent_at, attempt.ended_at
+            self._list_servers(attempt), attempt.sent_at, attempt.ended_at
         )
         if (
             not attempt.is_complete
@@ -107,6 +107,20 @@
         ):
             self.add_finding(checks.Invariant.LOST, detail)
 
+    def _has_server_left(self, attempt: callers.Attempt) -> bool:
+        """Returns whether a server may have exited while it worked."""
+        return self.record.timeline.affects_any(
+            self._list_servers(attempt),
+            attempt.sent_at - _EXIT_S,
+            attempt.ended_at,
+            (faults_lib.Leave,),
+        )
+
+    def _list_servers(self, attempt: callers.Attempt) -> set[str]:
+        """Returns the names of the servers that ran an attempt."""
+        runs = self.record.list_runs(attempt.request)
+        return {run.server.split(".")[0] for run in runs}
+
     def _was_read(self, attempt: callers.Attempt, has_run: bool) -> bool:
         """Returns whether a gateway must have read an attempt.
 
--- a/sardinewharf/soak/invariants/timelines.py
+++ b/sardinewharf/soak/invariants/timelines.py
@@ -89,31 +89,39 @@
                 affect only what passes through the proxy.
         """
         link = "" if attempt.is_direct else f"front-{attempt.gateway}"
-        own = [
-            fault
-            for fault in self.faults
-            if isinstance(fault, kinds)
-            and fault.name in (attempt.gateway, link)
-        ]
-        start = attempt.sent_at - _AFTERMATH_S - self.started_at
-        end = attempt.ended_at + CLOCK_SLACK_S - self.started_at
-        return faults_lib.overlaps(
-            own, clocks.Deadline(start), clocks.Deadline(end)
+        return self.affects_any(
+            {attempt.gateway, link}, attempt.sent_at, attempt.ended_at, kinds
         )
 
-    def affects_any(self, names: set[str], since: float, until: float) -> bool:
-        """Returns whether a fault of a named process or link overlaps a span.
+    def affects_any(
+        self,
+        names: set[str],
+        since: float,
+        until: float,
+        kinds: tuple[type, ...] = (faults_lib.Fault,),
+    ) -> bool:
+        """Returns whether a fault of a named process or link affects a span.
 
         Args:
             names: Names of processes and links.
             since: Monotonic time of the span's start, in seconds.
             until: Monotonic time of the span's end, in seconds.
+            kinds: Classes of the faults that are considered.
         """
-        own = [
-            fault
-            for fault in self.faults
-            if names & {getattr(fault, "name", "")}
-        ]
+        own = [f for f in self._list_faults(names) if isinstance(f, kinds)]
+        return self._overlaps(own, since, until)
+
+    def harms_any(self, names: set[str], since: float, until: float) -> bool:
+        """The same for unplanned faults of all classes."""
+        own = [f for f in self._list_faults(names) if not f.is_planned]
+        return self._overlaps(own, since, until)
+
+    def _list_faults(self, names: set[str]) -> list[faults_lib.Fault]:
+        return [f for f in self.faults if getattr(f, "name", "") in names]
+
+    def _overlaps(
+        self, own: list[faults_lib.Fault], since: float, until: float
+    ) -> bool:
         start = since - _AFTERMATH_S - self.started_at
         end = until + CLOCK_SLACK_S - self.started_at
         return faults_lib.overlaps(
--- a/sardinewharf/soak/journals.py
+++ b/sardinewharf/soak/journals.py
@@ -37,11 +37,25 @@
         request: Id of the request.
         server: Id of the server.
         status: Status of the response.
+        retry_after: Value of its header ``Retry-After``, if any.
     """
 
     request: str
     server: str
     status: int
+    retry_after: str = ""
+
+
+class Leaving(Note, frozen=True):
+    """A response to a request says that its server leaves.
+
+    Attributes:
+        request: Id of the request.
+        server: Id of the server.
+    """
+
+    request: str
+    server: str
 
 
 class Started(Note, frozen=True):
@@ -118,7 +132,9 @@
     weights: int
 
 
-AnyNote = Arrived | Refused | Started | Registered | Began | Ended | Ordered
+AnyNote = (
+    Arrived | Refused | Leaving | Started | Registered | Began | Ended | Ordered
+)
 
 
 class Journal:
--- a/sardinewharf/soak/schedules.py
+++ b/sardinewharf/soak/schedules.py
@@ -185,9 +185,11 @@
 
 
 def _find_min_span_s(fault: faults.Fault) -> float:
-    return (
-        _MAX_RESTART_S if isinstance(fault, faults.Restart) else _MAX_CHANGE_S
-    )
+    if isinstance(fault, faults.Restart):
+        return _MAX_RESTART_S
+    if isinstance(fault, faults.Leave):
+        return fault.until - fault.at + _MAX_RESTART_S
+    return _MAX_CHANGE_S
 
 
 def _draw_injected_fault(
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -97,13 +97,21 @@
             )
         )
 
-    def record_refusal(self, request, status: int) -> None:
+    def record_refusal(self, request, status: int, retry_after="") -> None:
         """Records that a request is refused."""
-        now = clocks.read_monotonic()
+        # A silent server sends the refusal when it goes on.
+        at = max(clocks.read_monotonic(), self.silent_until.at)
         self.journal.write(
-            journals.Refused(now, request.request_id, self.id, status)
+            journals.Refused(
+                at, request.request_id, self.id, status, retry_after
+            )
         )
 
+    def record_leaving(self, request) -> None:
+        """Records that a response says that the server leaves."""
+        now = clocks.read_monotonic()
+        self.journal.write(journals.Leaving(now, request.request_id, self.id))
+
     def record_state(self, state: str) -> None:
         """Records that the store has an entry with a state."""
         now = clocks.read_monotonic()
--- a/sardinewharf/soak/tests/test_invariants.py
+++ b/sardinewharf/soak/tests/test_invariants.py
@@ -455,3 +455,127 @@
     history.send("r1", "/book-long/", status=502, stamp="")
     history.run("r1", "/book-long/")
     assert history.list_violated() == {invariants.Invariant.CALM}
+
+
+def pass_on_leaving(history, sent_at, *notes):
+    """Lets g0 pass on at 107 that s0 leaves, and sends r2 there later."""
+    history.send("r1", sent_at=106.9, ended_at=107.0)
+    history.run("r1")
+    history.record("s0", journals.Leaving(106.9, "r1", "s0.1"))
+    for note in notes:
+        history.record("s0", note)
+    history.send("r2", sent_at=sent_at, ended_at=sent_at + 0.1)
+    history.run("r2")
+    arrival = journals.Arrived(sent_at, "r2", "orders", "s0.1")
+    history.record("s0", arrival)
+
+
+def test_a_request_to_a_server_that_said_that_it_leaves(history):
+    history.faults.append(faults.Leave(6.0, 8.0, "s0", False, False))
+    pass_on_leaving(history, 109.5)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+def test_a_request_soon_after_a_server_said_that_it_leaves(history):
+    pass_on_leaving(history, 109.2)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize("kind", [faults.Kill, faults.Restart, faults.Pause])
+def test_a_gateway_that_restarted_may_not_know_who_leaves(history, kind):
+    history.faults.append(kind(8.0, 8.5, "g0"))
+    pass_on_leaving(history, 109.5)
+    assert history.list_violated() == set()
+
+
+def test_a_fault_of_another_gateway_excuses_no_request(history):
+    history.faults.append(faults.Restart(8.0, 8.5, "g1"))
+    pass_on_leaving(history, 109.5)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+@pytest.mark.parametrize(
+    "note",
+    [
+        journals.Started(108.5, "s0.1"),
+        journals.Refused(109.5, "r2", "s0.1", 421),
+    ],
+)
+def test_a_server_that_came_back_under_its_id(history, note):
+    pass_on_leaving(history, 109.5, note)
+    assert history.list_violated() == set()
+
+
+def test_a_leaving_server_whose_answer_was_not_passed_on(history):
+    history.send("r1", sent_at=106.9, ended_at=107.0, stamp="s1.1.stamp")
+    history.run("r1", server="s1.1")
+    history.record("s0", journals.Leaving(106.9, "r1", "s0.1"))
+    history.send("r2")
+    history.run("r2")
+    history.record("s0", journals.Arrived(110.0, "r2", "orders", "s0.1"))
+    assert history.list_violated() == set()
+
+
+def back_off(history, retry_after="2", times=(110.6, 110.7, 111.9)):
+    """Lets s0 refuse r0 at 110, and requests of g0 arrive there later."""
+    history.send("r0")
+    history.run("r0")
+    note = journals.Refused(110.0, "r0", "s0.1", 503, retry_after)
+    history.record("s0", note)
+    for number, at in enumerate(times, start=1):
+        request = f"r{number}"
+        history.send(request, sent_at=at, ended_at=at + 0.1)
+        history.run(request)
+        arrival = journals.Arrived(at, request, "orders", "s0.1")
+        history.record("s0", arrival)
+
+
+def test_requests_to_a_server_that_asked_for_a_pause(history):
+    back_off(history)
+    assert history.list_violated() == {invariants.Invariant.BACKOFF}
+
+
+@pytest.mark.parametrize(
+    "times", [(110.6, 110.7), (110.1, 110.2, 110.3), (110.6, 110.7, 112.1)]
+)
+def test_few_requests_or_none_within_a_pause(history, times):
+    back_off(history, times=times)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize("retry_after", ["", "-2", "0", "soon"])
+def test_a_refusal_that_asks_for_no_pause(history, retry_after):
+    back_off(history, retry_after)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Kill(11.0, 11.2, "g0"),
+        faults.Restart(11.0, 11.2, "g0"),
+        faults.Pause(11.0, 11.2, "g0"),
+        faults.LinkFault(11.0, 11.2, "cut", True, "store-g0"),
+        faults.LinkFault(9.9, 10.2, "hold_answers", True, "s0"),
+        faults.ServerFault(9.9, 10.2, "garbage", True, "s0"),
+    ],
+)
+def test_a_gateway_may_miss_or_forget_a_refusal(history, fault):
+    history.faults.append(fault)
+    back_off(history)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Backoff(9.0, 12.0, "backoff", {}, "s0"),
+        faults.Kill(11.0, 11.2, "g1"),
+        faults.ServerFault(11.0, 11.2, "garbage", True, "s1"),
+        faults.Reload(11.0, 11.0, "g0"),
+    ],
+)
+def test_other_faults_excuse_no_request_within_a_pause(history, fault):
+    history.faults.append(fault)
+    back_off(history)
+    assert history.list_violated() == {invariants.Invariant.BACKOFF}
--- a/sardinewharf/soak/tests/test_server_faults.py
+++ b/sardinewharf/soak/tests/test_server_faults.py
@@ -156,6 +156,33 @@
     assert len(double.executed) == 2
 
 
+async def test_some_refusals_ask_for_a_pause(connect, server):
+    server.faults.backoff = platform_servers.Backoff("2.5", every=2)
+    client = await connect(server)
+    received = []
+    for request_id in ("first", "second"):
+        await client.send(request_id)
+        received.append(await client.read())
+    assert received[0].startswith(b"HTTP/1.1 200")
+    assert received[1].startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 2.5" in received[1]
+    assert b"not-run: 1" in received[1]
+    assert len(server.executed) == 1
+
+
+@pytest.mark.parametrize("index", [0, 1])
+@pytest.mark.parametrize("refuses", [False, True])
+async def test_all_responses_say_that_a_server_leaves(
+    connect, server, engine, index, refuses
+):
+    double = (server, engine)[index]
+    double.faults.leaving = True
+    double.faults.refuse = refuses
+    client = await connect(double)
+    await client.send("first")
+    assert b"server-leaving: 1\r\n" in await client.read()
+
+
 async def test_a_refusal_behind_a_stream_shares_its_last_segment(
     connect, engine
 ):
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -82,6 +82,19 @@
         return self.status if (handled + 1) % self.every == 0 else 0
 
 
+@dataclasses.dataclass
+class Backoff:
+    """Refuses some requests, and asks for a pause.
+
+    Attributes:
+        retry_after: Value of the header ``Retry-After``.
+        every: Refuses one in so many requests.
+    """
+
+    retry_after: str = "1"
+    every: int = 1
+
+
 class Framing(enum.Enum):
     """How an error response ends."""
 
@@ -121,6 +134,8 @@
     Attributes:
         refuse: Responds with 503 and a header that says that the request was
             not executed.
+        backoff: Refuses some requests, and asks for a pause.
+        leaving: Says in all responses that the server leaves.
         moved: Responds with 421, as if another server had the address.
         status: Executes the request and responds with this status; 0 for 200.
         failed_run: The same for some requests.
@@ -144,6 +159,8 @@
     """
 
     refuse: bool = False
+    backoff: Backoff | None = None
+    leaving: bool = False
     moved: bool = False
     status: int = 0
     failed_run: FailedRun | None = None
@@ -241,6 +258,10 @@
         if faults.refuse:
             self._refuse(connection, request, 503)
             return
+        backoff = faults.backoff
+        if backoff and self.arrivals % backoff.every == 0:
+            self._refuse(connection, request, 503, backoff.retry_after)
+            return
         stale = faults.stale_refusal
         if stale and (
             not self._refused_id or self.arrivals % _REQUESTS_PER_REFUSAL == 0
@@ -270,11 +291,18 @@
         connection: server_connections.ServerConnection,
         request: ServerRequest,
         status: int,
+        retry_after: str = "",
     ) -> None:
         """Refuses a request that is not executed."""
-        self.record_refusal(request, status)
-        headers = [] if self.faults.no_id else [_make_id(request.request_id)]
-        connection.reply(status, _make_refusal_headers(status) + headers)
+        headers = _make_refusal_headers(status) + self._make_state_headers()
+        if not self.faults.no_id:
+            headers.append(_make_id(request.request_id))
+        if retry_after:
+            headers.append(("retry-after", retry_after))
+        self.record_refusal(
+            request, status, "" if self.faults.no_id else retry_after
+        )
+        connection.reply(status, headers)
 
     async def _respond_beside_refusal(
         self,
@@ -315,9 +343,14 @@
         """Records that the execution of a request starts."""
         self.executed.append(request)
 
-    def record_refusal(self, request: ServerRequest, status: int) -> None:
+    def record_refusal(
+        self, request: ServerRequest, status: int, retry_after: str = ""
+    ) -> None:
         """Called when a request is refused; subclasses may override it."""
 
+    def record_leaving(self, request: ServerRequest) -> None:
+        """Called when a response says that the server leaves."""
+
     def record_end(self, request: ServerRequest) -> None:
         """Called when a request ends; subclasses may override it."""
 
@@ -383,7 +416,13 @@
             headers.append(_make_id(request_id))
         if not self.faults.is_unsigned:
             headers.append(("x-sardinewharf-server-stamp", f"{self.id}.stamp"))
-        return headers
+        if self.faults.leaving:
+            self.record_leaving(request)
+        return headers + self._make_state_headers()
+
+    def _make_state_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers that each response has."""
+        return [("server-leaving", "1")] if self.faults.leaving else []
 
 
 class PlatformEngine(PlatformServer):
@@ -425,7 +464,11 @@
     ) -> None:
         """Executes a request, reports the state, or handles an order."""
         if request.target == "/-/report":
-            connection.reply(200, [], msgspec.json.encode(self._make_report()))
+            connection.reply(
+                200,
+                self._make_state_headers(),
+                msgspec.json.encode(self._make_report()),
+            )
             return
         if request.target == "/-/order":
             self._handle_order(connection, msgspec.json.decode(request.body))
