--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -55,16 +55,16 @@
 
     Attributes:
         module: Module to run.
-        flags: Command line flags; ``@START`` stands for the start count.
+        flags: Command line flags; ``@ID`` stands for the number of ids.
         env: Environment variables besides the inherited ones.
-        start_count: Number of times that it was started.
+        id_count: Number of ids that it had, one after the other.
         should_run: Whether it should be running now.
     """
 
     module: str
     flags: list[str]
     env: dict[str, str]
-    start_count: int = 0
+    id_count: int = 0
     should_run: bool = False
 
 
@@ -97,6 +97,9 @@
         self._network = _choose_loopback_network()
         self._specs: dict[str, _ProcessSpec] = {}
         self._links: dict[str, tuple[int, str]] = {}
+        # Faults of each server, of which the lasting ones outlive its restart.
+        self._faults: dict[str, dict[str, object]] = {}
+        self._lasting_faults: dict[str, dict[str, object]] = {}
         self._host = self._make_address(1)
         self.store = f"{self._host}:{_STORE_PORT}"
         self._plan_processes()
@@ -116,16 +119,18 @@
         for name in self.gateways:
             self.wait(lambda name=name: self.is_ready(name), name)
 
-    def start_process(self, name: str) -> None:
-        """Starts a process; a server gets a new id at each start."""
+    def start_process(self, name: str, *, keeps_id: bool = False) -> None:
+        """Starts a process; a server gets a new id unless it keeps its own."""
         spec = self._specs[name]
-        spec.start_count += 1
-        flags = [
-            flag.replace("@START", str(spec.start_count)) for flag in spec.flags
-        ]
+        if not keeps_id:
+            spec.id_count += 1
+        flags = [flag.replace("@ID", str(spec.id_count)) for flag in spec.flags]
+        if name in self._lasting_faults:
+            faults = msgspec.json.encode(self._lasting_faults[name])
+            flags.append(f"--faults={faults.decode()}")
         arguments = [sys.executable, "-m", spec.module, *flags]
         self.processes[name] = processes.start_process(
-            name, "", arguments, self.folder / f"{name}.log", **spec.env
+            name, "", arguments, self.find_log(name), **spec.env
         )
         # Only now: until then the former process is checked, which has exited.
         spec.should_run = True
@@ -162,6 +167,10 @@
         body = value if isinstance(value, bytes) else msgspec.json.encode(value)
         return self._post(self.store, f"/soak/put?key={key}", body)
 
+    def remove(self, key: str) -> bool:
+        """Removes a key from the store; returns whether the store did."""
+        return self._post(self.store, f"/soak/remove?key={key}", b"")
+
     def set_store_faults(self, **faults: object) -> bool:
         """Sets the faults that the store injects; returns whether it did."""
         body = msgspec.json.encode(faults)
@@ -178,7 +187,23 @@
         return self._post(control, f"/links/{link}", body)
 
     def set_server_faults(self, name: str, **faults: object) -> bool:
-        """Sets the faults that a server or engine injects."""
+        """Sets the faults that a server or engine injects.
+
+        Lasting faults stay, unless a given one takes their place.
+        """
+        self._faults[name] = faults
+        return self._send_faults(name)
+
+    def set_lasting_fault(self, name: str, harm: str, value: object) -> bool:
+        """Sets or, with None, clears a fault that outlives restarts."""
+        lasting = self._lasting_faults.setdefault(name, {})
+        lasting[harm] = value
+        if value is None:
+            del lasting[harm]
+        return self._send_faults(name)
+
+    def _send_faults(self, name: str) -> bool:
+        faults = self._lasting_faults.get(name, {}) | self._faults.get(name, {})
         body = msgspec.json.encode(faults)
         return self._post(self._find_server(name), "/soak/faults", body)
 
@@ -223,6 +248,10 @@
         """Returns the path of a server's journal."""
         return self.folder / f"{name}.jsonl"
 
+    def find_log(self, name: str) -> pathlib.Path:
+        """Returns the path of a process's log."""
+        return self.folder / f"{name}.log"
+
     def wait(self, check, name: str) -> None:
         """Waits until a process meets a condition.
 
@@ -237,7 +266,7 @@
         end = clocks.Deadline.after(_START_TIMEOUT_S)
         while not check():
             if name in self.list_unexpected_exits() or end.is_past():
-                log = (self.folder / f"{name}.log").read_text()[-2000:]
+                log = self.find_log(name).read_text()[-2000:]
                 raise processes.DeploymentError(
                     f"{name} did not start; end of its log: {log}"
                 )
@@ -275,7 +304,7 @@
     def _plan_server(self, name: str, domain: str) -> None:
         target = self._find_server(name)
         flags = [
-            f"--id={name}.@START",
+            f"--id={name}.@ID",
             f"--listen={target}",
             f"--address={self._add_link(name, target)}",
             f"--store={self.store}",
--- /dev/null
+++ b/sardinewharf/soak/families.py
@@ -0,0 +1,210 @@
+"""Draws faults of endpoints that go on for a whole soak run, or in series.
+
+Each family of faults has a random generator of its own, so that the other
+faults of a seed stay the same.
+"""
+
+import abc
+import random
+
+from sardinewharf.soak import deployment as deployment_lib
+from sardinewharf.soak import faults
+from sardinewharf.soak import odd_entries
+from sardinewharf.standins import platform_servers
+from sardinewharf.testbed import gateway_harness
+
+_REFUSAL_STATUSES = (421, 429, 503)
+# With these, callers read an error of a request that ran as a refusal.
+_ERROR_STATUSES = (408, 429, 503)
+_MAX_ERROR_INTERVAL = 4
+_SERVICES = (gateway_harness.ENGINES, gateway_harness.ORDERS)
+_MAX_ODD_ENTRIES = 5
+_MIN_ENTRY_S = 3.0
+_CHANGE_DELAY_S = 0.5
+# Callers use their connections for some time before the stop signal.
+_MIN_LATE_S = 3.0
+_MIN_LEAVE_AT_S = 1.0
+_LEAVE_RANGE_S = (1.5, 5.0)
+_MIN_BACKOFF_S = 1.0
+_BACKOFF_RANGE_S = (1.0, 6.0)
+_MAX_BACKOFF_INTERVAL = 4
+# Seconds and fractions, twice each, and values that ask for no pause.
+_SOUND_RETRY_AFTER = ("1", "1.5", "2", "2.75", "3", "4")
+_ODD_RETRY_AFTER = ("Wed, 21 Oct 2026 07:28:00 GMT", "-3", "0", "soon", "")
+_RETRY_AFTER = (*_SOUND_RETRY_AFTER, *_SOUND_RETRY_AFTER, *_ODD_RETRY_AFTER)
+
+
+class Family(abc.ABC):
+    """A kind of faults that is drawn on its own.
+
+    Attributes:
+        name: Name of the family.
+        share: Share of seeds that have it.
+        is_planned: Whether seeds without unplanned faults may have it.
+    """
+
+    name: str
+    share: float
+    is_planned: bool
+
+    @abc.abstractmethod
+    def draw(
+        self,
+        rng: random.Random,
+        deployment: deployment_lib.Deployment,
+        seconds: float,
+    ) -> list[faults.Fault]:
+        """Returns the faults of a soak run.
+
+        Args:
+            rng: Source of the random choice.
+            deployment: Deployment whose processes are the targets.
+            seconds: Time by which all faults have ended.
+        """
+
+
+class FalseRefusals(Family):
+    """Endpoints that refuse all the time what they run or have run."""
+
+    name = "refusals"
+    share = 0.4
+    is_planned = False
+
+    def draw(self, rng, deployment, seconds):
+        """Returns lasting faults of one to all endpoints of a service."""
+        names = _draw_endpoints(rng, deployment)
+        return [
+            faults.LastingServerFault(
+                0.0, seconds, *self._draw_harm(rng), name=name
+            )
+            for name in names
+        ]
+
+    def _draw_harm(self, rng: random.Random) -> tuple[str, object]:
+        if rng.random() < 0.5:
+            return "failed_run", {
+                "status": rng.choice(_ERROR_STATUSES),
+                "every": rng.randint(1, _MAX_ERROR_INTERVAL),
+            }
+        return "stale_refusal", {
+            "status": rng.choice(_REFUSAL_STATUSES),
+            "place": rng.choice(list(platform_servers.RefusalPlace)).value,
+            "is_named": rng.random() < 0.5,
+        }
+
+
+class OddEntries(Family):
+    """Odd entries in the store while servers, gateways and keys change."""
+
+    name = "entries"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns odd entries, and changes that gateways must follow."""
+        drawn: list[faults.Fault] = []
+        for number in range(rng.randint(2, _MAX_ODD_ENTRIES)):
+            at = rng.uniform(0.0, seconds / 2)
+            until = rng.uniform(at + _MIN_ENTRY_S, seconds)
+            drawn.append(
+                faults.OddEntry(
+                    at,
+                    min(until, seconds),
+                    rng.choice(odd_entries.PREFIXES),
+                    f"odd-{number}",
+                    rng.choice(list(odd_entries.Oddity)),
+                    rng.choice(_SERVICES),
+                )
+            )
+        return drawn + self._draw_changes(rng, deployment, seconds, drawn[0].at)
+
+    def _draw_changes(self, rng, deployment, seconds, since):
+        """Returns changes after the first odd entry."""
+        changed = rng.sample([*deployment.engines, *deployment.servers], 2)
+        at = rng.uniform(since, seconds / 2)
+        later = at + _CHANGE_DELAY_S
+        return [
+            faults.AddRoute(at, at),
+            faults.RevokeKey(at, at),
+            *(faults.Drain(later, seconds, name) for name in changed),
+            faults.Restart(later, later, rng.choice(deployment.gateways)),
+        ]
+
+
+class LateRequests(Family):
+    """Gateways that restart while they get requests which outlast them."""
+
+    name = "late"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns restarts of one or two gateways."""
+        names = rng.sample(deployment.gateways, rng.randint(1, 2))
+        drawn: list[faults.Fault] = []
+        for name in names:
+            at = rng.uniform(_MIN_LATE_S, max(_MIN_LATE_S, seconds / 2))
+            drawn.append(faults.BusyRestart(at, at, name))
+        return drawn
+
+
+class LeavingServers(Family):
+    """Servers that say in all responses that they leave."""
+
+    name = "leaving"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns departures of one to all endpoints of a service."""
+        at = rng.uniform(_MIN_LEAVE_AT_S, seconds / 3)
+        return [
+            faults.Leave(
+                at + rng.uniform(0.0, _CHANGE_DELAY_S),
+                at + rng.uniform(*_LEAVE_RANGE_S),
+                name,
+                drains=rng.random() < 0.3,
+                keeps_id=rng.random() < 0.5,
+            )
+            for name in _draw_endpoints(rng, deployment)
+        ]
+
+
+class Backoffs(Family):
+    """Servers that refuse requests and ask for pauses."""
+
+    name = "backoff"
+    share = 0.4
+    is_planned = True
+
+    def draw(self, rng, deployment, seconds):
+        """Returns refusals of one to all endpoints of a service, in series."""
+        drawn: list[faults.Fault] = []
+        for name in _draw_endpoints(rng, deployment):
+            at = rng.uniform(0.0, seconds / 3)
+            while at < seconds - _MIN_BACKOFF_S:
+                until = min(at + rng.uniform(*_BACKOFF_RANGE_S), seconds)
+                value = {
+                    "retry_after": rng.choice(_RETRY_AFTER),
+                    "every": rng.randint(1, _MAX_BACKOFF_INTERVAL),
+                }
+                drawn.append(faults.Backoff(at, until, "backoff", value, name))
+                at = until + rng.uniform(*_BACKOFF_RANGE_S)
+        return drawn
+
+
+def _draw_endpoints(
+    rng: random.Random, deployment: deployment_lib.Deployment
+) -> list[str]:
+    """Returns one to all endpoints of a service."""
+    names = rng.choice((deployment.engines, deployment.servers))
+    return rng.sample(names, rng.randint(1, len(names)))
+
+
+FAMILIES: tuple[Family, ...] = (
+    FalseRefusals(),
+    OddEntries(),
+    LateRequests(),
+    LeavingServers(),
+    Backoffs(),
+)
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -11,7 +11,9 @@
 
 from sardinewharf import clocks
 from sardinewharf.soak import deployment as deployment_lib
+from sardinewharf.soak import odd_entries
 from sardinewharf.soak import operators
+from sardinewharf.testbed import gateway_harness
 
 _RESTORE_INTERVAL_S = 0.2
 
@@ -31,6 +33,15 @@
     until: float
     is_planned = False
 
+    @property
+    def target(self) -> str:
+        """What it affects, which has one fault at a time.
+
+        It is the process or link; faults without one, such as those of the
+        store, have their class as target.
+        """
+        return getattr(self, "name", type(self).__name__)
+
     @abc.abstractmethod
     def begin(
         self,
@@ -114,6 +125,11 @@
         deployment.start_process(self.name)
 
 
+@dataclasses.dataclass(slots=True)
+class BusyRestart(Restart):
+    """A graceful restart of a gateway to which callers send long requests."""
+
+
 @dataclasses.dataclass(slots=True)
 class Reload(Fault):
     """Makes a gateway reload its settings.
@@ -185,6 +201,34 @@
         deployment.set_server_faults(self.name, **faults)
 
 
+@dataclasses.dataclass(slots=True)
+class LastingServerFault(ServerFault):
+    """A fault of a server that outlives its restarts.
+
+    Other faults of the server may overlap it.
+    """
+
+    @property
+    def target(self):
+        """The fault itself, beside others of the server."""
+        return f"{self.name} {self.harm}"
+
+    def begin(self, deployment, operator):
+        """Sets the fault."""
+        deployment.set_lasting_fault(self.name, self.harm, self.value)
+
+    def end(self, deployment, operator):
+        """Clears the fault."""
+        deployment.set_lasting_fault(self.name, self.harm, None)
+
+
+@dataclasses.dataclass(slots=True)
+class Backoff(LastingServerFault):
+    """Makes a server refuse some requests and ask for pauses."""
+
+    is_planned = True
+
+
 @dataclasses.dataclass(slots=True)
 class StoreFault(StandInFault):
     """Makes the store return errors, hang or drop responses."""
@@ -275,6 +319,36 @@
         deployment.set_server_state(self.name, "ready")
 
 
+@dataclasses.dataclass(slots=True)
+class Leave(Fault):
+    """Makes a server say that it leaves, go, and come back.
+
+    Attributes:
+        name: The server or engine.
+        drains: Whether its entry says so at once, not only when it goes.
+        keeps_id: Whether it comes back under the same id.
+    """
+
+    name: str
+    drains: bool
+    keeps_id: bool
+    is_planned = True
+
+    def begin(self, deployment, operator):
+        """Makes it say in each response that it leaves."""
+        deployment.set_server_faults(self.name, leaving=True)
+        if self.drains:
+            deployment.set_server_state(self.name, "draining")
+
+    def end(self, deployment, operator):
+        """Shuts it down gracefully, and starts it once it has exited."""
+        deployment.terminate(self.name)
+        while not deployment.has_exited(self.name):
+            time.sleep(_RESTORE_INTERVAL_S)
+        deployment.set_server_faults(self.name)
+        deployment.start_process(self.name, keeps_id=self.keeps_id)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOverride:
     """An override of the configuration, and when it is written.
@@ -313,6 +387,39 @@
             time.sleep(_RESTORE_INTERVAL_S)
 
 
+@dataclasses.dataclass(slots=True)
+class OddEntry(Fault):
+    """Writes an entry of a server or gateway that cannot be right.
+
+    Attributes:
+        prefix: Prefix of the key.
+        name: Rest of the key.
+        oddity: What is odd about the entry.
+        service: Service of a server's entry.
+    """
+
+    prefix: str
+    name: str
+    oddity: odd_entries.Oddity
+    service: str = gateway_harness.ORDERS
+    is_planned = True
+
+    @property
+    def target(self):
+        """The key."""
+        return self.prefix + self.name
+
+    def begin(self, deployment, operator):
+        """Writes the entry."""
+        value = odd_entries.make_value(self.oddity, self.prefix, self.service)
+        deployment.put(self.target, value)
+
+    def end(self, deployment, operator):
+        """Removes the entry, if need be once the store responds again."""
+        while not deployment.remove(self.target):
+            time.sleep(_RESTORE_INTERVAL_S)
+
+
 def overlaps(
     faults: list[Fault], since: clocks.Deadline, until: clocks.Deadline
 ) -> bool:
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -59,8 +59,9 @@
             return
         if request.request_id:
             now = clocks.read_monotonic()
-            note = journals.Arrived(now, request.request_id, self.service)
-            self.journal.write(note)
+            self.journal.write(
+                journals.Arrived(now, request.request_id, self.service, self.id)
+            )
         await super().handle_request(connection, request)
 
     def _control(self, request) -> None:
@@ -69,14 +70,16 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         match url.path:
             case "/soak/faults":
-                self.faults = msgspec.json.decode(
-                    request.body, type=type(self.faults)
-                )
+                self.set_faults(request.body)
             case "/soak/pause":
                 self.pause(float(query["s"]))
             case "/soak/state":
                 self.registrar.state = query["is"]
 
+    def set_faults(self, encoded: bytes | str) -> None:
+        """Sets the faults that a JSON object names, and clears all others."""
+        self.faults = msgspec.json.decode(encoded, type=type(self.faults))
+
     def record_start(self, request) -> None:
         """Records that a request starts to run."""
         headers = request.headers
@@ -94,6 +97,26 @@
             )
         )
 
+    def record_refusal(self, request, status: int, retry_after="") -> None:
+        """Records that a request is refused."""
+        # A silent server sends the refusal when it goes on.
+        at = max(clocks.read_monotonic(), self.silent_until.at)
+        self.journal.write(
+            journals.Refused(
+                at, request.request_id, self.id, status, retry_after
+            )
+        )
+
+    def record_leaving(self, request) -> None:
+        """Records that a response says that the server leaves."""
+        now = clocks.read_monotonic()
+        self.journal.write(journals.Leaving(now, request.request_id, self.id))
+
+    def record_state(self, state: str) -> None:
+        """Records that the store has an entry with a state."""
+        now = clocks.read_monotonic()
+        self.journal.write(journals.Registered(now, self.id, state))
+
     def record_end(self, request) -> None:
         """Records that a request has stopped running."""
         now = clocks.read_monotonic()
@@ -158,6 +181,8 @@
         else gateway_harness.ORDERS
     )
     server.journal = journals.Journal(arguments.journal)
+    server.journal.write(journals.Started(clocks.read_monotonic(), server.id))
+    server.set_faults(arguments.faults)
     entry = {
         "service": server.service,
         "address": arguments.address,
@@ -168,6 +193,7 @@
     registrar = registrations.Registrar(
         server, gateway_harness.MODEL, arguments.store, entry
     )
+    registrar.on_written = server.record_state
     server.registrar = registrar
     host, port = arguments.listen.rsplit(":", 1)
     await server.start(int(port), host)
@@ -191,6 +217,7 @@
     parser.add_argument("--store", required=True, help="IP:PORT of the store")
     parser.add_argument("--zone", required=True, help="its failure domain")
     parser.add_argument("--journal", required=True, type=pathlib.Path)
+    parser.add_argument("--faults", default="{}", help="its faults as JSON")
     parser.add_argument("--is-engine", action="store_true")
     asyncio.run(serve(parser.parse_args()))
 
--- a/sardinewharf/soak/tests/test_invariants.py
+++ b/sardinewharf/soak/tests/test_invariants.py
@@ -325,3 +325,257 @@
 def test_refusals_at_the_end(history):
     history.send("r1", sent_at=141.0, ended_at=141.1, status=503)
     assert history.list_violated() == {invariants.Invariant.RECOVERY}
+
+
+def test_an_error_of_the_gateway_itself(history):
+    history.send("r1", status=500, stamp="")
+    history.faults.append(faults.Kill(8.0, 11.0, "g0"))
+    assert history.list_violated() == {invariants.Invariant.INTERNAL}
+
+
+def test_a_background_task_that_ended(history):
+    log = history.deployment.find_log("g0")
+    log.write_text("ERROR tasks: Task sync failed.\n")
+    assert history.list_violated() == {invariants.Invariant.PROCESS}
+
+
+def leave(history, *notes):
+    """Registers s0 as draining, and lets r1 arrive there 3 s later."""
+    history.record("s0", journals.Registered(107.0, "s0.1", "draining"))
+    for note in notes:
+        history.record("s0", note)
+    history.send("r1", sent_at=110.0, ended_at=110.1)
+    history.run("r1")
+    arrival = journals.Arrived(110.0, "r1", "orders", "s0.1")
+    history.record("s0", arrival)
+
+
+def test_a_request_to_a_server_whose_entry_left(history):
+    leave(history)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+@pytest.mark.parametrize(
+    "note",
+    [
+        journals.Registered(109.0, "s0.1", "ready"),
+        journals.Started(109.0, "s0.1"),
+        journals.Refused(110.0, "r1", "s0.1", 421),
+    ],
+)
+def test_a_server_that_is_back_or_another_gets_requests(history, note):
+    leave(history, note)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Pause(3.0, 5.0, "g0"),
+        faults.LinkFault(8.0, 9.0, "cut", True, "store-g0"),
+        faults.StoreFault(8.0, 9.0, "status", 503),
+    ],
+)
+def test_a_gateway_out_of_touch_may_miss_a_drain(history, fault):
+    history.faults.append(fault)
+    leave(history)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Pause(8.0, 9.0, "g1"),
+        faults.ServerFault(8.0, 9.0, "status", 500, "s0"),
+        faults.Reload(8.0, 8.0, "g0"),
+    ],
+)
+def test_other_faults_excuse_no_drain(history, fault):
+    history.faults.append(fault)
+    leave(history)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+def cut_long_stream(history, sent_at):
+    """Lets g0 stop from 106 to 114, and cuts a stream at the end of it."""
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    event = server.make_event("r1", 1)
+    history.send(
+        "r1",
+        "/ask-long/",
+        stamp="e0.1.stamp",
+        body=event,
+        is_complete=False,
+        sent_at=sent_at,
+        ended_at=113.9,
+    )
+    history.run("r1", "/ask-long/", "e0")
+
+
+def test_a_stream_that_was_taken_late_in_a_shutdown_and_cut(history):
+    cut_long_stream(history, 109.5)
+    assert history.list_violated() == {invariants.Invariant.LOST}
+
+
+def test_a_stream_from_before_a_shutdown_may_be_cut_at_its_end(history):
+    cut_long_stream(history, 108.5)
+    assert history.list_violated() == set()
+
+
+def test_a_stream_that_its_engine_cut_late_in_a_shutdown(history):
+    history.faults.append(faults.Kill(13.0, 14.0, "e0"))
+    cut_long_stream(history, 109.5)
+    assert history.list_violated() == set()
+
+
+def test_a_long_request_that_a_shutdown_left_without_an_answer(history):
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    lose(history, "r1", "/book-long/", sent_at=106.5, ended_at=113.9)
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == {invariants.Invariant.LOST}
+
+
+def test_a_long_request_that_a_shutdown_ended_with_a_failure(history):
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    long = {"sent_at": 106.5, "ended_at": 113.9}
+    history.send("r1", "/book-long/", status=502, stamp="", **long)
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == set()
+
+
+def test_a_long_request_that_ran_and_was_refused(history):
+    history.faults.append(faults.BusyRestart(6.0, 14.0, "g0"))
+    long = {"sent_at": 106.5, "ended_at": 113.9}
+    history.send("r1", "/book-long/", status=503, stamp="", **long)
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == {invariants.Invariant.NOT_RUN}
+
+
+def test_a_long_request_that_fails_without_a_shutdown(history):
+    history.send("r1", "/book-long/", status=502, stamp="")
+    history.run("r1", "/book-long/")
+    assert history.list_violated() == {invariants.Invariant.CALM}
+
+
+def pass_on_leaving(history, sent_at, *notes):
+    """Lets g0 pass on at 107 that s0 leaves, and sends r2 there later."""
+    history.send("r1", sent_at=106.9, ended_at=107.0)
+    history.run("r1")
+    history.record("s0", journals.Leaving(106.9, "r1", "s0.1"))
+    for note in notes:
+        history.record("s0", note)
+    history.send("r2", sent_at=sent_at, ended_at=sent_at + 0.1)
+    history.run("r2")
+    arrival = journals.Arrived(sent_at, "r2", "orders", "s0.1")
+    history.record("s0", arrival)
+
+
+def test_a_request_to_a_server_that_said_that_it_leaves(history):
+    history.faults.append(faults.Leave(6.0, 8.0, "s0", False, False))
+    pass_on_leaving(history, 109.5)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+def test_a_request_soon_after_a_server_said_that_it_leaves(history):
+    pass_on_leaving(history, 109.2)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize("kind", [faults.Kill, faults.Restart, faults.Pause])
+def test_a_gateway_that_restarted_may_not_know_who_leaves(history, kind):
+    history.faults.append(kind(8.0, 8.5, "g0"))
+    pass_on_leaving(history, 109.5)
+    assert history.list_violated() == set()
+
+
+def test_a_fault_of_another_gateway_excuses_no_request(history):
+    history.faults.append(faults.Restart(8.0, 8.5, "g1"))
+    pass_on_leaving(history, 109.5)
+    assert history.list_violated() == {invariants.Invariant.DRAIN}
+
+
+@pytest.mark.parametrize(
+    "note",
+    [
+        journals.Started(108.5, "s0.1"),
+        journals.Refused(109.5, "r2", "s0.1", 421),
+    ],
+)
+def test_a_server_that_came_back_under_its_id(history, note):
+    pass_on_leaving(history, 109.5, note)
+    assert history.list_violated() == set()
+
+
+def test_a_leaving_server_whose_answer_was_not_passed_on(history):
+    history.send("r1", sent_at=106.9, ended_at=107.0, stamp="s1.1.stamp")
+    history.run("r1", server="s1.1")
+    history.record("s0", journals.Leaving(106.9, "r1", "s0.1"))
+    history.send("r2")
+    history.run("r2")
+    history.record("s0", journals.Arrived(110.0, "r2", "orders", "s0.1"))
+    assert history.list_violated() == set()
+
+
+def back_off(history, retry_after="2", times=(110.6, 110.7, 111.9)):
+    """Lets s0 refuse r0 at 110, and requests of g0 arrive there later."""
+    history.send("r0")
+    history.run("r0")
+    note = journals.Refused(110.0, "r0", "s0.1", 503, retry_after)
+    history.record("s0", note)
+    for number, at in enumerate(times, start=1):
+        request = f"r{number}"
+        history.send(request, sent_at=at, ended_at=at + 0.1)
+        history.run(request)
+        arrival = journals.Arrived(at, request, "orders", "s0.1")
+        history.record("s0", arrival)
+
+
+def test_requests_to_a_server_that_asked_for_a_pause(history):
+    back_off(history)
+    assert history.list_violated() == {invariants.Invariant.BACKOFF}
+
+
+@pytest.mark.parametrize(
+    "times", [(110.6, 110.7), (110.1, 110.2, 110.3), (110.6, 110.7, 112.1)]
+)
+def test_few_requests_or_none_within_a_pause(history, times):
+    back_off(history, times=times)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize("retry_after", ["", "-2", "0", "soon"])
+def test_a_refusal_that_asks_for_no_pause(history, retry_after):
+    back_off(history, retry_after)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Kill(11.0, 11.2, "g0"),
+        faults.Restart(11.0, 11.2, "g0"),
+        faults.Pause(11.0, 11.2, "g0"),
+        faults.LinkFault(11.0, 11.2, "cut", True, "store-g0"),
+        faults.LinkFault(9.9, 10.2, "hold_answers", True, "s0"),
+        faults.ServerFault(9.9, 10.2, "garbage", True, "s0"),
+    ],
+)
+def test_a_gateway_may_miss_or_forget_a_refusal(history, fault):
+    history.faults.append(fault)
+    back_off(history)
+    assert history.list_violated() == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Backoff(9.0, 12.0, "backoff", {}, "s0"),
+        faults.Kill(11.0, 11.2, "g1"),
+        faults.ServerFault(11.0, 11.2, "garbage", True, "s1"),
+        faults.Reload(11.0, 11.0, "g0"),
+    ],
+)
+def test_other_faults_excuse_no_request_within_a_pause(history, fault):
+    history.faults.append(fault)
+    back_off(history)
+    assert history.list_violated() == {invariants.Invariant.BACKOFF}
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -22,6 +22,7 @@
 _LATE_REFUSAL_S = 0.02
 # A server that repeats refusals truly refuses one in so many requests.
 _REQUESTS_PER_REFUSAL = 5
+_INTERIM_RESPONSE = b"HTTP/1.1 103 X\r\n\r\n"
 
 ServerRequest = server_connections.ServerRequest
 
@@ -33,6 +34,8 @@
     BEFORE = "before"
     BEHIND = "behind"
     LATER = "later"
+    INTERIM = "interim"
+    PIECES = "pieces"
 
 
 @dataclasses.dataclass
@@ -43,7 +46,8 @@
         status: Status of the refusals.
         place: Whether the repeated refusal comes instead of the true response
             to a later request, before it, right behind it in the same segment,
-            or a little later.
+            a little later, before it behind an interim response, or in two
+            pieces, of which the second comes with the next request.
         is_named: Whether it bears the id of the earlier request.
     """
 
@@ -52,6 +56,45 @@
     is_named: bool = True
 
 
+@dataclasses.dataclass
+class FailedRun:
+    """Responds with an error to some of the requests that are executed.
+
+    Attributes:
+        status: Status of the response, without a header that says that the
+            request was not executed.
+        every: Fails one in so many requests of each connection.
+    """
+
+    status: int = 503
+    every: int = 1
+
+    def find_status(self, handled: int) -> int:
+        """Returns the status for a request, or 0 if it does not fail.
+
+        Args:
+            handled: Number of earlier requests on its connection.
+
+        Examples:
+            >>> [FailedRun(429, every=2).find_status(n) for n in range(4)]
+            [0, 429, 0, 429]
+        """
+        return self.status if (handled + 1) % self.every == 0 else 0
+
+
+@dataclasses.dataclass
+class Backoff:
+    """Refuses some requests, and asks for a pause.
+
+    Attributes:
+        retry_after: Value of the header ``Retry-After``.
+        every: Refuses one in so many requests.
+    """
+
+    retry_after: str = "1"
+    every: int = 1
+
+
 class Framing(enum.Enum):
     """How an error response ends."""
 
@@ -91,8 +134,11 @@
     Attributes:
         refuse: Responds with 503 and a header that says that the request was
             not executed.
+        backoff: Refuses some requests, and asks for a pause.
+        leaving: Says in all responses that the server leaves.
         moved: Responds with 421, as if another server had the address.
         status: Executes the request and responds with this status; 0 for 200.
+        failed_run: The same for some requests.
         reset: Executes the request and resets the connection.
         hang: Executes the request and never responds.
         cut_after: Aborts a stream within the event after this one; 0 for
@@ -113,8 +159,11 @@
     """
 
     refuse: bool = False
+    backoff: Backoff | None = None
+    leaving: bool = False
     moved: bool = False
     status: int = 0
+    failed_run: FailedRun | None = None
     reset: bool = False
     hang: bool = False
     cut_after: int = 0
@@ -209,6 +258,10 @@
         if faults.refuse:
             self._refuse(connection, request, 503)
             return
+        backoff = faults.backoff
+        if backoff and self.arrivals % backoff.every == 0:
+            self._refuse(connection, request, 503, backoff.retry_after)
+            return
         stale = faults.stale_refusal
         if stale and (
             not self._refused_id or self.arrivals % _REQUESTS_PER_REFUSAL == 0
@@ -238,10 +291,18 @@
         connection: server_connections.ServerConnection,
         request: ServerRequest,
         status: int,
+        retry_after: str = "",
     ) -> None:
         """Refuses a request that is not executed."""
-        headers = [] if self.faults.no_id else [_make_id(request.request_id)]
-        connection.reply(status, _make_refusal_headers(status) + headers)
+        headers = _make_refusal_headers(status) + self._make_state_headers()
+        if not self.faults.no_id:
+            headers.append(_make_id(request.request_id))
+        if retry_after:
+            headers.append(("retry-after", retry_after))
+        self.record_refusal(
+            request, status, "" if self.faults.no_id else retry_after
+        )
+        connection.reply(status, headers)
 
     async def _respond_beside_refusal(
         self,
@@ -253,23 +314,43 @@
         headers = _make_refusal_headers(stale.status)
         if stale.is_named:
             headers.append(_make_id(self._refused_id))
-        if stale.place in (RefusalPlace.INSTEAD, RefusalPlace.BEFORE):
-            connection.reply(stale.status, headers)
-            if stale.place is RefusalPlace.BEFORE:
+        refusal = server_connections.make_head(stale.status, headers, 0)
+        match stale.place:
+            case RefusalPlace.INSTEAD:
+                connection.write(refusal)
+            case RefusalPlace.BEFORE:
+                connection.write(refusal)
                 await self.respond(connection, request)
-        elif stale.place is RefusalPlace.BEHIND:
-            with connection.join_writes():
+            case RefusalPlace.INTERIM:
+                connection.write(_INTERIM_RESPONSE + refusal)
                 await self.respond(connection, request)
-                connection.reply(stale.status, headers)
-        else:
-            await self.respond(connection, request)
-            await asyncio.sleep(_LATE_REFUSAL_S)
-            connection.reply(stale.status, headers)
+            case RefusalPlace.BEHIND:
+                with connection.join_writes():
+                    await self.respond(connection, request)
+                    connection.write(refusal)
+            case RefusalPlace.LATER:
+                await self.respond(connection, request)
+                await asyncio.sleep(_LATE_REFUSAL_S)
+                connection.write(refusal)
+            case RefusalPlace.PIECES:
+                connection.write(connection.unsent)
+                await self.respond(connection, request)
+                half = len(refusal) // 2
+                connection.write(refusal[:half])
+                connection.unsent = refusal[half:]
 
     def record_start(self, request: ServerRequest) -> None:
         """Records that the execution of a request starts."""
         self.executed.append(request)
 
+    def record_refusal(
+        self, request: ServerRequest, status: int, retry_after: str = ""
+    ) -> None:
+        """Called when a request is refused; subclasses may override it."""
+
+    def record_leaving(self, request: ServerRequest) -> None:
+        """Called when a response says that the server leaves."""
+
     def record_end(self, request: ServerRequest) -> None:
         """Called when a request ends; subclasses may override it."""
 
@@ -307,13 +388,23 @@
             connection.write(body)
             connection.close()
         else:
-            connection.reply(faults.status or 200, headers, body)
+            status = self.find_error_status(connection) or 200
+            connection.reply(status, headers, body)
         request.ended = "whole"
         if faults.extra:
             connection.reply(
                 200, self.make_headers(request), b"an extra answer"
             )
 
+    def find_error_status(
+        self, connection: server_connections.ServerConnection
+    ) -> int:
+        """Returns the error status of an executed request; 0 for none."""
+        failed_run = self.faults.failed_run
+        if failed_run:
+            return failed_run.find_status(connection.handled)
+        return self.faults.status
+
     def make_headers(self, request: ServerRequest) -> list[tuple[str, str]]:
         """Returns the headers of the response to a request."""
         request_id = "another" if self.faults.wrong_id else request.request_id
@@ -325,7 +416,13 @@
             headers.append(_make_id(request_id))
         if not self.faults.is_unsigned:
             headers.append(("x-sardinewharf-server-stamp", f"{self.id}.stamp"))
-        return headers
+        if self.faults.leaving:
+            self.record_leaving(request)
+        return headers + self._make_state_headers()
+
+    def _make_state_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers that each response has."""
+        return [("server-leaving", "1")] if self.faults.leaving else []
 
 
 class PlatformEngine(PlatformServer):
@@ -367,7 +464,11 @@
     ) -> None:
         """Executes a request, reports the state, or handles an order."""
         if request.target == "/-/report":
-            connection.reply(200, [], msgspec.json.encode(self._make_report()))
+            connection.reply(
+                200,
+                self._make_state_headers(),
+                msgspec.json.encode(self._make_report()),
+            )
             return
         if request.target == "/-/order":
             self._handle_order(connection, msgspec.json.decode(request.body))
@@ -382,6 +483,7 @@
                 _make_id(request.request_id),
             ]
             self.refused += 1
+            self.record_refusal(request, 421)
             connection.reply(421, headers)
             return
         if self._is_busy():
@@ -409,7 +511,7 @@
             faults.hang
             or faults.reset
             or faults.garbage
-            or faults.status
+            or self.find_error_status(connection)
             or faults.cut_head
         ):
             await super().respond(connection, request)
