Start background tasks of a gateway again when they fail

Seen: a task that ended by any error was logged and forgotten. The gateway stayed ready and went on with what it knew: without "sync" it sent bookings to servers that had left, without "peers" it heard of no drain, without "office" and "weights" no weights were rolled out, and without "register" no gateway found it.

They keep their state in objects, so that a new run goes on where the former one ended: the synchronizer's revision, the lease's tenure, the position in a cache's events, a broadcast that is still to be sent. Failures are counted in sardinewharf_task_failures_total, and a gateway whose sync keeps failing is not ready. An error in one datagram, one step of maintenance, one model's rollout or the reader of one entry skips only that, and errors of callbacks go to the log, which asyncio's own handler does not reach. A socket of the gossip that asyncio closed is opened again, and a registration that another writer replaced is written again.

--- a/sardinewharf/gateway/broadcasts.py
+++ b/sardinewharf/gateway/broadcasts.py
@@ -89,7 +89,12 @@
             await self._requested.wait()
             await asyncio.sleep(_BATCHING_S)
             self._requested.clear()
-            await self._broadcast()
+            try:
+                await self._broadcast()
+            except Exception:
+                # The update is still to be sent when this is started again.
+                self._requested.set()
+                raise
 
     async def _broadcast(self) -> None:
         datagram = self._make_datagram()
--- a/sardinewharf/gateway/caches.py
+++ b/sardinewharf/gateway/caches.py
@@ -55,16 +55,20 @@
     async def run(self) -> None:
         """Polls for changes until cancelled."""
         while True:
-            stores = self._replica.configuration.cache_stores
-            if not stores:
-                await asyncio.sleep(_RECHECK_S)
-                continue
-            self._prompts.store.is_watched = self._may_watch(stores[0])
-            if self._prompts.store.is_watched:
-                await self._poll(stores[0])
-            else:
-                self._prompts.store.set_address(stores[0].address)
-                await asyncio.sleep(_RECHECK_S)
+            await self._run_once()
+
+    async def _run_once(self) -> None:
+        """Polls for changes, or waits where this gateway does not watch."""
+        stores = self._replica.configuration.cache_stores
+        if not stores:
+            await asyncio.sleep(_RECHECK_S)
+            return
+        self._prompts.store.is_watched = self._may_watch(stores[0])
+        if self._prompts.store.is_watched:
+            await self._poll(stores[0])
+        else:
+            self._prompts.store.set_address(stores[0].address)
+            await asyncio.sleep(_RECHECK_S)
 
     def _may_watch(self, store: catalog.CacheStore) -> bool:
         """Returns whether this gateway is among the store's watchers.
--- a/sardinewharf/gateway/metrics.py
+++ b/sardinewharf/gateway/metrics.py
@@ -4,6 +4,7 @@
 
 import aioprometheus
 
+from sardinewharf import tasks
 from sardinewharf.gateway import requests
 
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
@@ -17,6 +18,7 @@
     "prompt_tokens": ("service", "kind"),
     "cache_fetches": ("service", "kind"),
     "failed_attempts": ("service", "outcome"),
+    "task_failures": ("task", "effect"),
 }
 
 
@@ -80,6 +82,10 @@
         """Counts an attempt that gave no response to relay."""
         self._counts["failed_attempts", service, outcome] += 1
 
+    def count_task_failure(self, task: str, effect: tasks.Effect) -> None:
+        """Counts a failure of background work."""
+        self._counts["task_failures", task, effect.value] += 1
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets the current value of a gauge."""
         if name not in self._gauges:
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -18,6 +18,7 @@
 from sardinewharf import addresses
 from sardinewharf import decoding
 from sardinewharf import logs
+from sardinewharf import tasks
 from sardinewharf.gateway import broadcasts
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import exchange as exchange_lib
@@ -45,6 +46,7 @@
         feed: Exchanges changes of the store with other gateways.
         request_sync: Called with the revision and the name of a peer that has a
             newer one.
+        failures: Counts the datagrams whose handling failed.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         exchange: exchange_lib.StateExchange,
         feed: feeds.Feed,
         request_sync: Callable[[int, str], None],
+        failures: tasks.FailureCounter | None = None,
     ):
         self._settings = settings
         self._replica = replica
@@ -61,7 +64,9 @@
         self._feed = feed
         feed.send = self.send
         self._request_sync = request_sync
+        self._failures = failures or tasks.FailureCounter()
         self._transport: asyncio.DatagramTransport | None = None
+        self._is_closed = False
         self._random = random.Random(settings.name)
         self._broadcast_pace = broadcasts.compute_pace(settings.link_mbps)
         self._broadcaster = broadcasts.Broadcaster(
@@ -84,18 +89,24 @@
 
     def close(self) -> None:
         """Stops listening."""
+        self._is_closed = True
         if self._transport is not None:
             self._transport.close()
 
-    async def run(self) -> None:
-        """Sends digests and broadcasts until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._gossip())
-            group.create_task(self._broadcaster.run())
+    async def run_broadcasts(self) -> None:
+        """Sends the requested broadcasts until cancelled."""
+        await self._broadcaster.run()
 
-    async def _gossip(self) -> None:
-        """Sends digests in rounds."""
+    async def run_gossip(self) -> None:
+        """Sends digests in rounds until cancelled.
+
+        Raises:
+            OSError: If the socket was closed and cannot be opened again.
+        """
         while True:
+            if not self._is_open and not self._is_closed:
+                _log.warning("The socket was closed and is opened again.")
+                await self.start()
             datagram = self._encode(self._exchange.make_digest())
             if datagram is not None:
                 self._send_to(self._choose_addresses(), datagram)
@@ -177,7 +188,11 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handles a datagram from another gateway."""
+        """Handles a datagram from another gateway; called by asyncio."""
+        with self._failures.contain("datagram"):
+            self._handle_datagram(data, addr)
+
+    def _handle_datagram(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
             message = decoding.decode_msgpack(data, digests.Message)
         except decoding.DecodeError as error:
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -71,6 +71,7 @@
         peers: Sends the reports.
         estimators: What is measured of engines and prompts.
         log: Where leadership changes and orders are logged.
+        failures: Counts the failures of updates.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         peers: peers_lib.Peers,
         estimators: tables.EstimatorTable,
         log: records.RecordSink,
+        failures: tasks.FailureCounter | None = None,
     ):
         self._name = settings.name
         self._rollout_limit_s = settings.guarantees.rollout_limit_ms / 1000
@@ -99,18 +101,19 @@
         self._peers = peers
         self._estimators = estimators
         self._log = log
-        self._tasks = tasks.TaskGroup()
+        self._failures = failures or tasks.FailureCounter()
+        self._tasks = tasks.TaskGroup(self._failures)
         self._updating: set[ids.EndpointId] = set()
         # Engines that are probed, and those whose last update failed.
         self._probing: set[ids.EndpointId] = set()
         self._backoffs: dict[ids.EndpointId, clocks.Deadline] = {}
         # Moving average of the time that updates take.
         self._update_s = _INITIAL_UPDATE_S
+        self._was_leader = False
         self._is_stopping = False
 
     async def maintain_lease(self) -> None:
         """Acquires the leader lease when it is free, and renews it."""
-        was_held = False
         while not self._is_stopping:
             is_held = bool(self._leader_lease.epoch)
             if is_held or self._may_acquire():
@@ -119,8 +122,8 @@
                 if is_held or self._may_acquire():
                     await self._leader_lease.acquire_or_renew()
             is_held = bool(self._leader_lease.epoch)
-            if is_held != was_held:
-                was_held = is_held
+            if is_held != self._was_leader:
+                self._was_leader = is_held
                 self._log.write(
                     records.events.LeadershipChanged(
                         is_held, self._leader_lease.epoch
@@ -169,7 +172,8 @@
                 continue
             for model in service.engine.models:
                 target = self._replica.target_versions.find_target(model)
-                self._start_model_updates(service.name, model, target)
+                with self._failures.contain("weights"):
+                    self._start_model_updates(service.name, model, target)
 
     def _start_model_updates(
         self, service: str, model: str, target: int
@@ -268,10 +272,10 @@
                 endpoint, model, load_deadline
             )
         finally:
+            self._updating.discard(endpoint.id)
             self._drains.end_drain(endpoint.id)
             self._peers.schedule_broadcast()
             self._record_update_end(endpoint, model, is_done, started_at)
-            self._updating.discard(endpoint.id)
 
     def _record_update_end(
         self,
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -50,6 +50,8 @@
 _SPLIT_BUDGET_SHARE = 0.7
 # Time between two attempts to register this gateway, and limit of each.
 _REGISTER_INTERVAL_S = 1.0
+# The task without which a gateway is not ready.
+_SYNC_TASK = "sync"
 # Durations of the leader lease for rolling updates.
 _LEADER_LEASE_S = 2.0
 _LEASE_EXPIRY_MARGIN_S = 0.7
@@ -96,7 +98,11 @@
         self._replica = replica_lib.Replica(log)
         self._loads = fleet.LoadTable()
         self._health = fleet.HealthTable(log)
-        self._tasks = tasks.TaskGroup()
+        self._failures = tasks.FailureCounter(self._metrics.count_task_failure)
+        self._tasks = tasks.TaskGroup(self._failures)
+        # The number of changes of the registry whose removed endpoints' have no
+        # connections any more.
+        self._handled_changes = -1
         self._stopping = asyncio.Event()
         self._connections = tables.ConnectionTable()
         self._budgets = tables.RetryBudgetTable(self._make_budget_share())
@@ -156,6 +162,7 @@
             self._replica,
             feed,
             log,
+            self._failures,
         )
         self._exchange = exchange_lib.StateExchange(
             settings,
@@ -171,6 +178,7 @@
             self._exchange,
             feed,
             self._synchronizer.record_newer_revision,
+            self._failures,
         )
         self._cache_store_watcher = caches.CacheStoreWatcher(
             settings.name, platform.control, self._replica, self._prompts, log
@@ -205,13 +213,7 @@
         if self._settings.metrics_listen:
             await self._metrics_server.start(self._settings.metrics_listen)
         await self._server.start(self._settings.listen)
-        self._tasks.start(self._synchronizer.run(), "sync")
-        self._tasks.start(self._register(), "register")
-        self._tasks.start(self._run_maintenance(), "tick")
-        self._tasks.start(self._peers.run(), "peers")
-        self._tasks.start(self._cache_store_watcher.run(), "cache-store")
-        self._tasks.start(self._rollout_controller.maintain_lease(), "office")
-        self._tasks.start(self._rollout_controller.run(), "weights")
+        self._start_tasks()
         self._log.write(
             records.events.Started(
                 failure_domain=self._settings.failure_domain,
@@ -225,6 +227,24 @@
         await self.close()
         self._log.write(records.events.Stopped(self._app.running))
 
+    def _start_tasks(self) -> None:
+        """Starts the tasks that run as long as this gateway."""
+        keep_running = self._tasks.keep_running
+        keep_running(self._synchronizer.run, _SYNC_TASK)
+        keep_running(self._register, "register")
+        keep_running(self._run_maintenance, "tick")
+        keep_running(self._peers.run_gossip, "peers")
+        keep_running(self._peers.run_broadcasts, "broadcasts")
+        keep_running(self._cache_store_watcher.run, "cache-store")
+        keep_running(self._rollout_controller.maintain_lease, "office")
+        keep_running(self._rollout_controller.run, "weights")
+
+    def handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Logs and counts an error of a callback of the event loop."""
+        self._failures.record_loop_error(loop, context)
+
     def _schedule_broadcast(self) -> None:
         self._peers.schedule_broadcast()
 
@@ -254,6 +274,7 @@
             self._peers,
             self._estimators,
             self._log,
+            self._failures,
         )
 
     async def close(self) -> None:
@@ -270,6 +291,8 @@
             not self._app.is_shutting_down
             and self._admission_controller.is_current()
             and bool(self._replica.configuration.version)
+            # It would go on with what the store held before.
+            and not self._tasks.is_failing(_SYNC_TASK)
         )
 
     def _render_metrics(self) -> bytes:
@@ -323,41 +346,66 @@
         )
 
     async def _register(self) -> None:
-        """Writes this gateway's entry, by which other gateways find it."""
+        """Keeps this gateway registered, so that other gateways find it.
+
+        The entry is written again if another writer replaced or removed it.
+        """
+        while not self._app.is_shutting_down:
+            if not self._is_registered():
+                await self._write_registration()
+            await asyncio.sleep(_REGISTER_INTERVAL_S)
+
+    def _is_registered(self) -> bool:
+        """Returns whether the replica shows this gateway's entry."""
+        members_by_name = self._replica.members
+        own_address = members_by_name.get(self._settings.name)
+        return own_address == self._settings.peer_listen
+
+    async def _write_registration(self) -> None:
+        """Writes this gateway's entry unless the store holds it."""
         entry = members.make_entry(
             self._settings.name,
             self._settings.peer_listen,
             self._settings.failure_domain,
         )
-        while True:
-            deadline = clocks.Deadline.after(_REGISTER_INTERVAL_S)
-            stored_entry = await self._platform.store.read(entry.key, deadline)
-            if isinstance(stored_entry, keyvalue.Record | keyvalue.Absent):
-                if getattr(stored_entry, "value", None) == entry.value:
-                    return
-                written = await self._platform.store.write(
-                    entry.key, entry.value, stored_entry.revision, deadline
-                )
-                if isinstance(written, keyvalue.Written):
-                    return
-            await asyncio.sleep(_REGISTER_INTERVAL_S)
+        deadline = clocks.Deadline.after(_REGISTER_INTERVAL_S)
+        stored_entry = await self._platform.store.read(entry.key, deadline)
+        if not isinstance(stored_entry, keyvalue.Record | keyvalue.Absent):
+            return
+        if getattr(stored_entry, "value", None) != entry.value:
+            await self._platform.store.write(
+                entry.key, entry.value, stored_entry.revision, deadline
+            )
 
     async def _run_maintenance(self) -> None:
         """Drops outdated state and adjusts shares, at regular intervals."""
-        handled_changes = -1
+        steps = (
+            self._replica.drop_expired,
+            self._staleness_monitor.check,
+            self._adjust_shares,
+            self._set_cache_capacity,
+            self._forget_old_crashes,
+            self._close_removed_connections,
+        )
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
-            self._replica.drop_expired()
-            self._staleness_monitor.check()
-            self._budgets.set_share(self._make_budget_share())
-            self._loads.set_report_interval(
-                self._peers.estimate_digest_interval()
-            )
-            self._set_cache_capacity()
-            self._crashes.forget_old(clocks.read_monotonic())
-            if self._replica.registry.changes != handled_changes:
-                handled_changes = self._replica.registry.changes
-                self._connections.close_removed(self._replica.registry)
+            for step in steps:
+                with self._failures.contain("tick"):
+                    step()
+
+    def _adjust_shares(self) -> None:
+        self._budgets.set_share(self._make_budget_share())
+        self._loads.set_report_interval(self._peers.estimate_digest_interval())
+
+    def _forget_old_crashes(self) -> None:
+        self._crashes.forget_old(clocks.read_monotonic())
+
+    def _close_removed_connections(self) -> None:
+        """Closes connections to endpoints that were removed since."""
+        registry = self._replica.registry
+        if registry.changes != self._handled_changes:
+            self._connections.close_removed(registry)
+            self._handled_changes = registry.changes
 
     def _set_cache_capacity(self) -> None:
         for service in self._replica.configuration.services.values():
--- a/sardinewharf/gateway/sync.py
+++ b/sardinewharf/gateway/sync.py
@@ -14,6 +14,7 @@
 from sardinewharf import clocks
 from sardinewharf import keyvalue
 from sardinewharf import records
+from sardinewharf import tasks
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import feeds
 from sardinewharf.gateway import freshness
@@ -62,6 +63,7 @@
         replica: The replica that is kept current.
         feed: Requests changes from other gateways.
         log: Records loss and recovery of the connection to the store.
+        failures: Counts the entries that the reader failed to decode.
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         replica: replica_lib.Replica,
         feed: feeds.Feed,
         log: records.RecordSink,
+        failures: tasks.FailureCounter | None = None,
     ):
+        self._failures = failures or tasks.FailureCounter()
         self._limits = freshness.split_guarantees(settings.guarantees)
         self._feed = feed
         # Whether another gateway sent a usable update in the last step.
@@ -198,13 +202,23 @@
         """Applies changes that were made at ``since`` or later."""
         newer = [e for e in entries if e.revision > self._replica.revision]
         for entry in newer:
-            change = self._reader.read_change(entry)
+            change = self._read_change(entry)
             if change is not None:
                 self._replica.apply(change, since, source)
         if revision > self._replica.revision:
             self._feed.log.add(newer, revision)
             self._replica.revision = revision
 
+    def _read_change(self, entry: keyvalue.Entry) -> changes.Change | None:
+        """Returns the change that an entry holds.
+
+        An entry on which the reader fails changes nothing: the entries after
+        it must not wait for it.
+        """
+        with self._failures.contain("read-entry"):
+            return self._reader.read_change(entry)
+        return None
+
     async def _list(self) -> bool:
         """Lists the whole store; returns False if that failed."""
         sent = clocks.read_monotonic()
@@ -215,7 +229,7 @@
             self._record_failure(listing.detail)
             return False
         self._record_contact()
-        listed = [self._reader.read_change(e) for e in listing.entries]
+        listed = [self._read_change(entry) for entry in listing.entries]
         self._replica.replace([c for c in listed if c is not None])
         self._replica.revision = listing.revision
         self._feed.log.restart(listing.revision)
--- a/sardinewharf/platform/program.py
+++ b/sardinewharf/platform/program.py
@@ -49,6 +49,7 @@
 ) -> None:
     gateway = service.GatewayService(settings, adapters, log)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(gateway.handle_loop_error)
     loop.add_signal_handler(signal.SIGTERM, gateway.stop)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.run()
