Start background tasks of a daemon again when they fail

A claim at a shard whose committer had ended by an error waited without end, also past its deadline.

Now the daemon's tasks that run as long as the process are started again, their failures are in /status, and a daemon that cannot follow its configuration is not ready. A committer that meets an unexpected error counts its last write as unknown, as one whose answer was lost: the claims are in doubt, and fail at their deadlines. All decoders of the daemon raise one type of error; a configuration that cannot be read leaves a log line, and so do a report in a digest and a batch of claims that was not committed elsewhere.

--- a/sardinewharf/claims/committer.py
+++ b/sardinewharf/claims/committer.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import keyvalue
 from sardinewharf import logs
 from sardinewharf.claims import entries as entries_lib
@@ -99,10 +100,6 @@
         self._has_unresolved_write = False
         self._is_last_write_unknown = False
         self._failing_since = math.inf
-        self._decoder = msgspec.msgpack.Decoder(records.Head)
-        self._segment_decoder = msgspec.msgpack.Decoder(
-            dict[bytes, entries_lib.Entry]
-        )
         self._shard = shard
         self.writes = 0
         self.committed = 0
@@ -124,12 +121,14 @@
         """Commits until it is cancelled."""
         backoff = _INITIAL_BACKOFF_S
         while True:
-            await self._wake.wait()
+            # Operations may have been left by a run that failed.
+            if not self._waiting:
+                await self._wake.wait()
             self._wake.clear()
             await asyncio.sleep(self._settings.linger_seconds)
             while self._waiting:
                 next_at = clocks.Deadline.after(self._settings.interval_seconds)
-                if await self._commit():
+                if await self._try_commit():
                     backoff = _INITIAL_BACKOFF_S
                     self._failing_since = math.inf
                     if self._waiting:
@@ -141,6 +140,23 @@
                 await asyncio.sleep(backoff)
                 backoff = min(_MAX_BACKOFF_S, backoff * 2)
 
+    async def _try_commit(self) -> bool:
+        """Commits queued operations; returns whether that succeeded.
+
+        After an unexpected error it is not known whether a write took effect.
+        The operations are then in doubt, and fail at their deadlines rather
+        than wait without end.
+        """
+        try:
+            return await self._commit()
+        except Exception as error:
+            _log.opt(exception=error).error("Shard {} failed.", self._key)
+        for waiter in self._waiting[: self._settings.batch_limit]:
+            waiter.is_in_doubt = True
+        self._has_unresolved_write = True
+        self._is_loaded = False
+        return False
+
     async def _commit(self) -> bool:
         """Commits queued operations; returns whether the service responded."""
         batch = self._waiting[: self._settings.batch_limit]
@@ -240,11 +256,11 @@
         try:
             head = records.Head()
             if isinstance(read, keyvalue.Record):
-                head = self._decoder.decode(read.value)
+                head = decoding.decode_msgpack(read.value, records.Head)
             for name in self._record.list_missing(head):
                 if not await self._read_segment(name):
                     return False
-        except msgspec.MsgspecError as error:
+        except decoding.DecodeError as error:
             _log.error("Shard {} cannot be read: {}.", self._key, error)
             return False
         self._record.adopt(head, read.revision)
@@ -259,7 +275,9 @@
         )
         if not isinstance(read, keyvalue.Record):
             return False
-        entries = self._segment_decoder.decode(read.value)
+        entries = decoding.decode_msgpack(
+            read.value, dict[bytes, entries_lib.Entry]
+        )
         self._record.add_segment(name, entries)
         return True
 
--- a/sardinewharf/claims/ledger.py
+++ b/sardinewharf/claims/ledger.py
@@ -81,7 +81,7 @@
     def start(self) -> None:
         """Starts the committers."""
         for shard, shard_committer in enumerate(self.committers):
-            self._tasks.start(shard_committer.run(), f"claims-{shard}")
+            self._tasks.keep_running(shard_committer.run, f"claims-{shard}")
 
     async def close(self) -> None:
         """Stops the committers."""
--- a/sardinewharf/configuration/manifests.py
+++ b/sardinewharf/configuration/manifests.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from sardinewharf import decoding
 from sardinewharf import ids
 
 HISTORY_LENGTH = 128
@@ -72,7 +73,8 @@
         """Decodes what ``encode`` returned.
 
         Raises:
-            ManifestError: If the checksum does not match the content.
+            ManifestError: If the checksum does not match the content, or that
+                is no manifest.
         """
         checksum, body = data[:_CHECKSUM_BYTES], data[_CHECKSUM_BYTES:]
         if hashlib.sha256(body).digest() != checksum:
@@ -80,7 +82,10 @@
                 "The manifest is damaged. Restore it from a live daemon"
                 " with 'sardinewharf show'."
             )
-        return msgspec.json.decode(body, type=cls)
+        try:
+            return decoding.decode_json(body, cls)
+        except decoding.DecodeError as error:
+            raise ManifestError(f"The manifest is invalid: {error}.") from error
 
     def find_plan(self, plan: ids.PlanId) -> Commit | None:
         """Returns the commit of a plan, or None if the history lacks it."""
--- a/sardinewharf/configuration/shards.py
+++ b/sardinewharf/configuration/shards.py
@@ -19,6 +19,7 @@
 import msgspec
 import xxhash
 
+from sardinewharf import decoding
 from sardinewharf.configuration import documents
 
 BASE_SHARD = "base"
@@ -65,15 +66,19 @@
 
 
 def join_shards(shards: Iterable[Shard]) -> documents.Document:
-    """Returns the document of the shards, with organisations sorted by name."""
+    """Returns the document of the shards, with organisations sorted by name.
+
+    Raises:
+        DecodeError: If a shard cannot be decoded.
+    """
     base = documents.Document()
     organisations: list[documents.Organisation] = []
     for shard in shards:
         if shard.name == BASE_SHARD:
-            base = msgspec.json.decode(shard.content, type=documents.Document)
+            base = decoding.decode_json(shard.content, documents.Document)
             continue
-        organisations += msgspec.json.decode(
-            shard.content, type=list[documents.Organisation]
+        organisations += decoding.decode_json(
+            shard.content, list[documents.Organisation]
         )
     organisations.sort(key=lambda o: o.name)
     return msgspec.structs.replace(base, organisations=tuple(organisations))
--- a/sardinewharf/configuration/store.py
+++ b/sardinewharf/configuration/store.py
@@ -5,13 +5,16 @@
 import dataclasses
 
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import keyvalue
+from sardinewharf import logs
 from sardinewharf.configuration import manifests
 from sardinewharf.configuration import plans
 from sardinewharf.configuration import shards as shards_lib
 from sardinewharf.configuration import snapshots
 
 MANIFEST_KEY = "sardinewharf/configuration/manifest"
+_log = logs.get_logger("configuration")
 _SHARD_PREFIX = "sardinewharf/configuration/shards/"
 _RETRY_INTERVAL_S = 0.2
 _MAX_CONCURRENT_READS = 8
@@ -119,7 +122,8 @@
             manifest = manifests.Manifest.decode(read.value)
             shards = await self._read_shards(manifest, known, deadline)
             return snapshots.Snapshot(manifest, shards)
-        except manifests.ManifestError:
+        except (manifests.ManifestError, decoding.DecodeError) as error:
+            _log.warning("The stored configuration is unusable: {}.", error)
             return None
 
     async def commit(
--- a/sardinewharf/daemon/polling.py
+++ b/sardinewharf/daemon/polling.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import math
 
 import xxhash
@@ -77,7 +78,7 @@
 
     def start(self) -> None:
         """Starts polling."""
-        self._tasks.start(self._poll_vm_list(), "vm-list")
+        self._tasks.keep_running(self._poll_vm_list, "vm-list")
 
     async def close(self) -> None:
         """Stops polling."""
@@ -134,8 +135,8 @@
                 self._router.forget_engine(name)
         for name, endpoint in present.items():
             if name not in self._poll_tasks:
-                work = self._poll_repeatedly(endpoint)
-                task = self._tasks.start(work, f"poll-{name}")
+                work = functools.partial(self._poll_repeatedly, endpoint)
+                task = self._tasks.keep_running(work, f"poll-{name}")
                 self._poll_tasks[name] = task
 
     async def _poll_repeatedly(self, endpoint: endpoints.Endpoint) -> None:
--- a/sardinewharf/daemon/service.py
+++ b/sardinewharf/daemon/service.py
@@ -4,7 +4,6 @@
 import contextlib
 import time
 
-import msgspec
 import uvicorn
 import xxhash
 
@@ -13,6 +12,7 @@
 from sardinewharf import clocks
 from sardinewharf import configuration
 from sardinewharf import daemons
+from sardinewharf import decoding
 from sardinewharf import endpoints
 from sardinewharf import ids
 from sardinewharf import inventory
@@ -39,6 +39,8 @@
 _STORE_LOAD_TIMEOUT_S = 2.0
 _BOOTSTRAP_RETRY_S = 0.5
 _LISTEN_BACKLOG = 2048
+# The task without which a daemon is not ready.
+_CONFIGURATION_TASK = "configuration"
 
 
 class _Server(uvicorn.Server):
@@ -204,7 +206,7 @@
             self._call_relay,
             self.state.suspects,
             lambda: self.state.is_draining,
-            lambda: self._is_bootstrapped and self.state.holder.is_ready,
+            self._is_ready,
         )
         caller_settings = callers.CallerSettings(settings.max_body_bytes)
         self._caller_app = callers.CallerApp(
@@ -236,8 +238,8 @@
             ),
         ]
         serving = [asyncio.create_task(server.serve()) for server in servers]
-        self._tasks.start(self._bootstrap(), "prime")
-        self._tasks.start(self._update_daemon_count(), "count-daemons")
+        self._tasks.keep_running(self._bootstrap, "prime")
+        self._tasks.keep_running(self._update_daemon_count, "count-daemons")
         stopping = asyncio.create_task(self._stopping.wait())
         await asyncio.wait(
             [stopping, *serving], return_when=asyncio.FIRST_COMPLETED
@@ -283,6 +285,12 @@
             ],
             "believed_pieces": len(self._router.index),
             "kv_calls": self._kv.calls,
+            "task_failures": {
+                f"{name} {effect.value}": count
+                for (name, effect), count in (
+                    tasks.PROCESS_FAILURES.counts.items()
+                )
+            },
             "gossip_bytes": self._gossip.sent_bytes
             + self._peer_server.sent_bytes,
             "claim_writes": sum(c.writes for c in self._ledger.committers),
@@ -315,8 +323,8 @@
         self._gossip.start()
         self._dispatch_sender.start()
         self._poller.start()
-        self._tasks.start(self._placer.run(), "placer")
-        await self._watcher.run()
+        self._tasks.keep_running(self._placer.run, "placer")
+        self._tasks.keep_running(self._watcher.run, _CONFIGURATION_TASK)
 
     async def _load_from_store(self) -> None:
         snapshot = await self._store.load(
@@ -330,7 +338,7 @@
         for member in self.state.members.list_live(clocks.read_monotonic()):
             if member.daemon == self._settings.name:
                 continue
-            with contextlib.suppress(daemons.PeerError, msgspec.MsgspecError):
+            with contextlib.suppress(daemons.PeerError, decoding.DecodeError):
                 vms = await self._gossip.fetch_vms(member.address)
                 if vms:
                     self._poller.apply_vm_list(vms)
@@ -344,6 +352,14 @@
             self._admission.daemons = len(live)
             await asyncio.sleep(self._settings.gossip_seconds)
 
+    def _is_ready(self) -> bool:
+        return (
+            self._is_bootstrapped
+            and self.state.holder.is_ready
+            # It would go on with a former configuration.
+            and not self._tasks.is_failing(_CONFIGURATION_TASK)
+        )
+
     def _is_watcher(self) -> bool:
         """Returns whether this daemon watches the store for its domain."""
         now = clocks.read_monotonic()
--- a/sardinewharf/daemons/dispatches.py
+++ b/sardinewharf/daemons/dispatches.py
@@ -67,7 +67,7 @@
 
     def start(self) -> None:
         """Starts sending."""
-        self._tasks.start(self._run(), "news")
+        self._tasks.keep_running(self._run, "news")
 
     async def close(self) -> None:
         """Stops sending."""
--- a/sardinewharf/daemons/forwarder.py
+++ b/sardinewharf/daemons/forwarder.py
@@ -8,7 +8,9 @@
 
 from sardinewharf import claims
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import ids
+from sardinewharf import logs
 from sardinewharf import tasks
 from sardinewharf.daemons import client
 from sardinewharf.daemons import membership
@@ -18,8 +20,7 @@
 # A daemon that failed is not preferred for this long.
 _FAILURE_BACKOFF_S = 5.0
 _encoder = msgspec.msgpack.Encoder()
-_operation_decoder = msgspec.msgpack.Decoder(claims.Operation)
-_result_decoder = msgspec.msgpack.Decoder(claims.ClaimResult)
+_log = logs.get_logger("forwarder")
 
 _Item = tuple[claims.Operation, asyncio.Future]
 
@@ -102,7 +103,8 @@
         items = self._waiting.pop(key)
         try:
             results = await self._call(key, items, deadline)
-        except (client.PeerError, msgspec.MsgspecError):
+        except (client.PeerError, decoding.DecodeError) as error:
+            _log.warning("Daemon {} committed nothing: {}.", key[0], error)
             self._backoffs[key[0]] = clocks.Deadline.after(_FAILURE_BACKOFF_S)
             results = [None] * len(items)
         for (_, future), result in zip(items, results, strict=True):
@@ -130,6 +132,8 @@
         reply = await self._get_client(address).call(
             ttypes.Request(claims=batch), deadline
         )
+        if reply.claims is None or reply.claims.results is None:
+            raise client.PeerError("The reply holds no results.")
         results = [_decode_result(data) for data in reply.claims.results]
         if len(results) != len(items):
             raise client.PeerError(
@@ -156,7 +160,10 @@
 ) -> ttypes.ClaimResults:
     """Commits a batch that another daemon forwarded."""
     deadline = clocks.Deadline.after(batch.remaining_ms / 1000)
-    operations = [_operation_decoder.decode(data) for data in batch.operations]
+    operations = [
+        decoding.decode_msgpack(data, claims.Operation)
+        for data in batch.operations
+    ]
     results = await asyncio.gather(
         *(ledger.commit(operation, deadline) for operation in operations)
     )
@@ -168,7 +175,7 @@
 
     For None, the ledger of this daemon commits the operation itself.
     """
-    result = _result_decoder.decode(data)
+    result = decoding.decode_msgpack(data, claims.ClaimResult)
     if isinstance(result, claims.ClaimsUnavailable | claims.ClaimUnknown):
         return None
     return result
--- a/sardinewharf/daemons/gossip.py
+++ b/sardinewharf/daemons/gossip.py
@@ -19,6 +19,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import configuration
+from sardinewharf import decoding
 from sardinewharf import endpoints
 from sardinewharf import ids
 from sardinewharf import inventory
@@ -141,7 +142,7 @@
 
     def start(self) -> None:
         """Starts the exchanges."""
-        self._tasks.start(self._tick_forever(), "gossip")
+        self._tasks.keep_running(self._tick_forever, "gossip")
 
     async def close(self) -> None:
         """Stops the exchanges and closes all connections."""
@@ -250,7 +251,7 @@
         )
         try:
             snapshot = digests.decode_configuration(reply.configuration, known)
-        except (configuration.ManifestError, msgspec.MsgspecError) as error:
+        except (configuration.ManifestError, decoding.DecodeError) as error:
             raise client.PeerError(str(error)) from error
         return holder.adopt(snapshot)
 
@@ -264,8 +265,8 @@
         reply = await self.get_client(address).call(
             request, clocks.Deadline.after(_FETCH_TIMEOUT_S)
         )
-        return msgspec.msgpack.decode(
-            reply.configuration.vms, type=tuple[inventory.Vm, ...]
+        return decoding.decode_msgpack(
+            reply.configuration.vms, tuple[inventory.Vm, ...]
         )
 
     async def join(self) -> None:
@@ -405,10 +406,15 @@
             if endpoint is None or requested_at <= endpoint.reported_at:
                 continue
             try:
-                report = msgspec.msgpack.decode(
-                    load.report, type=endpoints.LoadReport
+                report = decoding.decode_msgpack(
+                    load.report, endpoints.LoadReport
+                )
+            except decoding.DecodeError as error:
+                _log.warning(
+                    "A report of {} cannot be decoded: {}.",
+                    load.endpoint,
+                    error,
                 )
-            except msgspec.MsgspecError:
                 continue
             # The age does not include the time that the digest took to arrive.
             alive_at = requested_at - _MAX_DIGEST_DELAY_S
--- a/sardinewharf/endpoints/engine_http.py
+++ b/sardinewharf/endpoints/engine_http.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Mapping
 import contextlib
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 
 from sardinewharf import clients
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import ids
 from sardinewharf.endpoints import engines
 from sardinewharf.endpoints import failures
@@ -15,6 +17,7 @@
 from sardinewharf.endpoints import pending_responses
 from sardinewharf.endpoints import reports
 
+_Message = TypeVar("_Message")
 _READ_BUFFER_BYTES = 1 << 17
 _CANCEL_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 1.0
@@ -151,8 +154,6 @@
         # calls is closed when a connection returns wrong responses.
         self._stream_session: aiohttp.ClientSession | None = None
         self._call_session: aiohttp.ClientSession | None = None
-        self._report_decoder = msgspec.json.Decoder(reports.LoadReport)
-        self._events_decoder = msgspec.json.Decoder(reports.CacheEvents)
 
     async def open(
         self,
@@ -177,7 +178,7 @@
     ) -> reports.LoadReport:
         """Returns the load report of an endpoint."""
         body = await self._get(f"http://{address}/v1/load", deadline)
-        return await self._decode(self._report_decoder, body)
+        return await self._decode(reports.LoadReport, body)
 
     async def list_events(
         self, address: str, after: int, deadline: clocks.Deadline
@@ -185,7 +186,7 @@
         """Returns the cache events after a sequence number."""
         url = f"http://{address}/v1/events?after={after}"
         return await self._decode(
-            self._events_decoder, await self._get(url, deadline)
+            reports.CacheEvents, await self._get(url, deadline)
         )
 
     async def order(
@@ -207,7 +208,7 @@
                 response_body = await response.read()
         except failures.CLIENT_ERRORS as error:
             raise failures.convert_client_error(error) from error
-        return await self._decode(self._report_decoder, response_body)
+        return await self._decode(reports.LoadReport, response_body)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -226,10 +227,15 @@
         except failures.CLIENT_ERRORS as error:
             raise failures.convert_client_error(error) from error
 
-    async def _decode(self, decoder: msgspec.json.Decoder, body: bytes):
+    async def _decode(self, kind: type[_Message], body: bytes) -> _Message:
+        """Returns the message that a response holds.
+
+        Raises:
+            EndpointError: If it holds no such message.
+        """
         try:
-            return decoder.decode(body)
-        except msgspec.MsgspecError as error:
+            return decoding.decode_json(body, kind)
+        except decoding.DecodeError as error:
             # The response belongs to another call. The connection would
             # continue to return the response to the preceding call, so that
             # the session is closed with all its connections.
--- a/sardinewharf/inventory/listing.py
+++ b/sardinewharf/inventory/listing.py
@@ -12,10 +12,11 @@
 
 from sardinewharf import clients
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import ids
 
 _NOT_MODIFIED = 304
-_RESPONSE_ERRORS = (aiohttp.ClientError, OSError, msgspec.MsgspecError)
+_RESPONSE_ERRORS = (aiohttp.ClientError, OSError, decoding.DecodeError)
 
 
 class EndpointKind(enum.Enum):
@@ -89,7 +90,6 @@
         self._source_address = source_address
         self._address = address
         self._session: aiohttp.ClientSession | None = None
-        self._decoder = msgspec.json.Decoder(_Listing)
         self._etag = ""
         self._last_vms: tuple[Vm, ...] = ()
 
@@ -106,7 +106,7 @@
                 response.raise_for_status()
                 if response.status != _NOT_MODIFIED:
                     body = await response.read()
-                    self._last_vms = self._decoder.decode(body).vms
+                    self._last_vms = decoding.decode_json(body, _Listing).vms
                     self._etag = response.headers.get("ETag", "")
                 return self._last_vms
         except _RESPONSE_ERRORS as error:
--- a/sardinewharf/keyvalue/http.py
+++ b/sardinewharf/keyvalue/http.py
@@ -4,12 +4,14 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 
 import aiohttp
 import msgspec
 
 from sardinewharf import clients
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf.keyvalue import store
 
 _REVISION_HEADER = "Revision"
@@ -18,7 +20,18 @@
 # How long after the requested wait the response to a watch may arrive.
 _WATCH_GRACE_S = 2.0
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
-_TRANSPORT_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+_RESPONSE_ERRORS = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    OSError,
+    decoding.DecodeError,
+)
+
+
+class _LeaseResponse(msgspec.Struct):
+    """A lease that was granted or renewed."""
+
+    lease: str
 
 
 class HttpKeyValueStore(store.KeyValueStore):
@@ -73,18 +86,17 @@
             async with self._request(
                 "PUT", f"/v1/keys/{key}", deadline, data=value, headers=headers
             ) as response:
-                stored_revision = int(response.headers.get(_REVISION_HEADER, 0))
                 if response.status == 200:
-                    return store.Written(stored_revision)
+                    return store.Written(_read_revision(response.headers))
                 if response.status == 409:
-                    return store.Conflict(stored_revision)
+                    return store.Conflict(_read_revision(response.headers))
                 if response.status in (413, 429, 503):
                     return store.Rejected(f"status {response.status}")
                 return store.WriteUnknown(f"status {response.status}")
         except _CONNECT_ERRORS as error:
             self._address_index += 1
             return store.Rejected(f"not connected: {error.os_error}")
-        except _TRANSPORT_ERRORS as error:
+        except _RESPONSE_ERRORS as error:
             self._address_index += 1
             return store.WriteUnknown(type(error).__name__)
 
@@ -119,9 +131,10 @@
             ) as response:
                 if response.status != 200:
                     return store.Unavailable(f"status {response.status}")
-                lease_fields = msgspec.json.decode(await response.read())
-                return store.Lease(lease_fields["lease"], expires)
-        except _TRANSPORT_ERRORS as error:
+                body = await response.read()
+                granted = decoding.decode_json(body, _LeaseResponse)
+                return store.Lease(granted.lease, expires)
+        except _RESPONSE_ERRORS as error:
             self._address_index += 1
             return store.Unavailable(type(error).__name__)
 
@@ -134,9 +147,9 @@
                     return store.Absent()
                 if response.status != 200:
                     return store.Unavailable(f"status {response.status}")
-                revision = int(response.headers[_REVISION_HEADER])
+                revision = _read_revision(response.headers)
                 return store.Record(await response.read(), revision)
-        except _TRANSPORT_ERRORS as error:
+        except _RESPONSE_ERRORS as error:
             self._address_index += 1
             return store.Unavailable(type(error).__name__)
 
@@ -152,3 +165,13 @@
         return self._session.request(
             method, f"http://{address}{path}", timeout=timeout, **options
         )
+
+
+def _read_revision(headers: Mapping[str, str]) -> int:
+    """Returns the revision in the headers of a response.
+
+    Raises:
+        DecodeError: If they state none.
+    """
+    with decoding.convert_errors():
+        return int(headers.get(_REVISION_HEADER, ""))
--- a/sardinewharf/operators/app.py
+++ b/sardinewharf/operators/app.py
@@ -16,6 +16,7 @@
 
 from sardinewharf import clocks
 from sardinewharf import configuration
+from sardinewharf import decoding
 from sardinewharf import logs
 from sardinewharf.operators import tokens as tokens_lib
 
@@ -179,9 +180,9 @@
     def _read_plan(self, body: bytes) -> configuration.Plan:
         """Returns the plan in a body; refuses one that was modified."""
         try:
-            plan = msgspec.json.decode(body, type=configuration.Plan)
+            plan = decoding.decode_json(body, configuration.Plan)
             configuration.check_document(plan.wanted)
-        except (msgspec.MsgspecError, configuration.DocumentError) as error:
+        except (decoding.DecodeError, configuration.DocumentError) as error:
             raise _OperatorError(
                 400,
                 "wrong_plan",
