--- a/sardinewharf/gateway/exchange.py
+++ b/sardinewharf/gateway/exchange.py
@@ -134,8 +134,8 @@
         A process that started earlier than the known one is believed only once
         that one is silent: its clock may have been set back before it started.
         """
-        sequence = (message.started, message.number)
-        if sequence > self._latest_received.get(message.sender, (0, 0)):
+        latest = self._latest_received.get(message.sender)
+        if latest is None or (message.started, message.number) > latest:
             return True
         heard_at, started, _ = self._last_received[message.sender]
         is_silent = now - heard_at >= _PEER_TIMEOUT_S
