Refuse odd streams of engines and odd bodies of callers

Seen, at the product's daemon: a caller's body nested some thousand levels deep gave 500, and so did an event of an engine that was no JSON. A number in an engine's headers that int() cannot read, or an id line that is no UTF-8, raised errors that no caller of the client expects.

Cause: RecursionError is no DecodeError, and int() and decode() were used on what an engine sent without a limit.

Now they are a refused body, an answer that failed, or a stream that is out of sequence.

--- a/sardinewharf/callers/messages.py
+++ b/sardinewharf/callers/messages.py
@@ -69,7 +69,11 @@
         problem, _, path = str(error).partition(" - at `$")
         field = path.rstrip("`").lstrip(".") or "body"
         raise make_field_error(field, problem) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise make_field_error("body", f"Is not JSON: {error}") from error
     if parsed.max_tokens is not None and parsed.max_tokens < 1:
         raise make_field_error("max_tokens", "Must be 1 or more")
--- a/sardinewharf/callers/streaming.py
+++ b/sardinewharf/callers/streaming.py
@@ -121,13 +121,13 @@
         try:
             while events := await self._stream.read():
                 parts.append(events)
+            text, chunks = relay.read_text(b"".join(parts))
         except outcomes.RequestError as error:
             refusal = error.refusal
             await send(self._make_start(refusal.status, b"application/json"))
             body = messages.encode_refusal(refusal)
             await self._send_body(send, body, more=False)
             return refusal
-        text, chunks = relay.read_text(b"".join(parts))
         body = messages.encode_completion(
             options.request, options.model, text, chunks, options.is_chat
         )
--- a/sardinewharf/endpoints/engine_http.py
+++ b/sardinewharf/endpoints/engine_http.py
@@ -165,9 +165,15 @@
         session = self._get_stream_session()
         pending = _HttpPendingResponse(session, address, request, deadline)
         response = await pending.run()
-        return _HttpEngineStream(
-            session, address, request.attempt, response, deadline
-        )
+        try:
+            return _HttpEngineStream(
+                session, address, request.attempt, response, deadline
+            )
+        except decoding.DecodeError as error:
+            response.close()
+            raise failures.EndpointError(
+                failures.FailureKind.LOST, f"unreadable headers: {error}"
+            ) from error
 
     async def cancel(self, address: str, attempt: ids.AttemptId) -> None:
         """Cancels an attempt at an engine; ignores connection errors."""
@@ -329,12 +335,18 @@
 
 
 def _read_head(headers: Mapping[str, str]) -> engines.StreamHead:
+    """Returns what the headers of a stream state.
+
+    Raises:
+        DecodeError: If a number in them cannot be read.
+    """
     running, _, queued = headers.get("X-Load", "0 0").partition(" ")
-    return engines.StreamHead(
-        incarnation=ids.Incarnation(headers.get("X-Incarnation", "")),
-        weights=ids.WeightsVersion(headers.get("X-Weights-Version", "")),
-        cached_tokens=int(headers.get("X-Cached-Tokens", 0)),
-        computed_tokens=int(headers.get("X-Computed-Tokens", 0)),
-        running=int(running),
-        queued_tokens=int(queued),
-    )
+    with decoding.convert_errors():
+        return engines.StreamHead(
+            incarnation=ids.Incarnation(headers.get("X-Incarnation", "")),
+            weights=ids.WeightsVersion(headers.get("X-Weights-Version", "")),
+            cached_tokens=int(headers.get("X-Cached-Tokens", 0)),
+            computed_tokens=int(headers.get("X-Computed-Tokens", 0)),
+            running=int(running),
+            queued_tokens=int(queued),
+        )
--- a/sardinewharf/endpoints/frames.py
+++ b/sardinewharf/endpoints/frames.py
@@ -17,6 +17,9 @@
     sardinewharf.endpoints.frames.SequenceError: expected a/0, got 'id: a/1'
 """
 
+# Longest sequence number.
+_MAX_DIGITS = 18
+_MAX_QUOTED_BYTES = 80
 _SEPARATOR = b"\n\n"
 _DONE = b"data: [DONE]"
 _DONE_EVENT = _DONE + _SEPARATOR
@@ -89,10 +92,13 @@
         """Raises an error unless an event repeats an earlier one."""
         number = id_line[len(self._id_prefix) :]
         is_same_attempt = (
-            id_line.startswith(self._id_prefix) and number.isdigit()
+            id_line.startswith(self._id_prefix)
+            and number.isdigit()
+            and len(number) <= _MAX_DIGITS
         )
         if is_same_attempt and int(number) < sequence:
             return
+        found = id_line[:_MAX_QUOTED_BYTES].decode(errors="replace")
         raise SequenceError(
-            f"expected {self._attempt}/{sequence}, got {id_line.decode()!r}"
+            f"expected {self._attempt}/{sequence}, got {found!r}"
         )
--- a/sardinewharf/relay/streams.py
+++ b/sardinewharf/relay/streams.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import endpoints
 from sardinewharf import outcomes
 from sardinewharf.relay import requests
@@ -37,21 +38,33 @@
     choices: list[_Choice] = []
 
 
-_decoder = msgspec.json.Decoder(_Event)
-
-
 def read_text(events: bytes) -> tuple[str, int]:
-    """Returns the text of consecutive events and the number of chunks."""
+    """Returns the text of consecutive events and the number of chunks.
+
+    Raises:
+        RequestError: If an event cannot be decoded.
+    """
     texts = []
     for event in events.split(b"\n\n"):
         data = event.removeprefix(b"data: ")
         if not data or data == _DONE:
             continue
-        for choice in _decoder.decode(data).choices[:1]:
+        for choice in _decode_event(data).choices[:1]:
             texts.append(choice.delta.content or choice.text or "")
     return "".join(texts), len(texts)
 
 
+def _decode_event(data: bytes) -> _Event:
+    try:
+        return decoding.decode_json(data, _Event)
+    except decoding.DecodeError as error:
+        raise outcomes.refuse(
+            outcomes.RefusalKind.ENDPOINT_FAILED,
+            f"An event of the answer cannot be decoded ({error}).",
+            outcomes.RunState.RAN,
+        ) from error
+
+
 class StreamOpener(abc.ABC):
     """Opens the streams of one request and records how they end.
 
