Bound what a peer's changes expand to, and count callbacks' errors

A response of 24 kB to a request for changes could expand to 25 MB in the event loop; more than 4 MB are refused (a gateway's log of changes holds 262 kB). The reader of entries forgets a rejected key when it is removed.

Found by reading; not seen at a deployment. The tests in gateway/tests/test_odd_entries.py use new names and were not run on.

--- a/sardinewharf/daemon/program.py
+++ b/sardinewharf/daemon/program.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from sardinewharf import logs
+from sardinewharf import tasks
 from sardinewharf.daemon import service
 from sardinewharf.daemon import settings as settings_lib
 
@@ -27,6 +28,7 @@
 async def _run(settings: settings_lib.DaemonSettings) -> None:
     daemon = service.Daemon(settings)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(tasks.PROCESS_FAILURES.record_loop_error)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop)
     await daemon.run()
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -12,6 +12,8 @@
 
 # Compression takes a fraction of a millisecond at this level.
 _COMPRESSION_LEVEL = 1
+# Largest size of the changes in a response, in bytes.
+_MAX_FEED_BYTES = 4_194_304
 
 
 class LoadUpdate(msgspec.Struct, array_like=True):
@@ -124,7 +126,10 @@
         DecodeError: If the data hold no list of changes.
     """
     with decoding.convert_errors():
-        decompressed = zlib.decompress(compressed)
+        decompressor = zlib.decompressobj()
+        decompressed = decompressor.decompress(compressed, _MAX_FEED_BYTES)
+    if not decompressor.eof:
+        raise decoding.DecodeError("the changes are cut off or too large")
     return decoding.decode_msgpack(decompressed, list[FeedEntry])
 
 
--- a/sardinewharf/gateway/tests/test_odd_entries.py
+++ b/sardinewharf/gateway/tests/test_odd_entries.py
@@ -5,13 +5,19 @@
 """
 
 import asyncio
+import zlib
 
 import pytest
 
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import http1
+from sardinewharf import keyvalue
+from sardinewharf import platform
+from sardinewharf.gateway import digests
 from sardinewharf.gateway import peers
 from sardinewharf.gateway.tests import gossips
+from sardinewharf.gateway.tests import stores
 from sardinewharf.testbed import gateway_harness
 
 SERVER = {
@@ -152,3 +158,20 @@
     nested = b"\x94\x02\x01\x90" + b"\x91" * 1_300 + b"\x01"
     harness.gateways[0]._peers.datagram_received(nested, ("127.0.0.1", 1))
     assert logged
+
+
+def test_changes_that_expand_without_bound_are_refused():
+    """Guards against a small response that fills the memory."""
+    compressed = zlib.compress(b"\x00" * 100_000_000, 9)
+    with pytest.raises(decoding.DecodeError):
+        digests.decompress_entries(compressed)
+
+
+def test_a_removed_entry_is_forgotten():
+    """Guards against a reader that keeps each key that was ever rejected."""
+    reader = platform.EntryReader(stores.MemoryLog())
+    for number in range(10):
+        key = f"servers/{number}"
+        reader.read_change(keyvalue.Entry(key, b"odd", 1))
+        reader.read_change(keyvalue.Entry(key, None, 2))
+    assert not reader._rejected
--- a/sardinewharf/platform/changes.py
+++ b/sardinewharf/platform/changes.py
@@ -43,12 +43,13 @@
 
         None is returned for an entry that is irrelevant or cannot be decoded.
         """
+        if entry.value is None:
+            self._rejected.pop(entry.key, None)
         try:
-            change = self._decode(entry)
+            return self._decode(entry)
         except (ValueError, KeyError) as error:
             self._reject(entry, str(error))
             return _replace_unreadable(entry)
-        return change
 
     def _decode(self, entry: keyvalue.Entry) -> changes.Change | None:
         """Returns the change that an entry holds; None if it is irrelevant.
