--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -100,8 +100,8 @@
         self._health = fleet.HealthTable(log)
         self._failures = tasks.FailureCounter(self._metrics.count_task_failure)
         self._tasks = tasks.TaskGroup(self._failures)
-        # The number of changes of the registry whose removed endpoints' have no
-        # connections any more.
+        # The registry's count of changes when connections to removed endpoints
+        # were last closed.
         self._handled_changes = -1
         self._stopping = asyncio.Event()
         self._connections = tables.ConnectionTable()
