--- a/sardinewharf/endpoints/engine_http.py
+++ b/sardinewharf/endpoints/engine_http.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Mapping
 import contextlib
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 
 from sardinewharf import clients
 from sardinewharf import clocks
+from sardinewharf import decoding
 from sardinewharf import ids
 from sardinewharf.endpoints import engines
 from sardinewharf.endpoints import failures
@@ -15,6 +17,7 @@
 from sardinewharf.endpoints import pending_responses
 from sardinewharf.endpoints import reports
 
+_Message = TypeVar("_Message")
 _READ_BUFFER_BYTES = 1 << 17
 _CANCEL_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 1.0
@@ -154,8 +157,6 @@
         # calls is closed when a connection returns wrong responses.
         self._stream_session: aiohttp.ClientSession | None = None
         self._call_session: aiohttp.ClientSession | None = None
-        self._report_decoder = msgspec.json.Decoder(reports.LoadReport)
-        self._events_decoder = msgspec.json.Decoder(reports.CacheEvents)
 
     async def open(
         self,
@@ -167,9 +168,15 @@
         session = self._get_stream_session()
         pending = _HttpPendingResponse(session, address, request, deadline)
         response = await pending.run()
-        return _HttpEngineStream(
-            session, address, request.attempt, response, deadline
-        )
+        try:
+            return _HttpEngineStream(
+                session, address, request.attempt, response, deadline
+            )
+        except decoding.DecodeError as error:
+            response.close()
+            raise failures.EndpointError(
+                failures.FailureKind.LOST, f"unreadable headers: {error}"
+            ) from error
 
     async def cancel(self, address: str, attempt: ids.AttemptId) -> None:
         """Cancels an attempt at an engine; ignores connection errors."""
@@ -180,7 +187,7 @@
     ) -> reports.LoadReport:
         """Returns the load report of an endpoint."""
         body = await self._get(f"http://{address}/v1/load", deadline)
-        return await self._decode(self._report_decoder, body)
+        return await self._decode(reports.LoadReport, body)
 
     async def list_events(
         self, address: str, after: int, deadline: clocks.Deadline
@@ -188,7 +195,7 @@
         """Returns the cache events after a sequence number."""
         url = f"http://{address}/v1/events?after={after}"
         return await self._decode(
-            self._events_decoder, await self._get(url, deadline)
+            reports.CacheEvents, await self._get(url, deadline)
         )
 
     async def order(
@@ -215,7 +222,7 @@
                 response_body = await response.read()
         except failures.CLIENT_ERRORS as error:
             raise failures.convert_client_error(error, trace) from error
-        return await self._decode(self._report_decoder, response_body)
+        return await self._decode(reports.LoadReport, response_body)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -235,10 +242,15 @@
         except failures.CLIENT_ERRORS as error:
             raise failures.convert_client_error(error, trace) from error
 
-    async def _decode(self, decoder: msgspec.json.Decoder, body: bytes):
+    async def _decode(self, kind: type[_Message], body: bytes) -> _Message:
+        """Returns the message that a response holds.
+
+        Raises:
+            EndpointError: If it holds no such message.
+        """
         try:
-            return decoder.decode(body)
-        except msgspec.MsgspecError as error:
+            return decoding.decode_json(body, kind)
+        except decoding.DecodeError as error:
             # The response belongs to another call. The connection would
             # continue to return the response to the preceding call, so that
             # the session is closed with all its connections.
@@ -341,12 +353,18 @@
 
 
 def _read_head(headers: Mapping[str, str]) -> engines.StreamHead:
+    """Returns what the headers of a stream state.
+
+    Raises:
+        DecodeError: If a number in them cannot be read.
+    """
     running, _, queued = headers.get("X-Load", "0 0").partition(" ")
-    return engines.StreamHead(
-        incarnation=ids.Incarnation(headers.get("X-Incarnation", "")),
-        weights=ids.WeightsVersion(headers.get("X-Weights-Version", "")),
-        cached_tokens=int(headers.get("X-Cached-Tokens", 0)),
-        computed_tokens=int(headers.get("X-Computed-Tokens", 0)),
-        running=int(running),
-        queued_tokens=int(queued),
-    )
+    with decoding.convert_errors():
+        return engines.StreamHead(
+            incarnation=ids.Incarnation(headers.get("X-Incarnation", "")),
+            weights=ids.WeightsVersion(headers.get("X-Weights-Version", "")),
+            cached_tokens=int(headers.get("X-Cached-Tokens", 0)),
+            computed_tokens=int(headers.get("X-Computed-Tokens", 0)),
+            running=int(running),
+            queued_tokens=int(queued),
+        )
--- a/sardinewharf/gateway/tests/test_shutdown_deadlines.py
+++ b/sardinewharf/gateway/tests/test_shutdown_deadlines.py
@@ -294,9 +294,9 @@
     for pool in gateway._connections._pools.values():
         acquire = pool.acquire
 
-        async def acquire_late(deadline, acquire=acquire):
+        async def acquire_late(*args, acquire=acquire):
             await asyncio.sleep(0.2)
-            return await acquire(deadline)
+            return await acquire(*args)
 
         monkeypatch.setattr(pool, "acquire", acquire_late)
     before = len(harness.list_executed())
