Let a lost stream return to engines that were full for a moment

Cause: one refusal by each other engine ended the search, and the stream.

A stream that has begun now returns to engines that answered 429 or 503 "not run", or whose connections were all in use: one engine a return, not before the end of its pause, after pauses that double from 0.2 s, for four fifths of the gap after which callers give up and never beyond the deadline. It is cut at once if no engine is left that was only full. A request that has not begun is refused at once, as before. Each return is a send and takes from the retry budget, and only while half of that is left: the rest is for requests that are lost for the first time. A caller that comes back itself costs none of it.

test_an_error_after_a_broken_stream_is_not_forwarded asserted that each engine is asked once. That is no longer meant of one that says that it is full; it still holds of all others there, and the returns have their own bounds, on number and spacing, in test_resumptions.

--- a/sardinewharf/fleet/health.py
+++ b/sardinewharf/fleet/health.py
@@ -77,10 +77,14 @@
 
     def may_try(self, incarnation: str, now: float) -> bool:
         """Returns whether requests may be sent to an endpoint."""
+        return now >= self.read_usable_at(incarnation)
+
+    def read_usable_at(self, incarnation: str) -> float:
+        """Returns from when on requests may be sent to an endpoint."""
         health = self._known.get(incarnation)
         if health is None:
-            return True
-        return now >= max(health.ejected_until, health.paused_until)
+            return 0.0
+        return max(health.ejected_until, health.paused_until)
 
     def is_last_resort(self, incarnation: str, now: float) -> bool:
         """Returns whether to try an ejected endpoint if no other is available.
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -40,6 +40,11 @@
 # seconds and as a share of the remaining time.
 _PREFILL_WAIT_S = 0.8
 _PREFILL_WAIT_SHARE = 0.3
+# Pause before a lost stream is sent to an endpoint that had no room for it, in
+# seconds, drawn from a range: streams that were lost together do not come back
+# together. It doubles each time.
+_MIN_RETURN_S = 0.15
+_MAX_RETURN_S = 0.25
 _Answer = TypeVar("_Answer")
 
 
@@ -142,6 +147,8 @@
             except http1.ConnectError as error:
                 call.last_failure_detail = str(error)
                 call.excluded.add(target.endpoint.id)
+                if isinstance(error, http1.PoolFullError):
+                    call.full.add(target.endpoint.id)
                 self._log.record_unreached(call, target.endpoint.id)
                 connect_failures += 1
                 continue
@@ -288,9 +295,12 @@
         """Returns whether the service's retry budget allows sending.
 
         A first attempt adds to the budget, and each further one takes from it.
+        One that returns to a full endpoint leaves half of it for others.
         """
         now = clocks.read_monotonic()
         budget = self._dependencies.budgets.find(call.service)
+        if call.returns and not budget.has_spare(now):
+            return False
         if call.sends:
             return budget.take(now)
         budget.count_request(now)
@@ -313,6 +323,7 @@
         call.sends += 1
         call.runs += 1
         call.endpoint = target.endpoint.id
+        call.full.discard(target.endpoint.id)
         self._log.record_choice(call, target)
         prefill_handle = self._dependencies.prompts.begin(
             target.endpoint.incarnation,
@@ -480,6 +491,45 @@
             refusals.Reason.LOST, f"status {attempt.head.status}"
         )
 
+    async def wait_for_room(
+        self, call: requests.Call, limit: clocks.Deadline
+    ) -> bool:
+        """Waits until a stream that was lost may return to a full endpoint.
+
+        One endpoint is tried again each time, and only while half of the retry
+        budget is left for others.
+
+        Args:
+            call: The request.
+            limit: When the stream must go on.
+
+        Returns:
+            Whether it may be sent again. If not, no endpoint could take it in
+            time.
+        """
+        chance = self._dependencies.selector.find_next_chance(call)
+        if chance is None or not self._may_return(call):
+            return False
+        endpoint_id, usable_from = chance
+        pause_s = random.uniform(_MIN_RETURN_S, _MAX_RETURN_S) * 2**call.returns
+        returns_at = max(clocks.Deadline.after(pause_s), usable_from)
+        if returns_at >= limit.earlier(call.deadline):
+            return False
+        await asyncio.sleep(returns_at.remaining())
+        call.returns += 1
+        call.excluded |= call.full
+        call.excluded.discard(endpoint_id)
+        return self._may_return(call)
+
+    def _may_return(self, call: requests.Call) -> bool:
+        """Returns whether a lost stream may return to a full endpoint."""
+        budget = self._dependencies.budgets.find(call.service)
+        return (
+            not call.is_withdrawn
+            and budget.has_spare(clocks.read_monotonic())
+            and self._dependencies.shutdown.can_finish(call)
+        )
+
     def _find_head_deadline(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> float:
--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -13,6 +13,13 @@
 from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import streams
 
+# Callers give a stream up after a gap of this many seconds, or of so many times
+# the target latency if that is longer.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4
+# Share of that gap in which a lost stream may be sent to another endpoint; the
+# rest is for the next event to arrive.
+_RESUMPTION_SHARE = 0.8
 # How an attempt can end without the rest of its stream.
 _LOSSES = (http1.ResponseLostError, streams.EventTooLargeError, TimeoutError)
 
@@ -165,7 +172,11 @@
         self._dispatcher.outcomes.record_loss(self._call, self._attempt, detail)
 
     async def _resume(self) -> bool:
-        """Returns whether another endpoint resumes the stream that was lost."""
+        """Returns whether another endpoint resumes the stream that was lost.
+
+        If all others are full for the moment, they are tried again while the
+        caller still waits for the next event.
+        """
         call = self._call
         # Its prefill has ended; no other attempt is to wait for it.
         self._attempt.close()
@@ -173,14 +184,32 @@
             return False
         if not self._framer.is_resumable:
             return False
+        limit = self._find_resumption_limit()
+        while not await self._try_to_resume():
+            if not call.may_run_again:
+                return False
+            if not await self._dispatcher.wait_for_room(call, limit):
+                return False
+        return True
+
+    async def _try_to_resume(self) -> bool:
+        """Returns whether an endpoint that may be tried now goes on."""
         try:
             attempt = await self._open_resumption()
         except refusals.RefusedError as error:
-            call.last_failure_detail = error.refusal.detail
+            self._call.last_failure_detail = error.refusal.detail
             return False
         self._replace_attempt(attempt)
         return True
 
+    def _find_resumption_limit(self) -> clocks.Deadline:
+        """Returns until when the caller waits for the next event."""
+        target_s = self._call.admitted.route.target_ms / 1000
+        patience_s = max(_MIN_PATIENCE_S, _PATIENCE_TARGETS * target_s)
+        return clocks.Deadline(
+            self._progress_at + patience_s * _RESUMPTION_SHARE
+        )
+
     async def _open_resumption(self) -> requests.Attempt:
         """Returns an attempt that resumes the stream after its last event.
 
@@ -205,6 +234,7 @@
     def _replace_attempt(self, attempt: requests.Attempt) -> None:
         self._attempt.close()
         self._attempt = attempt
+        self._call.returns = 0
         self._framer.drop_partial_event()
         self._progress_at = clocks.read_monotonic()
 
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -14,6 +14,8 @@
 # Statuses that state that a request has not run; they count only if the
 # response carries the endpoint's stamp.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses of refusals by endpoints that may have room a moment later.
+_FULL_STATUSES = frozenset({429, 503})
 
 
 class Outcomes:
@@ -95,6 +97,8 @@
         status = attempt.head.status
         call.last_failure_detail = f"{endpoint.id}: not run, status {status}"
         call.excluded.add(endpoint.id)
+        if status in _FULL_STATUSES:
+            call.full.add(endpoint.id)
         self._log.record_failure(call, attempt, "not_run")
         backoff_s = (
             _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -47,6 +47,10 @@
         sends: How many attempts were sent to endpoints.
         runs: How many of these attempts may have run it.
         excluded: Endpoints that are not tried again.
+        full: Endpoints that had no room for it when it was last sent there; a
+            stream that has begun may be sent to them later.
+        returns: How often its stream, since it was lost, has returned to an
+            endpoint that was full.
         resume_after: Id of the last event that its caller has received, for
             resuming a stream; None to start it from the beginning.
         last_failure_detail: Why the last attempt failed; empty before.
@@ -66,6 +70,8 @@
     sends: int = 0
     runs: int = 0
     excluded: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+    full: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+    returns: int = 0
     resume_after: int | None = None
     last_failure_detail: str = ""
     endpoint: str = ""
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -11,6 +11,7 @@
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
+from sardinewharf import ids
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts as prompts_lib
@@ -116,6 +117,24 @@
             e for e in ready if self._health.is_last_resort(e.incarnation, now)
         ]
 
+    def find_next_chance(
+        self, call: requests.Call
+    ) -> tuple[ids.EndpointId, clocks.Deadline] | None:
+        """Returns the endpoint to try again first, and from when on.
+
+        It is one of those that had no room for the request before; None if none
+        of them is ready any more.
+        """
+        chances = [
+            (self._health.read_usable_at(endpoint.incarnation), endpoint.id)
+            for endpoint in self._replica.registry.list_ready(call.service)
+            if endpoint.id in call.full
+        ]
+        if not chances:
+            return None
+        usable_at, endpoint_id = min(chances)
+        return endpoint_id, clocks.Deadline(usable_at)
+
     def explain_no_endpoint(self, call: requests.Call) -> str:
         """Returns a message that explains why a request has no endpoint."""
         now = clocks.read_monotonic()
--- a/sardinewharf/limits/windows.py
+++ b/sardinewharf/limits/windows.py
@@ -12,6 +12,10 @@
     (True, False)
     >>> budget.take(now=12.0)
     True
+    >>> budget.has_spare(now=12.0), budget.take(now=12.0)
+    (True, True)
+    >>> budget.has_spare(now=12.0)
+    False
 
 See Also:
     ``retries.RetryBudget``, which has no window.
@@ -60,6 +64,12 @@
         allowed = self.share.extra + self.share.ratio * len(self._request_times)
         return allowed - len(self._retry_times)
 
+    def has_spare(self, now: float) -> bool:
+        """Returns whether half of the retries or more are left."""
+        remaining = self.read_remaining(now)
+        allowed = remaining + len(self._retry_times)
+        return remaining >= max(1.0, allowed / 2)
+
     def take(self, now: float) -> bool:
         """Takes one retry; returns whether there was one left."""
         if self.read_remaining(now) < 1.0:
