Blame no endpoint for a connect that a deadline cut short

Callers got 503 though all servers were sound: four requests with less time left than a connection needs ejected the servers that they were sent to.

Cause: a connect ends at the request's deadline, or after 0.3 s, and either counted as an unreachable endpoint. It now counts only while the request has time left, so that the endpoint refused or had the whole 0.3 s.

--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -266,8 +266,9 @@
         """Returns a connection to the target, and the pool it belongs to.
 
         Raises:
-            ConnectError: If no connection could be made, or the pool is full;
-                only the former counts as a failure of the endpoint.
+            ConnectError: If no connection could be made, or the pool is full.
+                It counts as a failure of the endpoint only if that had the
+                whole time to accept one, or refused it.
         """
         now = clocks.read_monotonic()
         endpoint = target.endpoint
@@ -283,6 +284,8 @@
             raise
         except http1.ConnectError:
             now = clocks.read_monotonic()
+            if call.deadline.is_past(now):
+                raise
             self._dependencies.health.record_unreachable(
                 endpoint.incarnation, now
             )
