--- a/sardinewharf/gateway/tests/test_shutdown_deadlines.py
+++ b/sardinewharf/gateway/tests/test_shutdown_deadlines.py
@@ -305,6 +305,34 @@
     assert (response.status, sent) == (503, 0)
 
 
+async def test_a_lost_request_is_not_repeated_if_it_could_not_end(harness):
+    """Its second attempt began during the stop, and was cut at its end."""
+    for server in harness.servers:
+        server.faults.reset = True
+        server.request_duration_s = 1.0
+    sending = send(harness, "/look/1")
+    await asyncio.sleep(0.5)
+    harness.gateways[0].stop()
+    async with asyncio.timeout(1.0):
+        response = await sending
+    assert response.status == 502
+    assert len(harness.list_executed()) == 1
+
+
+async def test_a_broken_stream_is_not_resumed_if_it_could_not_end(harness):
+    """Its caller can resume it elsewhere, with more time if told early."""
+    make_slow(harness)
+    sending = send(harness, "/ask/1")
+    await asyncio.sleep(0.5)
+    harness.gateways[0].stop()
+    (running,) = [engine for engine in harness.engines if engine.executed]
+    await running.stop()
+    async with asyncio.timeout(1.0):
+        response = await sending
+    assert response.status == 200 and not response.is_complete
+    assert len(harness.list_executed()) == 1
+
+
 async def test_an_answer_in_the_very_last_moment_is_delivered(harness):
     """The gateway was held up when it came, and its own deadline passed."""
     caller = await open_connection(harness)
