--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -17,6 +17,8 @@
 # never will. They are not forwarded: an endpoint that did not run a request
 # states that in a header.
 _PROMISES = frozenset({408, 421, 429, 503})
+# Statuses of refusals by endpoints that may have room a moment later.
+_FULL_STATUSES = frozenset({429, 503})
 
 _Outcome = attempt_log.AttemptOutcome
 
@@ -117,6 +119,8 @@
         self._record_failure(
             call, attempt, f"not run, status {status}", _Outcome.NOT_RUN
         )
+        if status in _FULL_STATUSES:
+            call.full.add(endpoint.id)
         backoff_s = (
             _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
         )
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -12,6 +12,7 @@
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
+from sardinewharf import ids
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts as prompts_lib
@@ -151,6 +152,33 @@
         ]
         return staying or endpoints
 
+    def find_next_chance(
+        self, call: requests.Call
+    ) -> tuple[ids.EndpointId, clocks.Deadline] | None:
+        """Returns the endpoint to try again first, and from when on.
+
+        It is one of those that had no room for the request before; None if none
+        of them is ready any more, or they have all left by then.
+        """
+        chances = [
+            (self._read_usable_at(endpoint.incarnation), endpoint.id)
+            for endpoint in self._replica.registry.list_ready(call.service)
+            if endpoint.id in call.full
+        ]
+        usable_at, endpoint_id = min(chances, default=(math.inf, None))
+        if math.isinf(usable_at):
+            return None
+        return endpoint_id, clocks.Deadline(usable_at)
+
+    def _read_usable_at(self, incarnation: str) -> float:
+        """Returns from when on an endpoint may be sent requests.
+
+        It is infinite if the endpoint has left by then.
+        """
+        now = clocks.read_monotonic()
+        wait_s = self._notices.count_wait(incarnation, now)
+        return max(self._health.read_usable_at(incarnation), now + wait_s)
+
     def explain_no_endpoint(self, call: requests.Call) -> str:
         """Returns a message that explains why a request has no endpoint."""
         now = clocks.read_monotonic()
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -359,7 +359,7 @@
 
         The entry is written again if another writer replaced or removed it.
         """
-        while not self._app.is_shutting_down:
+        while not self._shutdown.has_begun:
             if not self._is_registered():
                 await self._write_registration()
             await asyncio.sleep(_REGISTER_INTERVAL_S)
--- a/sardinewharf/gateway/tests/test_promises.py
+++ b/sardinewharf/gateway/tests/test_promises.py
@@ -173,8 +173,8 @@
 ):
     """Bookings ran and were refused, as servers wrote earlier refusals again.
 
-    They came instead of the response, before it, or behind a good one, at once
-    or once the connection was idle.
+    They came instead of the response, before it, or behind a good one, at once,
+    once the connection was idle, or in part with the next request.
     """
     for server in harness.servers:
         server.faults.stale_refusal = platform_servers.StaleRefusal(
@@ -195,6 +195,7 @@
     is_late = place in (
         platform_servers.RefusalPlace.BEHIND,
         platform_servers.RefusalPlace.LATER,
+        platform_servers.RefusalPlace.PIECES,
     )
     assert (200 if is_late else 502) in statuses
 
