Let no caller of the soak fail unseen

Cause: a late caller whose connection ended while it paused raised an error that was never shown, and its last requests were missing; one that got refusals at once sent them without a pause.

Change: late callers look at their connection after each pause, and an error of a caller or of the checker ends the soak run.

--- a/sardinewharf/soak/late_callers.py
+++ b/sardinewharf/soak/late_callers.py
@@ -8,7 +8,7 @@
 from sardinewharf.soak import connections
 from sardinewharf.soak import deployment as deployment_lib
 
-GRACE_S = deployment_lib.GUARANTEES.grace_ms / 1000
+_GRACE_S = deployment_lib.GUARANTEES.grace_ms / 1000
 _CALLERS = 14
 # One caller in so many connects without the proxy.
 _CALLERS_PER_DIRECT = 2
@@ -45,7 +45,7 @@
         await asyncio.sleep(start.remaining())
         async with asyncio.TaskGroup() as group:
             for number in range(_CALLERS):
-                delay_s = (_LEAD_S + GRACE_S) * number / _CALLERS - _LEAD_S
+                delay_s = (_LEAD_S + _GRACE_S) * number / _CALLERS - _LEAD_S
                 group.create_task(
                     self._run_caller(
                         clocks.Deadline(self._stop_at + delay_s),
@@ -69,6 +69,9 @@
 
         The last request before it takes all the time that is left, since a
         gateway closes idle connections while it shuts down.
+
+        Returns:
+            The connection; None if it has ended.
         """
         last_at = clocks.Deadline(min(self._stop_at, send_at.at) - _LEAD_S)
         connection = None
@@ -82,12 +85,9 @@
                 attempt = self._pool.make_attempt(self._gateway)
                 attempt.is_direct = is_direct
             connection = await self._pool.send(connection, attempt)
+            await asyncio.sleep(min(_PAUSE_S, send_at.remaining()))
             if connection is not None and not connection.is_open:
                 connection = None
-            if not last_at.is_past():
-                await asyncio.sleep(_PAUSE_S)
-            elif connection is None:
-                await asyncio.sleep(send_at.remaining())
         return connection
 
     def _make_long_attempt(
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -102,7 +102,12 @@
     finally:
         for task in (*sending, checking):
             task.cancel()
-        await asyncio.gather(*sending, checking, return_exceptions=True)
+        results = await asyncio.gather(
+            *sending, checking, return_exceptions=True
+        )
+    for result in results:
+        if isinstance(result, Exception):
+            raise result
     checker.check_final(clocks.read_monotonic())
     pool.write_attempts(deployment.folder / "attempts.jsonl")
     ended = [a for a in pool.attempts if a.ended_at and not a.disconnected_at]
