--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -2,33 +2,20 @@
 
 import asyncio
 from collections.abc import Coroutine
-import dataclasses
-import random
 from typing import Any
 from typing import TypeVar
 
-from sardinewharf import balancing
 from sardinewharf import clocks
-from sardinewharf import fleet
 from sardinewharf import http1
-from sardinewharf import limits
-from sardinewharf import records
-from sardinewharf.gateway import admission
 from sardinewharf.gateway import attempt_log
+from sardinewharf.gateway import dependencies as dependencies_lib
 from sardinewharf.gateway import failover
 from sardinewharf.gateway import messages
-from sardinewharf.gateway import metrics as metrics_lib
-from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import outcomes as outcomes_lib
-from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import policy as policy_lib
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import refusals
-from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
-from sardinewharf.gateway import retry_times
-from sardinewharf.gateway import selection
-from sardinewharf.gateway import shutdown as shutdown_lib
-from sardinewharf.gateway import tables
 
 # Connect timeout, in seconds.
 _CONNECT_S = 0.3
@@ -38,57 +25,9 @@
 # seconds and as a share of the remaining time.
 _PREFILL_WAIT_S = 0.8
 _PREFILL_WAIT_SHARE = 0.3
-# Pause before a lost stream is sent to an endpoint that had no room for it, in
-# seconds, drawn from a range: streams that were lost together do not come back
-# together. It doubles each time.
-_MIN_RETURN_S = 0.15
-_MAX_RETURN_S = 0.25
 _Answer = TypeVar("_Answer")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DispatcherDependencies:
-    """Bundles the collaborators of a dispatcher.
-
-    Attributes:
-        header_codec: Encodes and decodes headers.
-        admission_controller: Admits requests.
-        selector: Chooses endpoints.
-        registry: The known endpoints.
-        loads: Estimated load of each endpoint.
-        health: Failures and ejections of each endpoint.
-        connections: Connection pools of the endpoints.
-        budgets: Retry budget of each service.
-        replica: This gateway's replica of the store.
-        prompts: Where shared prompts are cached.
-        crashes: Requests that ran when endpoints crashed.
-        notices: Records what endpoints state about further requests.
-        estimators: What is measured of engines and prompts.
-        reader: Reads from endpoints, and detects stalled ones.
-        shutdown: Tells whether requests can end before the gateway exits.
-        log: Receives a record of each attempt.
-        metrics: Counts attempts and their outcomes.
-    """
-
-    header_codec: messages.HeaderCodec
-    admission_controller: admission.AdmissionController
-    selector: selection.Selector
-    registry: fleet.Registry
-    loads: fleet.LoadTable
-    health: fleet.HealthTable
-    connections: tables.ConnectionTable
-    budgets: tables.RetryBudgetTable
-    replica: replica_lib.Replica
-    prompts: prompts_lib.PromptTable
-    crashes: limits.CrashTable
-    notices: notices_lib.NoticeRecorder
-    estimators: tables.EstimatorTable
-    reader: readers.EndpointReader
-    shutdown: shutdown_lib.Shutdown
-    log: records.RecordSink
-    metrics: metrics_lib.GatewayMetrics
-
-
 class Dispatcher:
     """Sends requests to endpoints until one of them responds.
 
@@ -96,11 +35,13 @@
         dependencies: The collaborators of the dispatcher.
 
     Attributes:
+        policy: Decides whether and when requests may be sent.
         outcomes: Records how attempts ended.
     """
 
-    def __init__(self, dependencies: DispatcherDependencies):
+    def __init__(self, dependencies: dependencies_lib.DispatcherDependencies):
         self._dependencies = dependencies
+        self.policy = policy_lib.SendPolicy(dependencies)
         self._log = attempt_log.AttemptLog(
             dependencies.replica,
             dependencies.budgets,
@@ -132,17 +73,19 @@
             )
         connect_failures = 0
         while connect_failures < _MAX_CONNECT_FAILURES:
-            self._check_may_send(call)
+            self.policy.check_may_send(call)
             target = self._dependencies.selector.choose(call)
             if target is None:
                 if not call.last_failure_detail:
                     call.last_failure_detail = (
                         self._dependencies.selector.explain_no_endpoint(call)
                     )
-                raise self._make_refusal(call, refusals.Reason.NO_ENDPOINT)
+                raise self.policy.make_refusal(
+                    call, refusals.Reason.NO_ENDPOINT
+                )
             if await self._wait_for_prefill(call, target):
                 continue
-            self._check_meets_deadline(call, target)
+            self.policy.check_meets_deadline(call, target)
             try:
                 pool, connection = await self._connect(call, target)
             except http1.ConnectError as error:
@@ -153,54 +96,19 @@
                 self._log.record_unreached(call, target.endpoint.id)
                 connect_failures += 1
                 continue
-            if not self._dependencies.selector.may_send(target.endpoint):
+            if not self._dependencies.availability.may_send(target.endpoint):
                 # It stated so while the request waited for a connection.
                 pool.release(connection)
                 continue
             self._check_still_has_time(call, pool, connection)
-            if not self._charge_retry_budget(call):
+            if not self.policy.charge_retry_budget(call):
                 pool.release(connection)
-                raise self._make_refusal(call, refusals.Reason.BUSY)
+                raise self.policy.make_refusal(call, refusals.Reason.BUSY)
             attempt = self._send(call, target, pool, connection)
             answered = await self._wait_for_answer(call, attempt)
             if answered is not None:
                 return answered
-        raise self._make_refusal(call, refusals.Reason.NO_ENDPOINT)
-
-    def _check_may_send(self, call: requests.Call) -> None:
-        """Checks that a request may be sent now.
-
-        Raises:
-            RefusedError: If it has no time left, it may have run and must not
-                be repeated, its caller has left, it is quarantined, or it is
-                not admitted.
-        """
-        self._check_has_time(call)
-        if not call.may_run_again:
-            raise self._make_refusal(call, refusals.Reason.LOST)
-        if call.is_withdrawn:
-            raise self._make_refusal(call, refusals.Reason.HALF_CLOSED)
-        request = call.request
-        now = clocks.read_monotonic()
-        if self._dependencies.crashes.is_quarantined(request.fingerprint, now):
-            raise self._make_refusal(call, refusals.Reason.QUARANTINED)
-        if call.may_have_run:
-            return
-        self._dependencies.admission_controller.admit(
-            request.headers, request.path
-        )
-
-    def _check_has_time(self, call: requests.Call) -> None:
-        """Checks that a request that is sent now can end in time.
-
-        Raises:
-            RefusedError: If its deadline has passed, or the gateway is going to
-                exit before.
-        """
-        if call.deadline.is_past():
-            raise self._make_refusal(call, refusals.Reason.NO_TIME)
-        if not self._dependencies.shutdown.can_finish(call):
-            raise self._dependencies.shutdown.refuse(call)
+        raise self.policy.make_refusal(call, refusals.Reason.NO_ENDPOINT)
 
     def _check_still_has_time(
         self,
@@ -214,33 +122,11 @@
             RefusedError: If it has too little left; the connection is released.
         """
         try:
-            self._check_has_time(call)
+            self.policy.check_has_time(call)
         except refusals.RefusedError:
             pool.release(connection)
             raise
 
-    def _check_meets_deadline(
-        self, call: requests.Call, target: requests.Target
-    ) -> None:
-        """Checks that a prompt can be prefilled before the deadline.
-
-        Raises:
-            RefusedError: If even the chosen endpoint would be too late.
-        """
-        left = call.deadline.remaining()
-        if not balancing.misses_deadline(
-            target.prefill_tokens,
-            target.prefill_finish_s * 1000,
-            left * 1000,
-            self._dependencies.estimators.find(call.service).read().split,
-        ):
-            return
-        call.last_failure_detail = (
-            f"the shortest queue takes {target.prefill_finish_s:.1f} s,"
-            f" {left:.1f} s are left"
-        )
-        raise self._make_refusal(call, refusals.Reason.BUSY)
-
     async def _wait_for_prefill(
         self, call: requests.Call, target: requests.Target
     ) -> bool:
@@ -302,21 +188,6 @@
             )
             raise
 
-    def _charge_retry_budget(self, call: requests.Call) -> bool:
-        """Returns whether the service's retry budget allows sending.
-
-        A first attempt adds to the budget, and each further one takes from it.
-        One that returns to a full endpoint leaves half of it for others.
-        """
-        now = clocks.read_monotonic()
-        budget = self._dependencies.budgets.find(call.service)
-        if call.returns and not budget.has_spare(now):
-            return False
-        if call.sends:
-            return budget.take(now)
-        budget.count_request(now)
-        return True
-
     def _send(
         self,
         call: requests.Call,
@@ -502,45 +373,6 @@
             refusals.Reason.LOST, f"status {attempt.head.status}"
         )
 
-    async def wait_for_room(
-        self, call: requests.Call, limit: clocks.Deadline
-    ) -> bool:
-        """Waits until a stream that was lost may return to a full endpoint.
-
-        One endpoint is tried again each time, and only while half of the retry
-        budget is left for others.
-
-        Args:
-            call: The request.
-            limit: When the stream must go on.
-
-        Returns:
-            Whether it may be sent again. If not, no endpoint could take it in
-            time.
-        """
-        chance = self._dependencies.selector.find_next_chance(call)
-        if chance is None or not self._may_return(call):
-            return False
-        endpoint_id, usable_from = chance
-        pause_s = random.uniform(_MIN_RETURN_S, _MAX_RETURN_S) * 2**call.returns
-        returns_at = max(clocks.Deadline.after(pause_s), usable_from)
-        if returns_at >= limit.earlier(call.deadline):
-            return False
-        await asyncio.sleep(returns_at.remaining())
-        call.returns += 1
-        call.excluded |= call.full
-        call.excluded.discard(endpoint_id)
-        return self._may_return(call)
-
-    def _may_return(self, call: requests.Call) -> bool:
-        """Returns whether a lost stream may return to a full endpoint."""
-        budget = self._dependencies.budgets.find(call.service)
-        return (
-            not call.is_withdrawn
-            and budget.has_spare(clocks.read_monotonic())
-            and self._dependencies.shutdown.can_finish(call)
-        )
-
     def _find_head_deadline(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> float:
@@ -549,32 +381,3 @@
         if start_deadline is None:
             return call.deadline.at
         return start_deadline.earlier(call.deadline).at
-
-    def _make_refusal(
-        self, call: requests.Call, reason: refusals.Reason
-    ) -> refusals.RefusedError:
-        """Returns the exception that refuses a request.
-
-        If the request may have run, the reason becomes ``LOST`` or
-        ``TIMED_OUT``, since ``reason`` would state that it has not run.
-        """
-        detail = call.last_failure_detail or reason.value
-        if not call.may_have_run:
-            return refusals.refuse(
-                reason, detail, self._choose_retry_after(call, reason)
-            )
-        is_late = call.deadline.is_past()
-        final_reason = (
-            refusals.Reason.TIMED_OUT if is_late else refusals.Reason.LOST
-        )
-        return refusals.refuse(final_reason, detail)
-
-    def _choose_retry_after(
-        self, call: requests.Call, reason: refusals.Reason
-    ) -> float:
-        """Returns the Retry-After of a request that has not run."""
-        if reason is not refusals.Reason.NO_ENDPOINT:
-            return retry_times.choose_soon()
-        return retry_times.choose_for_waits(
-            self._dependencies.selector.list_waits(call.service)
-        )
--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -188,7 +188,7 @@
         while not await self._try_to_resume():
             if not call.may_run_again:
                 return False
-            if not await self._dispatcher.wait_for_room(call, limit):
+            if not await self._dispatcher.policy.wait_for_room(call, limit):
                 return False
         return True
 
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -1,18 +1,17 @@
 """Chooses the endpoint of an attempt from this gateway's replica of the store.
 
-Endpoints that are ejected, or were tried before, are left out. Engines are
-chosen by their load, their cached prompts and the version of their weights.
+Endpoints that are not available are left out. Engines are chosen by their load,
+their cached prompts and the version of their weights.
 """
 
 import dataclasses
-import math
 import random
 
 from sardinewharf import balancing
 from sardinewharf import catalog
 from sardinewharf import clocks
 from sardinewharf import fleet
-from sardinewharf import ids
+from sardinewharf.gateway import availability as availability_lib
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts as prompts_lib
@@ -45,7 +44,7 @@
         loads: Estimated load of each endpoint.
         health: Failures and ejections of each endpoint.
         drains: Engines that are being drained.
-        notices: What endpoints stated about the requests that they want.
+        availability: Which endpoints may be sent requests.
         prompts: Where shared prompts are cached.
         estimators: What is measured of engines and prompts.
     """
@@ -57,7 +56,7 @@
         loads: fleet.LoadTable,
         health: fleet.HealthTable,
         drains: drains_lib.DrainTable,
-        notices: fleet.NoticeTable,
+        availability: availability_lib.EndpointAvailability,
         prompts: prompts_lib.PromptTable,
         estimators: tables.EstimatorTable,
     ):
@@ -66,7 +65,7 @@
         self._loads = loads
         self._health = health
         self._drains = drains
-        self._notices = notices
+        self._availability = availability
         self._prompts = prompts
         self._estimators = estimators
 
@@ -95,107 +94,23 @@
     def choose(self, call: requests.Call) -> requests.Target | None:
         """Returns the target of the next attempt; None if there is none."""
         now = clocks.read_monotonic()
-        endpoints = self._list_usable(call, now)
+        endpoints = self._availability.list_usable(call, now)
         service = self._replica.configuration.services.get(call.service)
         prompt = call.request.headers.prompt
         if service is None or service.engine is None or prompt is None:
-            return self._choose_server(self._prefer_staying(endpoints), now)
+            return self._choose_server(
+                self._availability.prefer_staying(endpoints), now
+            )
         return self._choose_engine(call, service.engine, prompt, endpoints, now)
 
-    def may_send(self, endpoint: fleet.Endpoint) -> bool:
-        """Returns whether an endpoint that was chosen may be sent a request.
-
-        It may have stated since that it wants none.
-        """
-        now = clocks.read_monotonic()
-        return self._notices.may_send(endpoint.incarnation, now)
-
-    def list_waits(self, service: str) -> list[float]:
-        """Returns the seconds until each endpoint wants requests again.
-
-        They are infinite for one that has left.
-        """
-        now = clocks.read_monotonic()
-        return [
-            self._notices.count_wait(endpoint.incarnation, now)
-            for endpoint in self._replica.registry.list_ready(service)
-        ]
-
-    def _list_usable(
-        self, call: requests.Call, now: float
-    ) -> list[fleet.Endpoint]:
-        """Returns the endpoints that a request may be sent to.
-
-        If all are ejected, those that responded recently are returned.
-        """
-        ready = [
-            endpoint
-            for endpoint in self._replica.registry.list_ready(call.service)
-            if endpoint.id not in call.excluded
-            and self._notices.may_send(endpoint.incarnation, now)
-        ]
-        healthy = [e for e in ready if self._health.may_try(e.incarnation, now)]
-        if healthy:
-            return healthy
-        return [
-            e for e in ready if self._health.is_last_resort(e.incarnation, now)
-        ]
-
-    def _prefer_staying(
-        self, endpoints: list[fleet.Endpoint]
-    ) -> list[fleet.Endpoint]:
-        """Returns the endpoints that are not leaving; all if none stays."""
-        staying = [
-            e
-            for e in endpoints
-            if not self._notices.departures.is_leaving(e.incarnation)
-        ]
-        return staying or endpoints
-
-    def find_next_chance(
-        self, call: requests.Call
-    ) -> tuple[ids.EndpointId, clocks.Deadline] | None:
-        """Returns the endpoint to try again first, and from when on.
-
-        It is one of those that had no room for the request before; None if none
-        of them is ready any more, or they have all left by then.
-        """
-        chances = [
-            (self._read_usable_at(endpoint.incarnation), endpoint.id)
-            for endpoint in self._replica.registry.list_ready(call.service)
-            if endpoint.id in call.full
-        ]
-        usable_at, endpoint_id = min(chances, default=(math.inf, None))
-        if math.isinf(usable_at):
-            return None
-        return endpoint_id, clocks.Deadline(usable_at)
-
-    def _read_usable_at(self, incarnation: str) -> float:
-        """Returns from when on an endpoint may be sent requests.
-
-        It is infinite if the endpoint has left by then.
-        """
-        now = clocks.read_monotonic()
-        wait_s = self._notices.count_wait(incarnation, now)
-        return max(self._health.read_usable_at(incarnation), now + wait_s)
-
     def explain_no_endpoint(self, call: requests.Call) -> str:
         """Returns a message that explains why a request has no endpoint."""
         now = clocks.read_monotonic()
-        ready = self._replica.registry.list_ready(call.service)
-        ejected = sum(
-            not self._health.may_try(e.incarnation, now) for e in ready
-        )
-        waits_s = self.list_waits(call.service)
-        left = sum(math.isinf(wait_s) for wait_s in waits_s)
-        paused = sum(0 < wait_s < math.inf for wait_s in waits_s)
-        text = (
-            f"{len(ready)} endpoints ready, {ejected} of them ejected,"
-            f" {left} have left, {paused} asked for a pause"
-        )
+        text = self._availability.explain(call.service)
         prompt = call.request.headers.prompt
         if prompt is None:
             return text
+        ready = self._replica.registry.list_ready(call.service)
         current = self._list_with_current_weights(
             list(ready), prompt.model, now
         )
@@ -437,7 +352,7 @@
         not_draining = [
             e for e in current if not self._drains.is_draining(e.id)
         ]
-        return self._prefer_staying(not_draining or current)
+        return self._availability.prefer_staying(not_draining or current)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -15,9 +15,11 @@
 from sardinewharf import tasks
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import app as app_lib
+from sardinewharf.gateway import availability as availability_lib
 from sardinewharf.gateway import caches
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import control as control_lib
+from sardinewharf.gateway import dependencies as dependencies_lib
 from sardinewharf.gateway import dispatcher as dispatcher_lib
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import exchange as exchange_lib
@@ -120,21 +122,25 @@
             self._crashes,
         )
         self._shutdown = shutdown_lib.Shutdown(self._exchange.has_other_gateway)
+        availability = availability_lib.EndpointAvailability(
+            self._replica.registry, self._health, self._notices
+        )
         selector = selection.Selector(
             settings,
             self._replica,
             self._loads,
             self._health,
             self._drains,
-            self._notices,
+            availability,
             self._prompts,
             self._estimators,
         )
         reader = readers.EndpointReader(self._loads, self._health)
         dispatcher = dispatcher_lib.Dispatcher(
-            dispatcher_lib.DispatcherDependencies(
+            dependencies_lib.DispatcherDependencies(
                 header_codec=platform.header_codec,
                 admission_controller=self._admission_controller,
+                availability=availability,
                 selector=selector,
                 registry=self._replica.registry,
                 loads=self._loads,
