--- a/sardinewharf/gateway/tests/test_promises.py
+++ b/sardinewharf/gateway/tests/test_promises.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sardinewharf.gateway.tests import scripts
-from sardinewharf.standins import platform_servers
+from sardinewharf.standins import server_faults
 
 PROMISES = [408, 429, 503]
 
@@ -166,7 +166,7 @@
 
 
 @pytest.mark.parametrize("status", [421, 503])
-@pytest.mark.parametrize("place", list(platform_servers.RefusalPlace))
+@pytest.mark.parametrize("place", list(server_faults.RefusalPlace))
 @pytest.mark.parametrize("is_named", [True, False])
 async def test_an_earlier_refusal_on_a_connection_in_use_is_not_believed(
     harness, status, place, is_named
@@ -177,7 +177,7 @@
     once the connection was idle, or in part with the next request.
     """
     for server in harness.servers:
-        server.faults.stale_refusal = platform_servers.StaleRefusal(
+        server.faults.stale_refusal = server_faults.StaleRefusal(
             status, place, is_named
         )
     statuses = set()
@@ -193,9 +193,9 @@
             assert b"%d" % number not in bodies
         await asyncio.sleep(0.03)
     is_late = place in (
-        platform_servers.RefusalPlace.BEHIND,
-        platform_servers.RefusalPlace.LATER,
-        platform_servers.RefusalPlace.PIECES,
+        server_faults.RefusalPlace.BEHIND,
+        server_faults.RefusalPlace.LATER,
+        server_faults.RefusalPlace.PIECES,
     )
     assert (200 if is_late else 502) in statuses
 
--- a/sardinewharf/gateway/tests/test_requests_fuzz.py
+++ b/sardinewharf/gateway/tests/test_requests_fuzz.py
@@ -19,7 +19,7 @@
 from hypothesis import strategies as st
 
 from sardinewharf.gateway import loops
-from sardinewharf.standins import platform_servers
+from sardinewharf.standins import server_faults
 from sardinewharf.testbed import gateway_harness
 
 _IS_LONG = os.environ.get("SARDINEWHARF_FUZZ") == "long"
@@ -44,8 +44,8 @@
     ("cut_after", 2),
     *(("status", status) for status in _STATUSES if status != 421),
     *(
-        ("stale_refusal", platform_servers.StaleRefusal(status, place))
-        for place in platform_servers.RefusalPlace
+        ("stale_refusal", server_faults.StaleRefusal(status, place))
+        for place in server_faults.RefusalPlace
         for status in (421, 503)
     ),
 )
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -10,7 +10,7 @@
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
 from sardinewharf.soak import odd_entries
-from sardinewharf.standins import platform_servers
+from sardinewharf.standins import server_faults
 from sardinewharf.testbed import gateway_harness
 
 _REFUSAL_STATUSES = (421, 429, 503)
@@ -88,7 +88,7 @@
             }
         return "stale_refusal", {
             "status": rng.choice(_REFUSAL_STATUSES),
-            "place": rng.choice(list(platform_servers.RefusalPlace)).value,
+            "place": rng.choice(list(server_faults.RefusalPlace)).value,
             "is_named": rng.random() < 0.5,
         }
 
--- a/sardinewharf/soak/schedules.py
+++ b/sardinewharf/soak/schedules.py
@@ -6,7 +6,7 @@
 from sardinewharf.soak import families
 from sardinewharf.soak import faults
 from sardinewharf.soak import operators
-from sardinewharf.standins import platform_servers
+from sardinewharf.standins import server_faults
 
 _FAULT_FREE_MARGIN_S = 1.0
 # A restart takes at most the grace period of a process plus its startup.
@@ -56,10 +56,10 @@
 )
 # Seeds draw from these alone, so that they keep their faults.
 _SHORT_REFUSAL_PLACES = (
-    platform_servers.RefusalPlace.INSTEAD,
-    platform_servers.RefusalPlace.BEFORE,
-    platform_servers.RefusalPlace.BEHIND,
-    platform_servers.RefusalPlace.LATER,
+    server_faults.RefusalPlace.INSTEAD,
+    server_faults.RefusalPlace.BEFORE,
+    server_faults.RefusalPlace.BEHIND,
+    server_faults.RefusalPlace.LATER,
 )
 # One seed in so many has only planned operations and short pauses, so that no
 # fault excuses a stream that is cut.
@@ -254,7 +254,7 @@
 
 
 def _draw_cut_head(rng, deployment, at, until) -> list[faults.Fault]:
-    value = rng.choice(list(platform_servers.HeadEnd)).value
+    value = rng.choice(list(server_faults.HeadEnd)).value
     name = rng.choice([*deployment.engines, *deployment.servers])
     return [faults.ServerFault(at, until, "cut_head", value, name)]
 
@@ -264,7 +264,7 @@
     broken, other = rng.sample(deployment.engines, 2)
     value = {
         "status": rng.choice((200, 400, 500, 503)),
-        "framing": rng.choice(list(platform_servers.Framing)).value,
+        "framing": rng.choice(list(server_faults.Framing)).value,
     }
     return [
         faults.ServerFault(at, until, "cut_after", 2, broken),
--- a/sardinewharf/standins/platform_servers.py
+++ b/sardinewharf/standins/platform_servers.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import dataclasses
-import enum
 import random
 import time
 
@@ -15,6 +13,7 @@
 
 from sardinewharf import clocks
 from sardinewharf.standins import server_connections
+from sardinewharf.standins import server_faults
 
 # Time between the bytes of a stream that trickles, in seconds.
 _TRICKLE_INTERVAL_S = 0.05
@@ -27,159 +26,6 @@
 ServerRequest = server_connections.ServerRequest
 
 
-class RefusalPlace(enum.Enum):
-    """Where an earlier refusal is sent once more on a connection in use."""
-
-    INSTEAD = "instead"
-    BEFORE = "before"
-    BEHIND = "behind"
-    LATER = "later"
-    INTERIM = "interim"
-    PIECES = "pieces"
-
-
-@dataclasses.dataclass
-class StaleRefusal:
-    """Refuses now and then, and repeats the refusal to requests that it runs.
-
-    Attributes:
-        status: Status of the refusals.
-        place: Whether the repeated refusal comes instead of the true response
-            to a later request, before it, right behind it in the same segment,
-            a little later, before it behind an interim response, or in two
-            pieces, of which the second comes with the next request.
-        is_named: Whether it bears the id of the earlier request.
-    """
-
-    status: int = 503
-    place: RefusalPlace = RefusalPlace.BEFORE
-    is_named: bool = True
-
-
-@dataclasses.dataclass
-class FailedRun:
-    """Responds with an error to some of the requests that are executed.
-
-    Attributes:
-        status: Status of the response, without a header that says that the
-            request was not executed.
-        every: Fails one in so many requests of each connection.
-    """
-
-    status: int = 503
-    every: int = 1
-
-    def find_status(self, handled: int) -> int:
-        """Returns the status for a request, or 0 if it does not fail.
-
-        Args:
-            handled: Number of earlier requests on its connection.
-
-        Examples:
-            >>> [FailedRun(429, every=2).find_status(n) for n in range(4)]
-            [0, 429, 0, 429]
-        """
-        return self.status if (handled + 1) % self.every == 0 else 0
-
-
-@dataclasses.dataclass
-class Backoff:
-    """Refuses some requests, and asks for a pause.
-
-    Attributes:
-        retry_after: Value of the header ``Retry-After``.
-        every: Refuses one in so many requests.
-    """
-
-    retry_after: str = "1"
-    every: int = 1
-
-
-class Framing(enum.Enum):
-    """How an error response ends."""
-
-    LENGTH = "length"
-    CLOSE = "close"
-    CHUNK_SIZE = "chunk_size"
-    STATUS_LINE = "status_line"
-
-
-@dataclasses.dataclass
-class ResumeError:
-    """Responds to the resumption of a stream with something else.
-
-    Attributes:
-        status: Status of the response; 200 is not an event stream.
-        framing: Whether the body has a length, ends with the connection, is
-            cut within the size of a chunk, or the response within its head
-            after the status line.
-    """
-
-    status: int = 500
-    framing: Framing = Framing.LENGTH
-
-
-class HeadEnd(enum.Enum):
-    """How a response ends that has no body or not even a whole head."""
-
-    FIN = "fin"
-    RESET = "reset"
-    NO_BODY = "no_body"
-
-
-@dataclasses.dataclass
-class Faults:
-    """Faults to inject into a server.
-
-    Attributes:
-        refuse: Responds with 503 and a header that says that the request was
-            not executed.
-        backoff: Refuses some requests, and asks for a pause.
-        leaving: Says in all responses that the server leaves.
-        moved: Responds with 421, as if another server had the address.
-        status: Executes the request and responds with this status; 0 for 200.
-        failed_run: The same for some requests.
-        reset: Executes the request and resets the connection.
-        hang: Executes the request and never responds.
-        cut_after: Aborts a stream within the event after this one; 0 for
-            never.
-        trickle: Begins a stream, then sends a byte now and then for ever.
-        short_body: Closes the connection before the end of the body.
-        extra: Sends a second response after the first one.
-        garbage: Executes the request and sends bytes that are not HTTP.
-        wrong_id: Responds with the id of another request.
-        no_id: Responds without the id of the request.
-        is_unsigned: Responds without the header that identifies the server.
-        unframed: Sends no content length and closes the connection at the
-            end of the body.
-        stale_refusal: Repeats earlier refusals on connections in use.
-        cut_head: Executes the request and ends the connection after a random
-            byte of the head, or after a head that announces a body.
-        resume_error: Responds to requests that resume a stream with an error.
-    """
-
-    refuse: bool = False
-    backoff: Backoff | None = None
-    leaving: bool = False
-    moved: bool = False
-    status: int = 0
-    failed_run: FailedRun | None = None
-    reset: bool = False
-    hang: bool = False
-    cut_after: int = 0
-    trickle: bool = False
-    short_body: bool = False
-    extra: bool = False
-    garbage: bool = False
-    wrong_id: bool = False
-    no_id: bool = False
-    is_unsigned: bool = False
-    unframed: bool = False
-    stale_refusal: StaleRefusal | None = None
-    cut_head: HeadEnd | None = None
-    resume_error: ResumeError | None = None
-
-
 class PlatformServer:
     """An application server.
 
@@ -205,7 +51,7 @@
 
     def __init__(self, server_id: str):
         self.id = server_id
-        self.faults = Faults()
+        self.faults = server_faults.Faults()
         self.executed: list[ServerRequest] = []
         self.body = b"an answer"
         self.request_duration_s = 0.0
@@ -308,7 +154,7 @@
         self,
         connection: server_connections.ServerConnection,
         request: ServerRequest,
-        stale: StaleRefusal,
+        stale: server_faults.StaleRefusal,
     ) -> None:
         """Responds to a request, and repeats the refusal of an earlier one."""
         headers = _make_refusal_headers(stale.status)
@@ -316,23 +162,23 @@
             headers.append(_make_id(self._refused_id))
         refusal = server_connections.make_head(stale.status, headers, 0)
         match stale.place:
-            case RefusalPlace.INSTEAD:
+            case server_faults.RefusalPlace.INSTEAD:
                 connection.write(refusal)
-            case RefusalPlace.BEFORE:
+            case server_faults.RefusalPlace.BEFORE:
                 connection.write(refusal)
                 await self.respond(connection, request)
-            case RefusalPlace.INTERIM:
+            case server_faults.RefusalPlace.INTERIM:
                 connection.write(_INTERIM_RESPONSE + refusal)
                 await self.respond(connection, request)
-            case RefusalPlace.BEHIND:
+            case server_faults.RefusalPlace.BEHIND:
                 with connection.join_writes():
                     await self.respond(connection, request)
                     connection.write(refusal)
-            case RefusalPlace.LATER:
+            case server_faults.RefusalPlace.LATER:
                 await self.respond(connection, request)
                 await asyncio.sleep(_LATE_REFUSAL_S)
                 connection.write(refusal)
-            case RefusalPlace.PIECES:
+            case server_faults.RefusalPlace.PIECES:
                 connection.write(connection.unsent)
                 await self.respond(connection, request)
                 half = len(refusal) // 2
@@ -593,16 +439,16 @@
     connection: server_connections.ServerConnection,
     request: ServerRequest,
     headers: list[tuple[str, str]],
-    end: HeadEnd,
+    end: server_faults.HeadEnd,
 ) -> None:
     """Writes a head, or the start of one, and ends the connection."""
     head = server_connections.make_head(200, headers, len(b"an answer"))
-    if end is not HeadEnd.NO_BODY:
+    if end is not server_faults.HeadEnd.NO_BODY:
         # The same request is cut at the same byte in each run of a test.
         kept = random.Random(request.request_id).randrange(1, len(head))
         head = head[:kept]
     connection.write(head)
-    if end is HeadEnd.RESET:
+    if end is server_faults.HeadEnd.RESET:
         connection.abort()
     else:
         connection.close()
@@ -611,20 +457,20 @@
 def _write_error(
     connection: server_connections.ServerConnection,
     headers: list[tuple[str, str]],
-    error: ResumeError,
+    error: server_faults.ResumeError,
 ) -> None:
     """Writes a response that does not continue a stream."""
     body = b"cannot go on"
     match error.framing:
-        case Framing.LENGTH:
+        case server_faults.Framing.LENGTH:
             connection.reply(error.status, headers, body)
             return
-        case Framing.CLOSE:
+        case server_faults.Framing.CLOSE:
             connection.write_head(error.status, headers, None)
             connection.write(body)
-        case Framing.CHUNK_SIZE:
+        case server_faults.Framing.CHUNK_SIZE:
             connection.write_head(error.status, headers, None, is_chunked=True)
             connection.write(b"0")
-        case Framing.STATUS_LINE:
+        case server_faults.Framing.STATUS_LINE:
             connection.write(b"HTTP/1.1 %d X\r\n" % error.status)
     connection.close()
--- a/sardinewharf/soak/tests/test_server_faults.py
+++ b/sardinewharf/standins/tests/test_server_faults.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from sardinewharf.standins import platform_servers
+from sardinewharf.standins import server_faults
 
 _TIMEOUT_S = 2.0
 # Long enough to see that nothing more comes.
@@ -80,7 +81,7 @@
 
 async def refuse_first(server, client, **stale):
     """Makes the server refuse a request truly, so that it can repeat that."""
-    server.faults.stale_refusal = platform_servers.StaleRefusal(**stale)
+    server.faults.stale_refusal = server_faults.StaleRefusal(**stale)
     await client.send("first")
     refused = await client.read()
     assert b"request-id: first" in refused and not server.executed
@@ -92,7 +93,7 @@
     connect, server, status, is_named
 ):
     client = await connect(server)
-    place = platform_servers.RefusalPlace.INSTEAD
+    place = server_faults.RefusalPlace.INSTEAD
     await refuse_first(
         server, client, status=status, place=place, is_named=is_named
     )
@@ -107,18 +108,18 @@
 @pytest.mark.parametrize("place", ["before", "behind", "later"])
 async def test_a_refusal_comes_beside_the_answer(connect, server, place):
     client = await connect(server)
-    place = platform_servers.RefusalPlace(place)
+    place = server_faults.RefusalPlace(place)
     await refuse_first(server, client, place=place)
     await client.send("second")
     received = await client.read()
     statuses = [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
-    before = place is platform_servers.RefusalPlace.BEFORE
+    before = place is server_faults.RefusalPlace.BEFORE
     assert statuses == ([b"503", b"200"] if before else [b"200", b"503"])
 
 
 async def test_a_refusal_follows_an_interim_response(connect, server):
     client = await connect(server)
-    place = platform_servers.RefusalPlace.INTERIM
+    place = server_faults.RefusalPlace.INTERIM
     await refuse_first(server, client, place=place)
     await client.send("second")
     received = await client.read()
@@ -128,7 +129,7 @@
 
 async def test_a_refusal_comes_in_two_pieces(connect, server):
     client = await connect(server)
-    place = platform_servers.RefusalPlace.PIECES
+    place = server_faults.RefusalPlace.PIECES
     await refuse_first(server, client, place=place)
     await client.send("second")
     first = await client.read()
@@ -143,7 +144,7 @@
 @pytest.mark.parametrize("index", [0, 1])
 async def test_some_runs_end_with_an_error(connect, server, engine, index):
     double = (server, engine)[index]
-    double.faults.failed_run = platform_servers.FailedRun(429, every=2)
+    double.faults.failed_run = server_faults.FailedRun(429, every=2)
     client = await connect(double)
     received = []
     for request_id in ("first", "second"):
@@ -157,7 +158,7 @@
 
 
 async def test_some_refusals_ask_for_a_pause(connect, server):
-    server.faults.backoff = platform_servers.Backoff("2.5", every=2)
+    server.faults.backoff = server_faults.Backoff("2.5", every=2)
     client = await connect(server)
     received = []
     for request_id in ("first", "second"):
@@ -187,7 +188,7 @@
     connect, engine
 ):
     client = await connect(engine)
-    place = platform_servers.RefusalPlace.BEHIND
+    place = server_faults.RefusalPlace.BEHIND
     await refuse_first(engine, client, place=place)
     await client.send("second")
     assert b"\r\n0\r\n\r\nHTTP/1.1 503" in await client.read_segment()
@@ -225,7 +226,7 @@
 
 @pytest.mark.parametrize("request_id", [f"r{n}" for n in range(6)])
 async def test_a_head_is_cut_anywhere(connect, server, request_id):
-    server.faults.cut_head = platform_servers.HeadEnd.FIN
+    server.faults.cut_head = server_faults.HeadEnd.FIN
     client = await connect(server)
     await client.send(request_id)
     received = await client.read()
@@ -236,7 +237,7 @@
 
 
 async def test_a_head_is_reset(connect, server):
-    server.faults.cut_head = platform_servers.HeadEnd.RESET
+    server.faults.cut_head = server_faults.HeadEnd.RESET
     client = await connect(server)
     await client.send("first")
     with pytest.raises(ConnectionResetError):
@@ -245,7 +246,7 @@
 
 
 async def test_a_head_announces_a_body_that_does_not_come(connect, server):
-    server.faults.cut_head = platform_servers.HeadEnd.NO_BODY
+    server.faults.cut_head = server_faults.HeadEnd.NO_BODY
     client = await connect(server)
     await client.send("first")
     assert (await client.read()).endswith(b"content-length: 9\r\n\r\n")
@@ -264,8 +265,8 @@
 async def test_a_resumption_is_answered_with_an_error(
     connect, engine, framing, end
 ):
-    engine.faults.resume_error = platform_servers.ResumeError(
-        500, platform_servers.Framing(framing)
+    engine.faults.resume_error = server_faults.ResumeError(
+        500, server_faults.Framing(framing)
     )
     client = await connect(engine)
     await client.send("first", last_event_id="2")
