Let requests that just began not shorten an estimate

Callers whose long requests a gateway had taken during its stop got 502 at the end of the grace period, or an incomplete stream.

A running request counted as if it ended now. On a gateway that had started a moment ago, with one finished request of 20 s and 40 new ones, nearly all requests seemed to take 0.0002 s, so that everything was taken until the end.

Running requests can now only lengthen the estimate; the finished ones alone give its lower bound.

--- a/sardinewharf/gateway/durations.py
+++ b/sardinewharf/gateway/durations.py
@@ -56,14 +56,21 @@
     def estimate(self, route: str, now: float | None = None) -> float | None:
         """Returns in how many seconds nearly all requests of a route end.
 
-        A running request counts with the time that it has taken so far. The
-        result is None if no request of the route has finished yet.
+        Running requests count with the time that they have taken so far, and
+        only if that makes the estimate longer. The result is None if no request
+        of the route has finished yet.
         """
         finished = self._finished.get(route)
         if not finished:
             return None
         at = clocks.read_monotonic() if now is None else now
         running = self._running.get(route, collections.Counter())
-        durations = [*finished, *(at - began for began in running.elements())]
-        durations.sort()
-        return durations[math.ceil(_QUANTILE * len(durations)) - 1]
+        taken = [at - began for began in running.elements()]
+        return max(
+            _find_quantile([*finished]), _find_quantile([*finished, *taken])
+        )
+
+
+def _find_quantile(durations: list[float]) -> float:
+    """Returns the time in which nearly all of some requests ended."""
+    return sorted(durations)[math.ceil(_QUANTILE * len(durations)) - 1]
