Keep the limit of a pool when a new connection is asked for

An endpoint could be made more connections than the gateway's share of its max_conns. One that refuses them counts as unreachable and is ejected.

A request that was sent to an endpoint before gets a new connection there. With a limit of 2 there were 4.

The connection that has been idle for longest is now closed first, so the idle ones and those in use together stay within the limit.

--- a/sardinewharf/http1/pools.py
+++ b/sardinewharf/http1/pools.py
@@ -55,6 +55,8 @@
             raise PoolFullError(
                 f"{self.address}: {self.limit} connections in use"
             )
+        if self._idle and self._busy + len(self._idle) >= self.limit:
+            self._idle.pop(0).close()
         self._busy += 1
         try:
             connection = await client.connect(self.address, deadline)
--- a/sardinewharf/http1/tests/test_pools.py
+++ b/sardinewharf/http1/tests/test_pools.py
@@ -41,3 +41,37 @@
     pool.close()
     server.close()
     await asyncio.sleep(0.05)  # The writers close.
+
+
+async def test_a_new_connection_keeps_the_limit():
+    """A pool had more connections than its endpoint accepts.
+
+    Those that were idle did not count when a new one was asked for.
+    """
+    open_connections = set()
+
+    async def count(reader, writer):
+        open_connections.add(writer)
+        await reader.read()
+        open_connections.discard(writer)
+        writer.close()
+
+    server = await asyncio.start_server(count, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    pool = http1.Pool(f"{host}:{port}", limit=2)
+    deadline = clocks.Deadline.after(1.0)
+    acquired = [await pool.acquire(deadline) for _ in range(2)]
+    for connection in acquired:
+        connection.idle_until = clocks.Deadline.after(9.0)
+        pool.release(connection)
+    acquired = [
+        await pool.acquire(deadline, must_be_new=True) for _ in range(2)
+    ]
+    await asyncio.sleep(0.05)  # The server sees closed connections.
+    assert pool.opened == 4
+    assert len(open_connections) == 2
+    for connection in acquired:
+        pool.release(connection)
+    pool.close()
+    server.close()
+    await asyncio.sleep(0.05)  # The writers close.
