Accept weights of a split whose sum is infinite

Callers of a route got 500 after an operator had written a manifest with large weights of its services (1e308 twice): random.choices raises a ValueError for a sum that is no finite number, and the manifest was in force at all gateways.

test_weights_of_a_split_may_be_of_any_size fails on main (500 in place of 200). The weights are divided by the largest one, so that their sum is at most their number.

--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -81,7 +81,9 @@
         weights = [split.weight for split in route.splits]
         if not names or sum(weights) <= 0:
             return ""
-        return random.choices(names, weights)[0]
+        # The sum of large weights is infinite.
+        largest = max(weights)
+        return random.choices(names, [w / largest for w in weights])[0]
 
     def find_connection_limit(self, service: str) -> int:
         """Returns how many connections this gateway may open to an endpoint."""
--- a/sardinewharf/gateway/tests/test_odd_entries.py
+++ b/sardinewharf/gateway/tests/test_odd_entries.py
@@ -175,3 +175,16 @@
         reader.read_change(keyvalue.Entry(key, b"odd", 1))
         reader.read_change(keyvalue.Entry(key, None, 2))
     assert not reader._rejected
+
+
+async def test_weights_of_a_split_may_be_of_any_size(harness):
+    """Guards against answers 500 (their sum was no finite number)."""
+    manifest = gateway_harness.make_manifest(2)
+    for route in manifest["routes"]:
+        if route["name"] == "book":
+            service = route.pop("service")
+            split = {"service": service, "weight": 1e308}
+            route["traffic_split"] = [split, split]
+    await harness.store.put("op/config", manifest)
+    await check_follows(harness)
+    assert (await harness.send_request("/book/1", body=b"x")).status == 200
