Take no endpoint from an entry without the time of its start

An entry of another writer that lacks born, with all else as usual, was used as an endpoint: callers waited for connections to its address, and a good entry under the same key was replaced by it. Its incarnation is that of each other start without the time, so that a statement that it leaves outlives a restart.

The time defaulted to 0. PROTOCOL.md says that it is in all that a server says of itself, and that an entry with fields missing names no server to use.

test_an_entry_without_a_start_names_no_endpoint fails on main.

--- a/sardinewharf/gateway/tests/test_odd_entries.py
+++ b/sardinewharf/gateway/tests/test_odd_entries.py
@@ -177,6 +177,14 @@
     assert not reader._rejected
 
 
+async def test_an_entry_without_a_start_names_no_endpoint(harness):
+    """Requests were sent to it, and no restart could be told of it."""
+    odd = {name: value for name, value in SERVER.items() if name != "born"}
+    await harness.store.put("servers/odd", odd)
+    await check_follows(harness)
+    assert harness.gateways[0]._replica.registry.find("odd") is None
+
+
 async def test_weights_of_a_split_may_be_of_any_size(harness):
     """Guards against answers 500 (their sum was no finite number)."""
     manifest = gateway_harness.make_manifest(2)
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -222,8 +222,8 @@
     zone: str
     slots: decoding.Integer
     state: str
+    born: decoding.Integer
     models: list[ModelRow] = []
-    born: decoding.Integer = 0
 
 
 class TargetVersionEntry(msgspec.Struct):
