End a task whose work fails as it is cancelled

A daemon or gateway did not exit: closing a group of tasks waited without end, and the work that had been cancelled ran again.

Cancelling is asked for once. Work that raised another error at that, such as one of its cleanup, was taken for work that failed, and was started again behind its cancellation.

An error of a task that is being cancelled is now raised; the group records it and the task ends.

--- a/sardinewharf/gateway/tests/test_background_tasks.py
+++ b/sardinewharf/gateway/tests/test_background_tasks.py
@@ -277,3 +277,24 @@
     await asyncio.sleep(0.05)
     await asyncio.wait_for(group.close(), 1.0)
     assert not len(group)
+
+
+async def test_a_task_that_fails_as_it_is_cancelled_ends():
+    """A group was never closed: the task was started again behind its end."""
+    group = tasks.TaskGroup(tasks.FailureCounter())
+    runs = []
+
+    async def work():
+        runs.append(None)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            raise InjectedError
+
+    group.keep_running(work, "failing")
+    await asyncio.sleep(0)
+    closing = asyncio.ensure_future(group.close())
+    done, _ = await asyncio.wait({closing}, timeout=0.5)
+    closing.cancel()
+    assert done
+    assert len(runs) == 1
--- a/sardinewharf/tasks.py
+++ b/sardinewharf/tasks.py
@@ -194,7 +194,10 @@
         work: Callable[[], Coroutine[object, object, object]],
         name: str,
     ) -> bool:
-        """Returns True when the work returns, and False when it fails."""
+        """Returns True when the work returns, and False when it fails.
+
+        An error of work that was cancelled is raised, so that the task ends.
+        """
         try:
             await work()
         except asyncio.CancelledError as error:
@@ -204,6 +207,8 @@
             self._failures.record(name, Effect.RESTARTED, error)
             return False
         except Exception as error:
+            if asyncio.current_task().cancelling():
+                raise
             self._failures.record(name, Effect.RESTARTED, error)
             return False
         return True
