--- a/sardinewharf/gateway/tests/test_shutdown_deadlines.py
+++ b/sardinewharf/gateway/tests/test_shutdown_deadlines.py
@@ -319,6 +319,20 @@
     assert len(harness.list_executed()) == 1
 
 
+async def test_a_silent_engine_is_not_replaced_by_one_that_could_not_end(
+    harness,
+):
+    """The second engine began late in the stop, and its work was in vain."""
+    for engine in harness.engines:
+        engine.faults.hang = True
+    sending = send(harness, "/ask/1")
+    await asyncio.sleep(0.2)
+    harness.gateways[0].stop()
+    response = await sending
+    assert response.status == 502
+    assert len(harness.list_executed()) == 1
+
+
 async def test_a_broken_stream_is_not_resumed_if_it_could_not_end(harness):
     """Its caller can resume it elsewhere, with more time if told early."""
     make_slow(harness)
