--- a/sardinewharf/addresses.py
+++ b/sardinewharf/addresses.py
@@ -6,11 +6,13 @@
     >>> parse_address("10.0.0.1:70000")
     Traceback (most recent call last):
         ...
-    sardinewharf.addresses.AddressError: no address: '10.0.0.1:70000'
+    sardinewharf.addresses.AddressError: '10.0.0.1:70000' is no address; state \
+HOST:PORT with a port of 1 to 65535
     >>> parse_ip_address("gateway.example:7000")
     Traceback (most recent call last):
         ...
-    sardinewharf.addresses.AddressError: no IP address: 'gateway.example:7000'
+    sardinewharf.addresses.AddressError: 'gateway.example:7000' has no IP \
+address; state IP:PORT
 """
 
 import ipaddress
@@ -47,7 +49,10 @@
         host = host[1:-1]
     is_valid = _HOST.fullmatch(host) and _PORT.fullmatch(port)
     if not is_valid or not 1 <= int(port) <= _MAX_PORT:
-        raise AddressError(f"no address: {text[:_MAX_QUOTED_CHARS]!r}")
+        raise AddressError(
+            f"{text[:_MAX_QUOTED_CHARS]!r} is no address; state HOST:PORT with"
+            f" a port of 1 to {_MAX_PORT}"
+        )
     return Address(host, int(port))
 
 
@@ -62,6 +67,6 @@
         ipaddress.ip_address(address.host)
     except ValueError as error:
         raise AddressError(
-            f"no IP address: {text[:_MAX_QUOTED_CHARS]!r}"
+            f"{text[:_MAX_QUOTED_CHARS]!r} has no IP address; state IP:PORT"
         ) from error
     return address
