Tell servers of the soak of their faults in one order

A reset at s1 and a pause that it asked for ended within 0.02 ms of each other, in threads of their own: each made up the list of what is left and sent it, and the older list arrived last, so that s1 reset connections for good. The gateways' answers were right: the log has 'closed by the endpoint' for each.

The list is made up and sent under one lock. The new test failed before, and passes.

--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import sys
+import threading
 import time
 
 import msgspec
@@ -98,6 +99,8 @@
         self._specs: dict[str, _ProcessSpec] = {}
         self._links: dict[str, tuple[int, str]] = {}
         # Faults of each server, of which the lasting ones outlive its restart.
+        # Faults begin and end in threads of their own.
+        self._fault_lock = threading.Lock()
         self._faults: dict[str, dict[str, object]] = {}
         self._lasting_faults: dict[str, dict[str, object]] = {}
         self._host = self._make_address(1)
@@ -191,16 +194,18 @@
 
         Lasting faults stay, unless a given one takes their place.
         """
-        self._faults[name] = faults
-        return self._send_faults(name)
+        with self._fault_lock:
+            self._faults[name] = faults
+            return self._send_faults(name)
 
     def set_lasting_fault(self, name: str, harm: str, value: object) -> bool:
         """Sets or, with None, clears a fault that outlives restarts."""
-        lasting = self._lasting_faults.setdefault(name, {})
-        lasting[harm] = value
-        if value is None:
-            del lasting[harm]
-        return self._send_faults(name)
+        with self._fault_lock:
+            lasting = self._lasting_faults.setdefault(name, {})
+            lasting[harm] = value
+            if value is None:
+                del lasting[harm]
+            return self._send_faults(name)
 
     def _send_faults(self, name: str) -> bool:
         faults = self._lasting_faults.get(name, {}) | self._faults.get(name, {})
