Let a corrected registration correct an engine's weights version

An entry of an engine that stated an absurd version for a moment (10**15) held requests off that engine until it restarted: the registry never lowered a version, wherever it came from, so that Expect-Version drew 421 for good.

What a registration states counts now for as long as it does, and what responses and reports showed still never decreases before a restart. test_a_wrong_version_in_a_registration_can_be_corrected failed before, and passes; the tests of weights and odd entries pass.

--- a/sardinewharf/fleet/registry.py
+++ b/sardinewharf/fleet/registry.py
@@ -39,14 +39,13 @@
     def put(self, endpoint: endpoints.Endpoint) -> None:
         """Adds or replaces a registration.
 
-        After a restart the weights reported before are dropped.
+        After a restart the weights reported before are dropped. Those that a
+        registration states count for as long as it does: it may be corrected.
         """
         known = self._endpoints.get(endpoint.id)
         if known is not None and known.started_ms != endpoint.started_ms:
             self._forget_weights(endpoint.id)
         self._endpoints[endpoint.id] = endpoint
-        for model, version in endpoint.weights.items():
-            self.record_weights(endpoint.id, model, version)
         self._ready.clear()
         self.changes += 1
 
@@ -92,8 +91,14 @@
             self._observed_versions[key] = version
 
     def find_weights(self, endpoint_id: ids.EndpointId, model: str) -> int:
-        """Returns the newest version that an endpoint reported; 0 if none."""
-        return self._observed_versions.get((endpoint_id, model), 0)
+        """Returns the newest version that an endpoint reported; 0 if none.
+
+        Its registration counts as a report.
+        """
+        observed = self._observed_versions.get((endpoint_id, model), 0)
+        endpoint = self._endpoints.get(endpoint_id)
+        stated = endpoint.weights.get(model, 0) if endpoint else 0
+        return max(observed, stated)
 
     def _forget_weights(self, endpoint_id: ids.EndpointId) -> None:
         for key in [k for k in self._observed_versions if k[0] == endpoint_id]:
