Remember crashes for as long as their request is repeated

Cause: a crash counted for 60 s from when it happened, though its caller went on; repeats slower than one in 20 s were never bounded. A full table dropped the oldest crash, and what was shared was the end of a list, so that those of innocent requests pushed out the one that mattered.

The table keeps a request for 600 s since it was last seen, and what crashed several endpoints last of all. It is shared in turn, those with several crashes first. So that a request that was suspected wrongly gets out, one that completes is free, and one that is quarantined has three trials, 2.5, 20 and 160 s apart. Gateway and daemon use the same rule: three crashes, or two of which one while it ran without other suspects, which only the daemon knows.

Evidence: limits/tests/test_suspects (9 tests; the former table lacks the calls that they make). limits, relay, daemons and gateway/tests/test_faulty_endpoints: 63 passed.

--- a/sardinewharf/daemons/gossip.py
+++ b/sardinewharf/daemons/gossip.py
@@ -196,7 +196,9 @@
     def make_digest(self) -> ttypes.Digest:
         """Returns this daemon's digest."""
         now = clocks.read_monotonic()
-        crashes = self._state.suspects.list_crashes(now)[-_MAX_CRASHES:]
+        crashes = self._state.suspects.choose_crashes_to_share(
+            now, _MAX_CRASHES
+        )
         self._leaving = {
             endpoint: at
             for endpoint, at in self._leaving.items()
--- a/sardinewharf/limits/__init__.py
+++ b/sardinewharf/limits/__init__.py
@@ -9,6 +9,7 @@
 from sardinewharf.limits.retries import RetryBudget
 from sardinewharf.limits.slots import SuspectSlots
 from sardinewharf.limits.suspects import Crash
+from sardinewharf.limits.suspects import Suspect
 from sardinewharf.limits.suspects import SuspectTable
 from sardinewharf.limits.suspects import make_fingerprint
 from sardinewharf.limits.windows import BudgetShare
@@ -22,6 +23,7 @@
     "Crash",
     "FairGate",
     "RetryBudget",
+    "Suspect",
     "SuspectSlots",
     "SuspectTable",
     "Waiter",
--- a/sardinewharf/limits/crashes.py
+++ b/sardinewharf/limits/crashes.py
@@ -21,10 +21,9 @@
 
 from sardinewharf.limits import suspects
 
-# Endpoints that a request may crash before it is refused.
-_MAX_CRASHES_PER_REQUEST = 3
-# Time for which a crash counts.
-_QUARANTINE_S = 60.0
+# Time after which a request is forgotten that is no longer repeated, in
+# seconds.
+_QUARANTINE_S = 600.0
 # Time after a lost connection within which a failure to connect to the endpoint
 # confirms that it crashed.
 _CONFIRMATION_WINDOW_S = 1.5
@@ -78,8 +77,4 @@
 
     def is_quarantined(self, fingerprint: bytes, now: float) -> bool:
         """Returns whether a request has crashed too many endpoints to run."""
-        self._suspects.list_crashes(now)
-        return (
-            self._suspects.count_crashes(fingerprint)
-            >= _MAX_CRASHES_PER_REQUEST
-        )
+        return self._suspects.is_quarantined(fingerprint, now)
--- a/sardinewharf/limits/suspects.py
+++ b/sardinewharf/limits/suspects.py
@@ -1,8 +1,12 @@
 """Limits how many endpoints one request can crash.
 
-A request that runs on an endpoint when it crashes is suspect. It runs again on
-an endpoint without any other suspect, and if that endpoint crashes too, the
-request is quarantined.
+A request that runs on an endpoint when it crashes is suspect. It is
+quarantined once three endpoints have crashed, or two if no other suspect ran at
+one of them.
+
+A quarantined request is refused for as long as its caller repeats it, except
+for a few trials, so that one that was suspected wrongly is found out. It is
+free again once it completes, or once it was not repeated for some time.
 
 Examples:
     >>> table = SuspectTable(quarantine_seconds=600.0)
@@ -20,12 +24,30 @@
 """
 
 import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
+import itertools
+import math
 
 import xxhash
 
-_CRASHES_TO_QUARANTINE = 2
-_MAX_CRASHES = 10_000
+# Crashes after which a request is quarantined, and the same if it ran without
+# other suspects at one of these endpoints.
+_CRASHES_TO_QUARANTINE = 3
+_CRASHES_TO_QUARANTINE_ALONE = 2
+# A quarantined request may run once more after this time, in seconds, and again
+# after a multiple of it. The first trial is soon: endpoints that crash together
+# make all requests that ran on them suspect.
+_TRIAL_INTERVAL_S = 2.5
+_TRIAL_INTERVAL_FACTOR = 8.0
+_MAX_TRIALS = 3
+# Least time until a trial if the request ran without other suspects, in
+# seconds.
+_TRIAL_INTERVAL_ALONE_S = 160.0
+# Suspects that a table keeps.
+_MAX_SUSPECTS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,65 +67,251 @@
     was_alone: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """What is known of a request that ran on endpoints when they crashed.
+
+    Times are on this process's monotonic clock.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        seen_at: When it last ran, was repeated, or crashed an endpoint.
+        crashes: Its crashes by incarnation.
+        completed_at: When it last completed; earlier crashes do not count.
+        trials: Number of its trials since it was quarantined.
+        trial_at: When the last of them began.
+    """
+
+    fingerprint: bytes
+    seen_at: float
+    crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
+    completed_at: float = -math.inf
+    trials: int = 0
+    trial_at: float = -math.inf
+
+    @property
+    def has_crashed_enough(self) -> bool:
+        """Whether its crashes suffice for a quarantine."""
+        count = len(self.crashes)
+        if count >= _CRASHES_TO_QUARANTINE:
+            return True
+        return self.ran_alone and count >= _CRASHES_TO_QUARANTINE_ALONE
+
+    @property
+    def ran_alone(self) -> bool:
+        """Whether it ran without other suspects when an endpoint crashed."""
+        return any(crash.was_alone for crash in self.crashes.values())
+
+    @property
+    def next_trial_at(self) -> float:
+        """When a trial may begin; infinite if none may."""
+        if self.trials >= _MAX_TRIALS:
+            return math.inf
+        last_crash_at = max(crash.at for crash in self.crashes.values())
+        interval_s = _TRIAL_INTERVAL_S * _TRIAL_INTERVAL_FACTOR**self.trials
+        if self.ran_alone:
+            interval_s = max(interval_s, _TRIAL_INTERVAL_ALONE_S)
+        return max(last_crash_at, self.trial_at) + interval_s
+
+    def drop_completed(self) -> None:
+        """Removes the crashes before the last completion."""
+        kept = {
+            incarnation: crash
+            for incarnation, crash in self.crashes.items()
+            if crash.at > self.completed_at
+        }
+        if len(kept) < len(self.crashes):
+            self.crashes = kept
+            self.trials = 0
+
+
 def make_fingerprint(organisation: str, body: bytes) -> bytes:
     """Returns a digest that is the same for all retries of a request."""
     return xxhash.xxh3_128_digest(organisation.encode() + b"\x00" + body)
 
 
+def _ignore_change() -> None:
+    """Does nothing; the default callback for changes."""
+
+
 class SuspectTable:
-    """Crashes of endpoints, by the requests that ran there.
+    """Requests that ran on endpoints when these crashed.
+
+    If it is full, requests with a single crash make room before others.
 
     Args:
-        quarantine_seconds: Time for which a crash counts.
+        quarantine_seconds: Time after which a request is forgotten that is no
+            longer repeated.
+
+    Attributes:
+        on_change: Called when this process learned by itself of a crash or a
+            completion, or began a trial, so that others have to know.
     """
 
     def __init__(self, quarantine_seconds: float):
         self._quarantine_seconds = quarantine_seconds
-        self._crashes: collections.OrderedDict[tuple[bytes, str], Crash] = (
+        # In the order of ``seen_at``, apart for those with several crashes.
+        self._single: collections.OrderedDict[bytes, Suspect] = (
             collections.OrderedDict()
         )
-        self._by_request: dict[bytes, dict[str, Crash]] = {}
+        self._repeated: collections.OrderedDict[bytes, Suspect] = (
+            collections.OrderedDict()
+        )
+        # Those that changed since ``take_changed`` returned them.
+        self._changed: dict[bytes, None] = {}
+        # Number of suspects that were chosen to be shared, in turn.
+        self._shared = 0
+        self.on_change: Callable[[], None] = _ignore_change
+
+    def __len__(self) -> int:
+        return len(self._single) + len(self._repeated)
 
     def record_crash(self, crash: Crash, now: float) -> bool:
         """Records a crash; returns whether it was not known before."""
         self._forget_old(now)
-        key = (crash.fingerprint, crash.incarnation)
-        if key in self._crashes:
+        suspect = self._find_or_add(crash.fingerprint, crash.at)
+        is_known = crash.incarnation in suspect.crashes
+        if is_known or crash.at <= suspect.completed_at:
             return False
-        self._crashes[key] = crash
-        crashes = self._by_request.setdefault(crash.fingerprint, {})
-        crashes[crash.incarnation] = crash
+        suspect.crashes[crash.incarnation] = crash
+        self._put(suspect, max(suspect.seen_at, crash.at))
+        self._forget_old(now)
+        self._record_change(crash.fingerprint)
         return True
 
+    def merge(self, reported: Suspect, now: float) -> bool:
+        """Merges what another process knows of a request.
+
+        Returns:
+            Whether a crash was not known before.
+        """
+        if reported.seen_at < now - self._quarantine_seconds:
+            return False
+        suspect = self._find_or_add(reported.fingerprint, reported.seen_at)
+        known = len(suspect.crashes)
+        suspect.crashes = reported.crashes | suspect.crashes
+        is_new = len(suspect.crashes) > known
+        suspect.completed_at = max(suspect.completed_at, reported.completed_at)
+        suspect.trials = max(suspect.trials, reported.trials)
+        suspect.trial_at = max(suspect.trial_at, reported.trial_at)
+        suspect.drop_completed()
+        self._put(suspect, max(suspect.seen_at, reported.seen_at))
+        self._forget_old(now)
+        return is_new
+
     def list_crashes(self, now: float) -> tuple[Crash, ...]:
-        """Returns the crashes that still count, in the order of recording."""
+        """Returns the crashes that still count."""
+        self._forget_old(now)
+        return tuple(_list_crashes(self._iterate()))
+
+    @property
+    def has_changed(self) -> bool:
+        """Whether ``take_changed`` has suspects to return."""
+        return bool(self._changed)
+
+    def take_changed(self, limit: int) -> list[Suspect]:
+        """Returns suspects that this process changed, at most so many.
+
+        Each is returned once after its last change.
+        """
+        taken = list(itertools.islice(self._changed, limit))
+        for fingerprint in taken:
+            del self._changed[fingerprint]
+        found = (self._find(fingerprint) for fingerprint in taken)
+        return [suspect for suspect in found if suspect is not None]
+
+    def choose_to_share(self, now: float, limit: int) -> list[Suspect]:
+        """Returns suspects to report to other processes, at most so many.
+
+        Half of them are those with several crashes that were seen last. The
+        rest are all others in turn, so that none is left out for long.
+        """
         self._forget_old(now)
-        return tuple(self._crashes.values())
+        if len(self) <= limit:
+            return list(self._iterate())
+        urgent = itertools.islice(reversed(self._repeated.values()), limit // 2)
+        chosen = {suspect.fingerprint: suspect for suspect in urgent}
+        start = self._shared if self._shared < len(self) else 0
+        self._shared = start + limit - len(chosen)
+        in_turn = itertools.islice(self._iterate(), start, self._shared)
+        chosen |= {suspect.fingerprint: suspect for suspect in in_turn}
+        return list(chosen.values())
+
+    def choose_crashes_to_share(
+        self, now: float, limit: int
+    ) -> tuple[Crash, ...]:
+        """Returns the crashes of ``choose_to_share``, at most so many."""
+        crashes = _list_crashes(self.choose_to_share(now, limit))
+        return tuple(itertools.islice(crashes, limit))
 
     def is_suspect(self, fingerprint: bytes, now: float) -> bool:
         """Returns whether an endpoint crashed while the request ran."""
-        self._forget_old(now)
-        return fingerprint in self._by_request
+        return self.count_crashes(fingerprint, now) > 0
 
-    def is_quarantined(self, fingerprint: bytes, now: float) -> bool:
+    def is_quarantined(
+        self, fingerprint: bytes, now: float, trial_delay_s: float = 0.0
+    ) -> bool:
         """Returns whether the request must not run.
 
-        It must not if several endpoints crashed while it ran, at one of them
-        without any other suspect.
+        Args:
+            fingerprint: Fingerprint of the request.
+            now: The time.
+            trial_delay_s: How much later than others this process may begin a
+                trial, so that they do not begin one at the same time.
         """
         self._forget_old(now)
-        crashes = self._by_request.get(fingerprint, {})
-        if len(crashes) < _CRASHES_TO_QUARANTINE:
+        suspect = self._find(fingerprint)
+        if suspect is None or not suspect.has_crashed_enough:
             return False
-        return any(crash.was_alone for crash in crashes.values())
+        if suspect.seen_at < now - self._quarantine_seconds:
+            return False
+        return now < suspect.next_trial_at + trial_delay_s
+
+    def read_trial_time(self, fingerprint: bytes) -> float:
+        """Returns when a quarantined request may run; infinite if never."""
+        suspect = self._find(fingerprint)
+        if suspect is None or not suspect.has_crashed_enough:
+            return -math.inf
+        return suspect.next_trial_at
 
-    def count_crashes(self, fingerprint: bytes) -> int:
+    def record_repeat(self, fingerprint: bytes, now: float) -> None:
+        """Records that a request was repeated, whether or not it may run."""
+        suspect = self._find(fingerprint)
+        if suspect is not None:
+            self._put(suspect, now)
+
+    def record_run(self, fingerprint: bytes, now: float) -> int:
+        """Records that a request is about to be sent to an endpoint.
+
+        Returns:
+            The number of the trial, if a quarantined request is tried; else 0.
+        """
+        suspect = self._find(fingerprint)
+        if suspect is None:
+            return 0
+        self._put(suspect, now)
+        if not suspect.has_crashed_enough:
+            return 0
+        suspect.trials += 1
+        suspect.trial_at = now
+        self._record_change(fingerprint)
+        return suspect.trials
+
+    def count_crashes(self, fingerprint: bytes, now: float) -> int:
         """Returns how many endpoints crashed while the request ran."""
-        return len(self._by_request.get(fingerprint, ()))
+        self._forget_old(now)
+        suspect = self._find(fingerprint)
+        return len(suspect.crashes) if suspect else 0
+
+    def count_quarantined(self) -> int:
+        """Returns how many requests are quarantined."""
+        return sum(
+            suspect.has_crashed_enough for suspect in self._repeated.values()
+        )
 
     def has_crashed(self, incarnation: str) -> bool:
         """Returns whether an incarnation is known to have crashed."""
-        return any(key[1] == incarnation for key in self._crashes)
+        return any(incarnation in s.crashes for s in self._iterate())
 
     def withdraw(self, incarnation: str, observed_at: float) -> None:
         """Removes crashes of an incarnation that was observed alive later.
@@ -115,31 +323,68 @@
             incarnation: Incarnation of the endpoint.
             observed_at: When it was alive; later crashes are kept.
         """
-        for key, crash in list(self._crashes.items()):
-            if crash.incarnation == incarnation and crash.at < observed_at:
-                del self._crashes[key]
-                self._forget(crash)
+        for suspect in list(self._iterate()):
+            crash = suspect.crashes.get(incarnation)
+            if crash is not None and crash.at < observed_at:
+                del suspect.crashes[incarnation]
+                self._put(suspect, suspect.seen_at)
+
+    def clear(self, fingerprint: bytes, now: float) -> bool:
+        """Removes the crashes of a request that completed successfully.
+
+        Returns:
+            Whether there were any.
+        """
+        suspect = self._find(fingerprint)
+        if suspect is None:
+            return False
+        had_crashes = bool(suspect.crashes)
+        suspect.completed_at = now
+        suspect.drop_completed()
+        self._put(suspect, now)
+        if had_crashes:
+            self._record_change(fingerprint)
+        return had_crashes
+
+    def _record_change(self, fingerprint: bytes) -> None:
+        self._changed[fingerprint] = None
+        self.on_change()
+
+    def _iterate(self) -> Iterator[Suspect]:
+        return itertools.chain(self._single.values(), self._repeated.values())
+
+    def _find(self, fingerprint: bytes) -> Suspect | None:
+        return self._repeated.get(fingerprint) or self._single.get(fingerprint)
 
-    def clear(self, fingerprint: bytes) -> None:
-        """Removes the crashes of a request that completed successfully."""
-        for incarnation in self._by_request.pop(fingerprint, ()):
-            self._crashes.pop((fingerprint, incarnation), None)
+    def _find_or_add(self, fingerprint: bytes, seen_at: float) -> Suspect:
+        suspect = self._find(fingerprint)
+        if suspect is None:
+            suspect = self._single[fingerprint] = Suspect(fingerprint, seen_at)
+        return suspect
+
+    def _put(self, suspect: Suspect, seen_at: float) -> None:
+        """Stores a suspect as the one that was seen last."""
+        suspect.seen_at = seen_at
+        self._single.pop(suspect.fingerprint, None)
+        self._repeated.pop(suspect.fingerprint, None)
+        has_several = len(suspect.crashes) > 1
+        suspects = self._repeated if has_several else self._single
+        suspects[suspect.fingerprint] = suspect
 
     def _forget_old(self, now: float) -> None:
-        """Removes crashes that no longer count or exceed the limit."""
-        while self._crashes:
-            key, crash = next(iter(self._crashes.items()))
-            is_old = crash.at + self._quarantine_seconds < now
-            if not is_old and len(self._crashes) <= _MAX_CRASHES:
-                return
-            del self._crashes[key]
-            self._forget(crash)
-
-    def _forget(self, crash: Crash) -> None:
-        """Removes a crash from the crashes of its request."""
-        remaining = self._by_request.get(crash.fingerprint)
-        if remaining is None:
-            return
-        remaining.pop(crash.incarnation, None)
-        if not remaining:
-            del self._by_request[crash.fingerprint]
+        """Removes suspects that were not seen for long or exceed the limit."""
+        oldest_kept = now - self._quarantine_seconds
+        for suspects in (self._single, self._repeated):
+            while suspects:
+                suspect = next(iter(suspects.values()))
+                is_old = suspect.seen_at < oldest_kept
+                if not is_old and len(self) <= _MAX_SUSPECTS:
+                    break
+                del suspects[suspect.fingerprint]
+                self._changed.pop(suspect.fingerprint, None)
+
+
+def _list_crashes(suspects: Iterable[Suspect]) -> Iterator[Crash]:
+    return itertools.chain.from_iterable(
+        suspect.crashes.values() for suspect in suspects
+    )
--- /dev/null
+++ b/sardinewharf/limits/tests/test_suspects.py
@@ -0,0 +1,116 @@
+from sardinewharf import limits
+
+_LIFETIME_S = 600.0
+_MAX_SUSPECTS = 10_000
+
+
+def _make_table():
+    return limits.SuspectTable(_LIFETIME_S)
+
+
+def _record_crashes(table, fingerprint=b"f", count=3, at=0.0, prefix="e"):
+    for number in range(count):
+        crash = limits.Crash(fingerprint, f"{prefix}{number}", at)
+        table.record_crash(crash, at)
+
+
+# A crash lapsed a minute after it happened, though the caller went on.
+def test_a_request_that_is_repeated_stays_quarantined():
+    table = _make_table()
+    _record_crashes(table)
+    for trial_at in (2.5, 22.5, 182.5):
+        assert table.is_quarantined(b"f", trial_at - 0.5)
+        assert table.record_run(b"f", trial_at)
+        assert table.is_quarantined(b"f", trial_at)
+    for now in range(300, 10_000, 100):
+        table.record_repeat(b"f", now)
+        assert table.is_quarantined(b"f", now)
+
+
+def test_a_request_that_is_not_repeated_is_forgotten():
+    table = _make_table()
+    _record_crashes(table)
+    assert not table.is_quarantined(b"f", _LIFETIME_S + 1.0)
+    assert not table.is_suspect(b"f", _LIFETIME_S + 1.0)
+
+
+# Slow repeats crashed one endpoint after the other, each forgotten in time.
+def test_crashes_between_slow_repeats_add_up():
+    table = _make_table()
+    for number in range(3):
+        at = 500.0 * number
+        table.record_crash(limits.Crash(b"f", f"e{number}", at), at)
+    assert table.is_quarantined(b"f", 1_001.0)
+
+
+def test_a_request_that_completes_is_free_everywhere():
+    table, other = _make_table(), _make_table()
+    _record_crashes(table)
+    for suspect in table.take_changed(8):
+        other.merge(suspect, 1.0)
+    assert other.is_quarantined(b"f", 1.0)
+    assert table.clear(b"f", 2.0)
+    late = limits.Crash(b"f", "e9", 1.5)
+    assert not table.record_crash(late, 2.0)
+    for suspect in table.take_changed(8):
+        other.merge(suspect, 2.0)
+    assert not other.is_quarantined(b"f", 2.0)
+
+
+# A full table dropped the oldest crash, whatever it was.
+def test_a_full_table_keeps_what_crashed_several_endpoints():
+    table = _make_table()
+    _record_crashes(table, b"poison")
+    for number in range(_MAX_SUSPECTS + 100):
+        fingerprint = b"innocent %d" % number
+        table.record_crash(limits.Crash(fingerprint, "e9", 1.0), 1.0)
+    assert len(table) == _MAX_SUSPECTS
+    assert table.is_quarantined(b"poison", 2.0)
+
+
+# Sixteen requests that ran beside it pushed the one that mattered out of the
+# last six crashes, which were all that was sent.
+def test_all_suspects_are_shared_in_turn():
+    table, other = _make_table(), _make_table()
+    _record_crashes(table, b"poison")
+    for number in range(100):
+        fingerprint = b"innocent %d" % number
+        table.record_crash(limits.Crash(fingerprint, "e0", 1.0), 1.0)
+    first = table.choose_to_share(2.0, 8)
+    assert b"poison" in [suspect.fingerprint for suspect in first]
+    for _ in range(101 // 4 + 1):
+        for suspect in table.choose_to_share(2.0, 8):
+            other.merge(suspect, 2.0)
+    assert len(other) == 101
+
+
+def test_each_change_is_reported_once():
+    table = _make_table()
+    changes = []
+    table.on_change = lambda: changes.append(1)
+    _record_crashes(table, b"a", count=1)
+    _record_crashes(table, b"b", count=1)
+    assert len(changes) == 2
+    assert len(table.take_changed(1)) == 1
+    assert table.has_changed
+    assert len(table.take_changed(8)) == 1
+    assert not table.has_changed
+    table.merge(limits.Suspect(b"c", 1.0), 1.0)
+    assert not table.has_changed
+
+
+def test_trials_of_several_processes_do_not_coincide():
+    table = _make_table()
+    _record_crashes(table)
+    assert not table.is_quarantined(b"f", 2.5)
+    assert table.is_quarantined(b"f", 2.5, trial_delay_s=3.0)
+    assert not table.is_quarantined(b"f", 5.5, trial_delay_s=3.0)
+
+
+def test_what_ran_alone_is_tried_late():
+    table = _make_table()
+    for number in range(2):
+        crash = limits.Crash(b"f", f"e{number}", 0.0, was_alone=True)
+        table.record_crash(crash, 0.0)
+    assert table.is_quarantined(b"f", 159.0)
+    assert not table.is_quarantined(b"f", 160.0)
--- a/sardinewharf/relay/openers.py
+++ b/sardinewharf/relay/openers.py
@@ -128,7 +128,9 @@
         """
         self._release_slot()
         if is_complete:
-            self._relay.suspects.clear(self._request.fingerprint)
+            self._relay.suspects.clear(
+                self._request.fingerprint, clocks.read_monotonic()
+            )
 
     def record_progress(self, chunks: int) -> bool:
         """Releases a suspect's slot once it has passed the point of the crash.
@@ -143,7 +145,9 @@
             return False
         if chunks < _SLOT_RELEASE_CHUNKS:
             return True
-        crashes = self._relay.suspects.count_crashes(self._request.fingerprint)
+        crashes = self._relay.suspects.count_crashes(
+            self._request.fingerprint, clocks.read_monotonic()
+        )
         if crashes > 1:
             return False
         # The request has passed the point of the crash, so that the next
@@ -235,6 +239,7 @@
     def _check_quarantine_and_deadline(self) -> None:
         now = clocks.read_monotonic()
         fingerprint = self._request.fingerprint
+        self._relay.suspects.record_repeat(fingerprint, now)
         if self._relay.suspects.is_quarantined(fingerprint, now):
             raise outcomes.refuse(
                 outcomes.RefusalKind.QUARANTINED,
@@ -336,6 +341,7 @@
             endpoint.report.incarnation
         )
         now = clocks.read_monotonic()
+        relay.suspects.record_run(request.fingerprint, now)
         relay.router.record_dispatch(choice, chain, now)
         relay.pending_dispatches.add(
             routing.make_dispatch_update(choice, chain, now)
