Prove crashes of endpoints without the help of other requests

Cause: a crash counted only if the gateway that lost the request happened to fail to connect to that incarnation within 1.5 s, and nobody made that try. Entries that go or are replaced, which prove more, were ignored, and a digest held the last six crashes.

A lost connection counts now once its incarnation accepts no connection, for which one probe is made, its entry goes or is replaced, another endpoint starts at its address, or a peer has found the crash; whichever comes first, until a crashed endpoint's entry must have gone. Exits that were announced, or come after the time that a leaving endpoint serves on, count nothing. What a gateway learns goes to all peers at once in a report of its own, and the whole table in turn to a few each second, for those that started later. The check is made again after the waits for a prefill and a connection. Crashes and trials are logged, and quarantined requests are a gauge.

Evidence: gateway/tests/test_crashing_requests.

--- a/sardinewharf/fleet/registry.py
+++ b/sardinewharf/fleet/registry.py
@@ -14,11 +14,30 @@
     ['e']
 """
 
+import collections
 from collections.abc import Collection
+import dataclasses
 
+from sardinewharf import clocks
 from sardinewharf import ids
 from sardinewharf.fleet import endpoints
 
+# Incarnations that are no longer registered and are remembered.
+_MAX_DEPARTURES = 4_096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """The end of an incarnation's registration.
+
+    Attributes:
+        at: When it was removed or replaced, on the monotonic clock.
+        was_leaving: Whether it stated before that the endpoint leaves.
+    """
+
+    at: float
+    was_leaving: bool
+
 
 class Registry:
     """The registered endpoints, by id and by service.
@@ -31,6 +50,9 @@
         self._endpoints: dict[ids.EndpointId, endpoints.Endpoint] = {}
         self._ready: dict[str, tuple[endpoints.Endpoint, ...]] = {}
         self._observed_versions: dict[tuple[ids.EndpointId, str], int] = {}
+        self._departures: collections.OrderedDict[str, Departure] = (
+            collections.OrderedDict()
+        )
         self.changes = 0
 
     def __len__(self) -> int:
@@ -45,14 +67,17 @@
         known = self._endpoints.get(endpoint.id)
         if known is not None and known.started_ms != endpoint.started_ms:
             self._forget_weights(endpoint.id)
+            self._record_departure(known)
         self._endpoints[endpoint.id] = endpoint
         self._ready.clear()
         self.changes += 1
 
     def remove(self, endpoint_id: ids.EndpointId) -> None:
         """Removes an endpoint that is gone."""
-        if self._endpoints.pop(endpoint_id, None) is not None:
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
             self._forget_weights(endpoint_id)
+            self._record_departure(endpoint)
             self._ready.clear()
             self.changes += 1
 
@@ -65,6 +90,10 @@
         """Returns an endpoint's registration; None if it has none."""
         return self._endpoints.get(endpoint_id)
 
+    def find_departure(self, incarnation: str) -> Departure | None:
+        """Returns when an incarnation's registration ended; None if unknown."""
+        return self._departures.get(incarnation)
+
     def list_all(self) -> list[endpoints.Endpoint]:
         """Returns all endpoints, including those that are leaving."""
         return list(self._endpoints.values())
@@ -100,6 +129,14 @@
         stated = endpoint.weights.get(model, 0) if endpoint else 0
         return max(observed, stated)
 
+    def _record_departure(self, endpoint: endpoints.Endpoint) -> None:
+        was_leaving = endpoint.state is endpoints.EndpointState.LEAVING
+        self._departures[endpoint.incarnation] = Departure(
+            clocks.read_monotonic(), was_leaving
+        )
+        if len(self._departures) > _MAX_DEPARTURES:
+            self._departures.popitem(last=False)
+
     def _forget_weights(self, endpoint_id: ids.EndpointId) -> None:
         for key in [k for k in self._observed_versions if k[0] == endpoint_id]:
             del self._observed_versions[key]
--- /dev/null
+++ b/sardinewharf/gateway/crashes.py
@@ -0,0 +1,240 @@
+"""Detects endpoints that crashed while they ran requests.
+
+A lost connection alone proves no crash: endpoints that live reset connections
+too, and so do links. What it takes beside it is that the incarnation
+
+- accepts no connection right afterwards, for which a probe is made;
+- is no longer registered, though it did not announce that it leaves;
+- has been replaced, under its id or at its address;
+- was found to have crashed by another gateway.
+
+Whichever comes first counts, and all requests that were lost there are suspect.
+None of it needs any other request, and it holds however soon the endpoint is
+back. An endpoint that announces after the loss that it leaves has not crashed.
+
+See Also:
+    ``crash_probes.CrashProber``, which makes the probe.
+    ``limits.SuspectTable``, which decides what the crashes mean.
+"""
+
+import dataclasses
+import enum
+
+from sardinewharf import fleet
+from sardinewharf import ids
+from sardinewharf import limits
+from sardinewharf import records
+from sardinewharf.gateway import settings as settings_lib
+
+# Time before or after a loss within which a failure to connect proves a crash,
+# in seconds.
+_UNREACHABLE_WINDOW_S = 1.5
+# Share of the time that a leaving endpoint serves on after its registration was
+# removed. A loss sooner than that is no planned exit.
+_EXIT_SHARE = 0.5
+# Time for which a crash is remembered, for requests whose loss is noticed late,
+# in seconds.
+_CRASH_TTL_S = 30.0
+# Lost connections that are kept until it shows whether the endpoint crashed.
+_MAX_LOSSES = 10_000
+
+
+class Proof(enum.Enum):
+    """What proves a crash, beside the lost connection."""
+
+    UNREACHABLE = "unreachable"
+    REMOVED = "removed"
+    REPLACED = "replaced"
+    PEER = "peer"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A connection that ended before the response to a request did.
+
+    Attributes:
+        request: Id of the request.
+        fingerprint: Fingerprint of the request.
+        endpoint: The endpoint that ran it.
+        sent_at: When the request was sent, on the monotonic clock.
+        at: When the connection ended, on the monotonic clock.
+    """
+
+    request: ids.RequestId
+    fingerprint: bytes
+    endpoint: fleet.Endpoint
+    sent_at: float
+    at: float
+
+    @property
+    def incarnation(self) -> str:
+        """The incarnation that ran the request."""
+        return self.endpoint.incarnation
+
+
+class CrashDetector:
+    """Lost connections, and the crashes that they turn out to be.
+
+    Args:
+        settings: Settings of the gateway.
+        registry: The registered endpoints.
+        notices: What endpoints stated about further requests.
+        suspects: Receives the crashes.
+        log: Receives a record of each crash.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.GatewaySettings,
+        registry: fleet.Registry,
+        notices: fleet.NoticeTable,
+        suspects: limits.SuspectTable,
+        log: records.RecordSink,
+    ):
+        self._registry = registry
+        self._notices = notices
+        self._suspects = suspects
+        self._log = log
+        # A crashed endpoint's registration has gone by then.
+        self._proof_window_s = (
+            settings.registration_ttl_ms + settings.guarantees.recovery_ms
+        ) / 1000
+        self._exit_s = (
+            settings.guarantees.endpoint_drain_ms / 1000 * _EXIT_SHARE
+        )
+        # Losses by incarnation and fingerprint.
+        self._losses: dict[str, dict[bytes, Loss]] = {}
+        self._unreachable_at: dict[str, float] = {}
+        self._crashed_at: dict[str, float] = {}
+        # The registry's count of changes when it was last checked.
+        self._checked_changes = -1
+
+    def record_loss(self, loss: Loss) -> bool:
+        """Records that a connection ended before the request's response.
+
+        Returns:
+            Whether it is open if the endpoint crashed.
+        """
+        incarnation = loss.incarnation
+        crashed_at = self._crashed_at.get(incarnation)
+        if crashed_at is not None:
+            # A request that was sent later cannot have caused the crash.
+            if loss.sent_at <= crashed_at:
+                self._record_crash(loss, Proof.PEER)
+            return False
+        if self._was_leaving(loss):
+            return False
+        if self._count_losses() >= _MAX_LOSSES:
+            self.forget_old(loss.at)
+        self._losses.setdefault(incarnation, {})[loss.fingerprint] = loss
+        unreachable_at = self._unreachable_at.get(incarnation, float("-inf"))
+        if loss.sent_at <= unreachable_at <= loss.at:
+            self._confirm(incarnation, Proof.UNREACHABLE)
+            return False
+        self._check(incarnation)
+        return incarnation in self._losses
+
+    def record_unreachable(self, incarnation: str, now: float) -> None:
+        """Records a failure to connect to an endpoint."""
+        self._unreachable_at[incarnation] = now
+        losses = self._losses.get(incarnation, {})
+        if any(
+            now - loss.at <= _UNREACHABLE_WINDOW_S for loss in losses.values()
+        ):
+            self._confirm(incarnation, Proof.UNREACHABLE)
+
+    def record_peer_crash(self, incarnation: str) -> None:
+        """Records that another gateway found a crash."""
+        if incarnation in self._losses:
+            self._confirm(incarnation, Proof.PEER)
+
+    def check_registry(self) -> None:
+        """Checks whether endpoints whose connections were lost have gone."""
+        if self._registry.changes == self._checked_changes:
+            return
+        self._checked_changes = self._registry.changes
+        for incarnation in list(self._losses):
+            self._check(incarnation)
+
+    def forget_old(self, now: float) -> None:
+        """Drops losses that were not confirmed as crashes in time."""
+        for incarnation, losses in list(self._losses.items()):
+            kept = {
+                fingerprint: loss
+                for fingerprint, loss in losses.items()
+                if now - loss.at <= self._proof_window_s
+            }
+            if kept:
+                self._losses[incarnation] = kept
+            else:
+                del self._losses[incarnation]
+        self._unreachable_at = _keep_newer(
+            self._unreachable_at, now - _UNREACHABLE_WINDOW_S
+        )
+        self._crashed_at = _keep_newer(self._crashed_at, now - _CRASH_TTL_S)
+
+    def _count_losses(self) -> int:
+        return sum(len(losses) for losses in self._losses.values())
+
+    def _was_leaving(self, loss: Loss) -> bool:
+        """Returns whether the connection may have ended by a planned exit."""
+        incarnation = loss.incarnation
+        if self._notices.departures.is_leaving(incarnation):
+            return True
+        current = self._registry.find(loss.endpoint.id)
+        if current is not None and current.incarnation == incarnation:
+            return current.state is fleet.EndpointState.LEAVING
+        departure = self._registry.find_departure(incarnation)
+        if departure is None or departure.was_leaving:
+            return True
+        return loss.at - departure.at > self._exit_s
+
+    def _check(self, incarnation: str) -> None:
+        """Confirms or drops an incarnation's losses by its registration."""
+        loss = next(iter(self._losses[incarnation].values()))
+        current = self._registry.find(loss.endpoint.id)
+        if current is not None and current.incarnation == incarnation:
+            if current.state is fleet.EndpointState.LEAVING:
+                del self._losses[incarnation]
+            elif self._has_successor(loss.endpoint):
+                self._confirm(incarnation, Proof.REPLACED)
+            return
+        departure = self._registry.find_departure(incarnation)
+        if departure is not None and departure.was_leaving:
+            del self._losses[incarnation]
+            return
+        proof = Proof.REMOVED if current is None else Proof.REPLACED
+        self._confirm(incarnation, proof)
+
+    def _has_successor(self, endpoint: fleet.Endpoint) -> bool:
+        """Returns whether another endpoint has started at an address since."""
+        return any(
+            other.address == endpoint.address
+            and other.started_ms > endpoint.started_ms
+            for other in self._registry.list_all()
+        )
+
+    def _confirm(self, incarnation: str, proof: Proof) -> None:
+        """Records the losses of an incarnation as caused by its crash."""
+        losses = self._losses.pop(incarnation)
+        self._crashed_at[incarnation] = min(loss.at for loss in losses.values())
+        for loss in losses.values():
+            self._record_crash(loss, proof)
+
+    def _record_crash(self, loss: Loss, proof: Proof) -> None:
+        crash = limits.Crash(loss.fingerprint, loss.incarnation, loss.at)
+        if not self._suspects.record_crash(crash, loss.at):
+            return
+        self._log.write(
+            records.events.EndpointCrashed(
+                request=loss.request,
+                endpoint=loss.endpoint.id,
+                fingerprint=loss.fingerprint.hex(),
+                proof=proof.value,
+                crashes=self._suspects.count_crashes(loss.fingerprint, loss.at),
+            )
+        )
+
+
+def _keep_newer(times: dict[str, float], oldest: float) -> dict[str, float]:
+    return {key: at for key, at in times.items() if at >= oldest}
--- a/sardinewharf/gateway/dependencies.py
+++ b/sardinewharf/gateway/dependencies.py
@@ -7,10 +7,13 @@
 from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import availability as availability_lib
+from sardinewharf.gateway import crash_probes
+from sardinewharf.gateway import crashes as crashes_lib
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import quarantine as quarantine_lib
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import selection
@@ -34,7 +37,10 @@
         budgets: Retry budget of each service.
         replica: This gateway's replica of the store.
         prompts: Where shared prompts are cached.
-        crashes: Requests that ran when endpoints crashed.
+        crashes: Detects endpoints that crashed while they ran requests.
+        crash_prober: Probes endpoints whose connections were lost.
+        suspects: Requests that ran when endpoints crashed.
+        quarantine: Refuses requests that crash endpoints.
         notices: Records what endpoints state about further requests.
         estimators: What is measured of engines and prompts.
         reader: Reads from endpoints, and detects stalled ones.
@@ -54,7 +60,10 @@
     budgets: tables.RetryBudgetTable
     replica: replica_lib.Replica
     prompts: prompts_lib.PromptTable
-    crashes: limits.CrashTable
+    crashes: crashes_lib.CrashDetector
+    crash_prober: crash_probes.CrashProber
+    suspects: limits.SuspectTable
+    quarantine: quarantine_lib.Quarantine
     notices: notices_lib.NoticeRecorder
     estimators: tables.EstimatorTable
     reader: readers.EndpointReader
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -100,6 +100,26 @@
     age_ms: decoding.Integer
 
 
+class SuspectUpdate(msgspec.Struct, array_like=True):
+    """A request that ran on endpoints when they crashed.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        seen_age_ms: Time since it last ran or was repeated.
+        crashes: Its crashes.
+        completed_age_ms: Time since it last completed; None if it did not.
+        trials: Number of its trials since it was quarantined.
+        trial_age_ms: Time since the last of them; None if there was none.
+    """
+
+    fingerprint: bytes
+    seen_age_ms: decoding.Integer
+    crashes: list[CrashUpdate] = []
+    completed_age_ms: decoding.Integer | None = None
+    trials: decoding.Integer = 0
+    trial_age_ms: decoding.Integer | None = None
+
+
 class FeedEntry(msgspec.Struct, array_like=True):
     """A changed key of the store; the value is None if it was removed."""
 
@@ -217,7 +237,8 @@
         draining: Engines that it drains because it has ordered, or is about
             to order, them to load weights.
         weights: Versions of weights that engines recently reported to it.
-        crashes: Endpoints that crashed while they ran a request.
+        crashes: Not used since ``SuspectReport``; keeps the place of what
+            earlier versions send.
         target_versions: Ages of the target versions of weights.
         is_leaving: Whether it is shutting down.
         prefills: Prefills of shared prompts in progress for its requests.
@@ -244,4 +265,10 @@
     cache_store: str = ""
 
 
-Message = Digest | UrgentUpdate | FeedRequest | FeedResponse
+class SuspectReport(msgspec.Struct, array_like=True, tag=4):
+    """Requests that ran on endpoints when they crashed, or some of them."""
+
+    suspects: list[SuspectUpdate] = []
+
+
+Message = Digest | UrgentUpdate | FeedRequest | FeedResponse | SuspectReport
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -53,6 +53,8 @@
             dependencies.health,
             dependencies.budgets,
             dependencies.crashes,
+            dependencies.crash_prober,
+            dependencies.suspects,
             dependencies.notices,
             self._log,
         )
@@ -100,7 +102,7 @@
                 # It stated so while the request waited for a connection.
                 pool.release(connection)
                 continue
-            self._check_still_has_time(call, pool, connection)
+            self._check_may_still_send(call, pool, connection)
             if not self.policy.charge_retry_budget(call):
                 pool.release(connection)
                 raise self.policy.make_refusal(call, refusals.Reason.BUSY)
@@ -110,19 +112,21 @@
                 return answered
         raise self.policy.make_refusal(call, refusals.Reason.NO_ENDPOINT)
 
-    def _check_still_has_time(
+    def _check_may_still_send(
         self,
         call: requests.Call,
         pool: http1.Pool,
         connection: http1.Connection,
     ) -> None:
-        """Checks a request's time again once it has waited for a connection.
+        """Checks a request again once it has waited for a connection.
 
         Raises:
-            RefusedError: If it has too little left; the connection is released.
+            RefusedError: If it has too little time left, or was found to crash
+                endpoints meanwhile; the connection is released.
         """
         try:
             self.policy.check_has_time(call)
+            self.policy.check_not_quarantined(call)
         except refusals.RefusedError:
             pool.release(connection)
             raise
@@ -200,6 +204,7 @@
             target.endpoint.id, target.prefill_tokens, target.held_tokens
         )
         data = self._encode(call, target)
+        self._dependencies.quarantine.record_run(call.request)
         call.sends += 1
         call.runs += 1
         call.endpoint = target.endpoint.id
--- a/sardinewharf/gateway/exchange.py
+++ b/sardinewharf/gateway/exchange.py
@@ -9,7 +9,6 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import ids
-from sardinewharf import limits
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import prompts as prompts_lib
@@ -23,8 +22,6 @@
 _URGENT_WEIGHTS_S = 0.8
 # Time for which a drain counts that a digest reports, in seconds.
 _DIGEST_DRAIN_S = 1.5
-# Crashes in a digest; those recorded last are sent.
-_MAX_DIGEST_CRASHES = 6
 
 
 class StateExchange:
@@ -36,7 +33,6 @@
         loads: Estimated load of each endpoint.
         drains: Engines that are drained.
         prompts: Where shared prompts are cached.
-        crashes: Requests that ran when endpoints crashed.
 
     Attributes:
         is_leaving: Whether this gateway is shutting down.
@@ -49,14 +45,12 @@
         loads: fleet.LoadTable,
         drains: drains_lib.DrainTable,
         prompts: prompts_lib.PromptTable,
-        crashes: limits.CrashTable,
     ):
         self._settings = settings
         self._replica = replica
         self._loads = loads
         self._drains = drains
         self._prompts = prompts
-        self._crashes = crashes
         self._started = int(clocks.read_wall() * 1000)
         self._number = 0
         # Start time of the process and number of the latest message, by sender.
@@ -180,16 +174,6 @@
                 )
                 for target in self._replica.target_versions.list_known()
             ],
-            crashes=[
-                digests.CrashUpdate(
-                    crash.fingerprint,
-                    crash.incarnation,
-                    int((now - crash.at) * 1000),
-                )
-                for crash in self._crashes.list_crashes(now)[
-                    -_MAX_DIGEST_CRASHES:
-                ]
-            ],
             is_leaving=self.is_leaving,
             prefills=self._list_prefills(now),
             cache_uses=self._list_cache_uses(now),
@@ -318,13 +302,6 @@
                 target.slack_ms / 1000,
             )
         self._merge_cache_store(digest)
-        for update in digest.crashes:
-            crash = limits.Crash(
-                update.fingerprint,
-                update.incarnation,
-                now - update.age_ms / 1000,
-            )
-            self._crashes.merge(crash, now)
 
     def _merge_cache_store(self, digest: digests.Digest) -> None:
         """Merges when the cache store responded to a peer that watches it.
--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -84,7 +84,9 @@
         except refusals.RefusedError as error:
             self._call.last_failure_detail = error.refusal.detail
             return False
-        self._dispatcher.outcomes.record_success(self._attempt)
+        outcomes = self._dispatcher.outcomes
+        outcomes.record_success(self._attempt)
+        outcomes.record_completion(self._call, self._attempt)
         return True
 
     async def _read_next(self) -> bytes:
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -5,6 +5,8 @@
 from sardinewharf import ids
 from sardinewharf import limits
 from sardinewharf.gateway import attempt_log
+from sardinewharf.gateway import crash_probes
+from sardinewharf.gateway import crashes as crashes_lib
 from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import tables
@@ -30,7 +32,9 @@
         registry: The known endpoints.
         health: Failures and ejections of each endpoint.
         budgets: Retry budget of each service.
-        crashes: Requests that ran when endpoints crashed.
+        crashes: Detects endpoints that crashed while they ran requests.
+        crash_prober: Probes endpoints whose connections were lost.
+        suspects: Requests that ran when endpoints crashed.
         notices: Records what endpoints state about further requests.
         log: Logs and counts attempts.
     """
@@ -40,7 +44,9 @@
         registry: fleet.Registry,
         health: fleet.HealthTable,
         budgets: tables.RetryBudgetTable,
-        crashes: limits.CrashTable,
+        crashes: crashes_lib.CrashDetector,
+        crash_prober: crash_probes.CrashProber,
+        suspects: limits.SuspectTable,
         notices: notices_lib.NoticeRecorder,
         log: attempt_log.AttemptLog,
     ):
@@ -48,6 +54,8 @@
         self._health = health
         self._budgets = budgets
         self._crashes = crashes
+        self._crash_prober = crash_prober
+        self._suspects = suspects
         self._notices = notices
         self._log = log
 
@@ -171,9 +179,21 @@
         now = clocks.read_monotonic()
         self._health.record_failure(endpoint.incarnation, now)
         if attempt.exchange.was_lost:
-            self._crashes.record_lost_connection(
-                call.request.fingerprint, endpoint.incarnation, now
-            )
+            self._record_lost_connection(call, attempt, now)
+
+    def _record_lost_connection(
+        self, call: requests.Call, attempt: requests.Attempt, now: float
+    ) -> None:
+        """Records what may be the crash of an endpoint, and probes that."""
+        loss = crashes_lib.Loss(
+            call.request.headers.request_id,
+            call.request.fingerprint,
+            attempt.target.endpoint,
+            attempt.sent_at,
+            now,
+        )
+        if self._crashes.record_loss(loss):
+            self._crash_prober.start(loss.incarnation, attempt.pool)
 
     def _record_failure(
         self,
@@ -200,6 +220,17 @@
         """Records that a response arrived completely."""
         self._health.record_success(attempt.target.endpoint.incarnation)
 
+    def record_completion(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> None:
+        """Records that an endpoint completed a request without a crash.
+
+        A response that ends with its connection does not show that.
+        """
+        if attempt.head.status < 500 and attempt.exchange.has_framed_end:
+            now = clocks.read_monotonic()
+            self._suspects.clear(call.request.fingerprint, now)
+
 
 def _proves_not_run(
     attempt: requests.Attempt, request_id: ids.RequestId
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -25,11 +25,14 @@
 from sardinewharf.gateway import feeds
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
+from sardinewharf.gateway import suspect_reports
 
 # Time between two rounds of digests to some peers, in seconds.
 GOSSIP_INTERVAL_S = 0.2
 # Peers that receive the digest of a round.
 _GOSSIP_FANOUT = 8
+# Time between two reports of requests that crashed endpoints, in seconds.
+_SUSPECT_REPORT_INTERVAL_S = 1.0
 _MAX_DATAGRAM_BYTES = 1_400
 # A broadcast holds a whole digest if that takes at most this long, in seconds.
 _MAX_DIGEST_BROADCAST_S = 0.02
@@ -43,6 +46,7 @@
         settings: Settings of the gateway.
         replica: The gateway's replica of the store.
         exchange: Makes and merges the messages.
+        suspects: Makes and merges reports of requests that crash endpoints.
         feed: Exchanges changes of the store with other gateways.
         request_sync: Called with the revision and the name of a peer that has a
             newer one.
@@ -54,6 +58,7 @@
         settings: settings_lib.GatewaySettings,
         replica: replica_lib.Replica,
         exchange: exchange_lib.StateExchange,
+        suspects: suspect_reports.SuspectExchange,
         feed: feeds.Feed,
         request_sync: Callable[[int, str], None],
         failures: tasks.FailureCounter | None = None,
@@ -61,6 +66,7 @@
         self._settings = settings
         self._replica = replica
         self._exchange = exchange
+        self._suspects = suspects
         self._feed = feed
         feed.send = self.send
         self._request_sync = request_sync
@@ -69,10 +75,18 @@
         self._is_closed = False
         self._random = random.Random(settings.name)
         self._broadcast_pace = broadcasts.compute_pace(settings.link_mbps)
-        self._broadcaster = broadcasts.Broadcaster(
+        self._broadcaster = self._make_broadcaster(self._make_broadcast)
+        self._suspect_broadcaster = self._make_broadcaster(
+            self._make_change_report
+        )
+
+    def _make_broadcaster(
+        self, make_datagram: Callable[[], bytes | None]
+    ) -> broadcasts.Broadcaster:
+        return broadcasts.Broadcaster(
             self._broadcast_pace,
             self._list_addresses,
-            self._make_broadcast,
+            make_datagram,
             self._send_to,
         )
 
@@ -117,6 +131,37 @@
                 GOSSIP_INTERVAL_S * self._random.uniform(0.9, 1.1)
             )
 
+    async def run_suspect_reports(self) -> None:
+        """Reports requests that crashed endpoints until cancelled.
+
+        A change goes to all peers. The rest goes to a few at intervals, for
+        those that started later or did not receive it.
+        """
+        broadcasts_task = asyncio.ensure_future(self._suspect_broadcaster.run())
+        try:
+            while not broadcasts_task.done():
+                report = self._suspects.make_report()
+                if report is not None:
+                    self._send_to(
+                        self._choose_addresses(), _encode_report(report)
+                    )
+                await asyncio.sleep(
+                    _SUSPECT_REPORT_INTERVAL_S * self._random.uniform(0.9, 1.1)
+                )
+            await broadcasts_task
+        finally:
+            broadcasts_task.cancel()
+
+    def schedule_suspect_report(self) -> None:
+        """Reports requests that crashed endpoints to all peers soon."""
+        self._suspect_broadcaster.request()
+
+    def _make_change_report(self) -> bytes | None:
+        report = self._suspects.make_change_report()
+        if self._suspects.has_changes:
+            self._suspect_broadcaster.request()
+        return None if report is None else _encode_report(report)
+
     def schedule_broadcast(self) -> None:
         """Sends an urgent update to all peers soon."""
         self._broadcaster.request()
@@ -202,6 +247,8 @@
             return
         if isinstance(message, digests.FeedRequest):
             self._feed.respond(message, f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, digests.SuspectReport):
+            self._suspects.merge(message)
         elif isinstance(message, digests.FeedResponse):
             self._handle_response(message, addr[0])
         else:
@@ -236,3 +283,18 @@
     def error_received(self, exc: Exception) -> None:
         """Logs that a datagram could not be delivered."""
         _log.debug("A datagram was not delivered: {}.", exc)
+
+
+def _encode_report(report: digests.SuspectReport) -> bytes:
+    """Returns a report as a datagram, without what does not fit into one."""
+    datagram = msgspec.msgpack.encode(report)
+    if len(datagram) <= _MAX_DATAGRAM_BYTES or len(report.suspects) == 1:
+        return datagram
+    half = report.suspects[: len(report.suspects) // 2]
+    _log.warning(
+        "A report of {} bytes is too large; {} of {} requests are left out.",
+        len(datagram),
+        len(report.suspects) - len(half),
+        len(report.suspects),
+    )
+    return _encode_report(digests.SuspectReport(half))
--- a/sardinewharf/gateway/policy.py
+++ b/sardinewharf/gateway/policy.py
@@ -44,16 +44,23 @@
             raise self.make_refusal(call, refusals.Reason.LOST)
         if call.is_withdrawn:
             raise self.make_refusal(call, refusals.Reason.HALF_CLOSED)
-        request = call.request
-        now = clocks.read_monotonic()
-        if self._dependencies.crashes.is_quarantined(request.fingerprint, now):
-            raise self.make_refusal(call, refusals.Reason.QUARANTINED)
+        self.check_not_quarantined(call)
         if call.may_have_run:
             return
         self._dependencies.admission_controller.admit(
-            request.headers, request.path
+            call.request.headers, call.request.path
         )
 
+    def check_not_quarantined(self, call: requests.Call) -> None:
+        """Checks that a request has not crashed too many endpoints.
+
+        Raises:
+            RefusedError: If it has.
+        """
+        self._dependencies.crashes.check_registry()
+        if not self._dependencies.quarantine.may_run(call.request):
+            raise self.make_refusal(call, refusals.Reason.QUARANTINED)
+
     def check_has_time(self, call: requests.Call) -> None:
         """Checks that a request that is sent now can end in time.
 
@@ -165,6 +172,10 @@
         self, call: requests.Call, reason: refusals.Reason
     ) -> float:
         """Returns the Retry-After of a request that has not run."""
+        if reason is refusals.Reason.QUARANTINED:
+            return self._dependencies.quarantine.choose_retry_after(
+                call.request
+            )
         if reason is not refusals.Reason.NO_ENDPOINT:
             return retry_times.choose_soon()
         return retry_times.choose_for_waits(
--- a/sardinewharf/gateway/reachability.py
+++ b/sardinewharf/gateway/reachability.py
@@ -73,15 +73,22 @@
 
 
 async def _test(probe: _Probe, pool: http1.Pool) -> None:
+    probe.has_failed = not await accepts_connections(pool)
+
+
+async def accepts_connections(pool: http1.Pool) -> bool:
+    """Returns whether an endpoint accepts a new connection.
+
+    If its pool is full, it is not asked and is taken to accept them.
+    """
     deadline = clocks.Deadline.after(_CONNECT_S)
     try:
         connection = await pool.acquire(deadline, must_be_new=True)
     except http1.PoolFullError:
-        # The endpoint was not asked.
-        return
+        return True
     except http1.ConnectError:
-        probe.has_failed = True
-        return
+        return False
     # Endpoints may count an idle connection as one that is in use.
     connection.close()
     pool.release(connection)
+    return True
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -115,6 +115,7 @@
                 call, attempt, "answer not whole in time"
             )
             return None
+        self._dispatcher.outcomes.record_completion(call, attempt)
         if attempt.head.is_success:
             self._dispatcher.outcomes.record_success(attempt)
         return b"".join(chunks)
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -23,7 +23,8 @@
         headers: The decoded headers.
         body: The complete body.
         arrived: When its headers were complete, on the monotonic clock.
-        fingerprint: Hash that is the same for repeats by the same caller.
+        fingerprint: Hash of the caller's organisation, the path and the body,
+            which is the same for repeats.
     """
 
     method: bytes
@@ -167,6 +168,7 @@
         has_stalled: Whether other endpoints were tried since this one did not
             respond.
         pool: The pool that the connection belongs to.
+        sent_at: When the request was sent, on the monotonic clock.
     """
 
     def __init__(
@@ -181,7 +183,7 @@
     ):
         self.target = target
         self._estimator = estimator
-        self._sent_at = clocks.read_monotonic()
+        self.sent_at = clocks.read_monotonic()
         self._has_first_event = False
         self.exchange = exchange
         self._running_request = running_request
@@ -202,7 +204,7 @@
         self._has_first_event = True
         self._running_request.end_prefill()
         self._prefill_handle.succeed()
-        took_s = clocks.read_monotonic() - self._sent_at
+        took_s = clocks.read_monotonic() - self.sent_at
         self._estimator.record_first_token(
             self.target.prefill_tokens,
             self.target.load.prompt_tokens,
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -19,6 +19,8 @@
 from sardinewharf.gateway import caches
 from sardinewharf.gateway import changes
 from sardinewharf.gateway import control as control_lib
+from sardinewharf.gateway import crash_probes
+from sardinewharf.gateway import crashes as crashes_lib
 from sardinewharf.gateway import dependencies as dependencies_lib
 from sardinewharf.gateway import dispatcher as dispatcher_lib
 from sardinewharf.gateway import drains as drains_lib
@@ -30,6 +32,7 @@
 from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import quarantine as quarantine_lib
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -39,6 +42,7 @@
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import shutdown as shutdown_lib
 from sardinewharf.gateway import staleness
+from sardinewharf.gateway import suspect_reports
 from sardinewharf.gateway import sync
 from sardinewharf.gateway import tables
 from sardinewharf.http1 import server as http_server
@@ -110,7 +114,17 @@
         )
         self._drains = drains_lib.DrainTable()
         self._notices = fleet.NoticeTable()
-        self._crashes = limits.CrashTable()
+        self._suspects = limits.SuspectTable(quarantine_lib.QUARANTINE_S)
+        self._crashes = crashes_lib.CrashDetector(
+            settings,
+            self._replica.registry,
+            self._notices,
+            self._suspects,
+            log,
+        )
+        self._crash_prober = crash_probes.CrashProber(
+            self._crashes, self._health, self._failures
+        )
         self._prompts = prompts_lib.PromptTable(self._schedule_broadcast)
         self._estimators = tables.EstimatorTable()
         self._exchange = exchange_lib.StateExchange(
@@ -119,7 +133,6 @@
             self._loads,
             self._drains,
             self._prompts,
-            self._crashes,
         )
         self._shutdown = shutdown_lib.Shutdown(self._exchange.has_other_gateway)
         availability = availability_lib.EndpointAvailability(
@@ -150,6 +163,11 @@
                 replica=self._replica,
                 prompts=self._prompts,
                 crashes=self._crashes,
+                crash_prober=self._crash_prober,
+                suspects=self._suspects,
+                quarantine=quarantine_lib.Quarantine(
+                    settings, self._replica, self._suspects, log
+                ),
                 notices=notices_lib.NoticeRecorder(
                     settings.guarantees, self._notices, log
                 ),
@@ -189,10 +207,12 @@
             settings,
             self._replica,
             self._exchange,
+            suspect_reports.SuspectExchange(self._suspects, self._crashes),
             feed,
             self._synchronizer.record_newer_revision,
             self._failures,
         )
+        self._suspects.on_change = self._peers.schedule_suspect_report
         self._cache_store_watcher = caches.CacheStoreWatcher(
             settings.name, platform.control, self._replica, self._prompts, log
         )
@@ -249,6 +269,7 @@
         keep_running(self._run_maintenance, "tick")
         keep_running(self._peers.run_gossip, "peers")
         keep_running(self._peers.run_broadcasts, "broadcasts")
+        keep_running(self._peers.run_suspect_reports, "suspect-reports")
         keep_running(self._cache_store_watcher.run, "cache-store")
         keep_running(self._rollout_controller.maintain_lease, "office")
         keep_running(self._rollout_controller.run, "weights")
@@ -295,6 +316,7 @@
     async def close(self) -> None:
         """Ends all tasks and stops listening; does not wait for requests."""
         await self._tasks.close()
+        await self._crash_prober.close()
         await self._platform.store.close()
         for server in (self._server, self._ready_server, self._metrics_server):
             server.stop_listening()
@@ -321,6 +343,9 @@
         self._metrics.set_gauge("endpoints", len(self._replica.registry))
         self._metrics.set_gauge("gateways", len(self._replica.members))
         self._metrics.set_gauge("log_lines_lost", self._log.total_dropped)
+        self._metrics.set_gauge(
+            "quarantined_requests", self._suspects.count_quarantined()
+        )
         self._metrics.set_gauge("store_calls", self._platform.store.calls)
         return self._metrics.render()
 
@@ -396,6 +421,7 @@
         """Drops outdated state and adjusts shares, at regular intervals."""
         steps = (
             self._replica.drop_expired,
+            self._crashes.check_registry,
             self._staleness_monitor.check,
             self._adjust_shares,
             self._set_cache_capacity,
--- a/sardinewharf/gateway/settings.py
+++ b/sardinewharf/gateway/settings.py
@@ -54,6 +54,8 @@
         store: ``IP:PORT`` of the platform's store.
         guarantees: Bounds that the gateway must keep.
         link_mbps: Bandwidth of the VM's link, in Mbit/s.
+        registration_ttl_ms: Time after which the registration of an endpoint
+            goes that has crashed.
     """
 
     name: str
@@ -65,3 +67,4 @@
     store: str
     guarantees: Guarantees = Guarantees()
     link_mbps: float = DEFAULT_LINK_MBPS
+    registration_ttl_ms: int = 3_000
--- /dev/null
+++ b/sardinewharf/gateway/suspect_reports.py
@@ -0,0 +1,126 @@
+"""Tells other gateways of requests that crash endpoints, and merges theirs.
+
+The next gateway that gets such a request is told within the time in which all
+state has to spread: what a gateway learns goes to all peers at once, and what
+it knows to a few at intervals, for those that started later or missed it.
+
+See Also:
+    ``peers``, which sends the reports.
+"""
+
+import math
+
+from sardinewharf import clocks
+from sardinewharf import limits
+from sardinewharf.gateway import crashes as crashes_lib
+from sardinewharf.gateway import digests
+
+# Requests in a report.
+_MAX_SUSPECTS = 8
+# Crashes of one request in a report: as many as matter.
+_MAX_CRASHES = 3
+
+
+class SuspectExchange:
+    """Makes and merges reports of requests that crash endpoints.
+
+    Args:
+        suspects: Requests that ran when endpoints crashed.
+        crashes: Detects endpoints that crashed while they ran requests.
+    """
+
+    def __init__(
+        self,
+        suspects: limits.SuspectTable,
+        crashes: crashes_lib.CrashDetector,
+    ):
+        self._suspects = suspects
+        self._crashes = crashes
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether ``make_change_report`` has something to report."""
+        return self._suspects.has_changed
+
+    def make_change_report(self) -> digests.SuspectReport | None:
+        """Returns a report of what this gateway learned since the last one.
+
+        It is None if there is nothing. If there is too much for one report, the
+        next ones hold the rest.
+        """
+        return _make_report(self._suspects.take_changed(_MAX_SUSPECTS))
+
+    def make_report(self) -> digests.SuspectReport | None:
+        """Returns a report of some requests that crashed endpoints.
+
+        It is None if there are none. The next ones hold others in turn.
+        """
+        now = clocks.read_monotonic()
+        return _make_report(self._suspects.choose_to_share(now, _MAX_SUSPECTS))
+
+    def merge(self, report: digests.SuspectReport) -> None:
+        """Merges the report of another gateway."""
+        now = clocks.read_monotonic()
+        for update in report.suspects:
+            self._suspects.merge(_decode_suspect(update, now), now)
+            for crash in update.crashes:
+                self._crashes.record_peer_crash(crash.incarnation)
+
+
+def _make_report(
+    suspects: list[limits.Suspect],
+) -> digests.SuspectReport | None:
+    now = clocks.read_monotonic()
+    updates = [_encode_suspect(suspect, now) for suspect in suspects]
+    return digests.SuspectReport(updates) if updates else None
+
+
+def _encode_suspect(
+    suspect: limits.Suspect, now: float
+) -> digests.SuspectUpdate:
+    latest = sorted(suspect.crashes.values(), key=lambda crash: crash.at)
+    return digests.SuspectUpdate(
+        suspect.fingerprint,
+        int((now - suspect.seen_at) * 1000),
+        [
+            digests.CrashUpdate(
+                crash.fingerprint,
+                crash.incarnation,
+                int((now - crash.at) * 1000),
+            )
+            for crash in latest[-_MAX_CRASHES:]
+        ],
+        _encode_age(suspect.completed_at, now),
+        suspect.trials,
+        _encode_age(suspect.trial_at, now),
+    )
+
+
+def _decode_suspect(
+    update: digests.SuspectUpdate, now: float
+) -> limits.Suspect:
+    return limits.Suspect(
+        update.fingerprint,
+        _decode_age(update.seen_age_ms, now),
+        {
+            crash.incarnation: limits.Crash(
+                update.fingerprint,
+                crash.incarnation,
+                _decode_age(crash.age_ms, now),
+            )
+            for crash in update.crashes
+        },
+        _decode_age(update.completed_age_ms, now),
+        update.trials,
+        _decode_age(update.trial_age_ms, now),
+    )
+
+
+def _encode_age(at: float, now: float) -> int | None:
+    """Returns the ms since a time; None if it never came."""
+    return None if math.isinf(at) else int((now - at) * 1000)
+
+
+def _decode_age(age_ms: int | None, now: float) -> float:
+    """Returns the time of ``_encode_age``."""
+    return -math.inf if age_ms is None else now - max(0, age_ms) / 1000
--- a/sardinewharf/gateway/tests/crashes.py
+++ b/sardinewharf/gateway/tests/crashes.py
@@ -57,11 +57,16 @@
         self._bodies = frozenset(bodies)
         self._numbers = itertools.count(1)
         self._tasks = set()
+        self._is_healed = False
         self.arrivals = collections.defaultdict(list)
         self.crashes = collections.defaultdict(list)
         for server in [*harness.engines, *harness.servers]:
             self._instrument(server)
 
+    def heal(self):
+        """Makes the requests crash no server any more."""
+        self._is_healed = True
+
     def count_late(self, body=b"poison"):
         """Returns how many arrivals came after all gateways had to know."""
         if len(self.crashes[body]) < MAX_CRASHES:
@@ -123,7 +128,7 @@
             await handle_request(connection, request)
 
         async def respond_or_crash(connection, request):
-            if request.body not in self._bodies:
+            if self._is_healed or request.body not in self._bodies:
                 await respond(connection, request)
                 return
             if self._restart.sends_head:
--- a/sardinewharf/gateway/tests/test_cache_stores.py
+++ b/sardinewharf/gateway/tests/test_cache_stores.py
@@ -4,7 +4,6 @@
 
 from sardinewharf import catalog
 from sardinewharf import fleet
-from sardinewharf import limits
 from sardinewharf.gateway import caches
 from sardinewharf.gateway import control
 from sardinewharf.gateway import digests
@@ -77,7 +76,6 @@
             fleet.LoadTable(),
             drains.DrainTable(),
             self.prompts,
-            limits.CrashTable(),
         )
 
 
--- a/sardinewharf/gateway/tests/test_peer_identity.py
+++ b/sardinewharf/gateway/tests/test_peer_identity.py
@@ -2,7 +2,6 @@
 
 from sardinewharf import clocks
 from sardinewharf import fleet
-from sardinewharf import limits
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import drains
 from sardinewharf.gateway import exchange
@@ -19,7 +18,6 @@
         fleet.LoadTable(),
         drains.DrainTable(),
         prompts.PromptTable(lambda: None),
-        limits.CrashTable(),
     )
 
 
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -80,6 +80,8 @@
             bytes of an earlier response can be taken for this one's.
         is_complete: Whether the complete response has arrived.
         was_lost: Whether the connection ended before the response did.
+        has_framed_end: Whether the end of the response is stated by its
+            framing, and not by the end of its connection.
         has_begun: Whether an interim response other than 100 (Continue) shows
             that the endpoint began to work on the request.
     """
@@ -97,6 +99,7 @@
         self.is_first = is_first
         self.is_complete = False
         self.was_lost = False
+        self.has_framed_end = True
         self.has_begun = False
 
     async def read_head(self) -> Head:
@@ -320,6 +323,7 @@
         has_length = head.find(b"content-length") is not None
         coding = head.find(b"transfer-encoding")
         self._body_ends_at_eof = not has_length and coding is None
+        self._exchange.has_framed_end = not self._body_ends_at_eof
         self._set_idle_until(head)
         self._has_head = True
         self._overhead_bytes = 0
--- a/sardinewharf/limits/__init__.py
+++ b/sardinewharf/limits/__init__.py
@@ -3,7 +3,6 @@
 from sardinewharf.limits.admission import Admission
 from sardinewharf.limits.admission import AdmissionSettings
 from sardinewharf.limits.buckets import TokenBucket
-from sardinewharf.limits.crashes import CrashTable
 from sardinewharf.limits.fairness import FairGate
 from sardinewharf.limits.fairness import Waiter
 from sardinewharf.limits.retries import RetryBudget
@@ -19,7 +18,6 @@
     "Admission",
     "AdmissionSettings",
     "BudgetShare",
-    "CrashTable",
     "Crash",
     "FairGate",
     "RetryBudget",
--- a/sardinewharf/platform/settings.py
+++ b/sardinewharf/platform/settings.py
@@ -8,6 +8,8 @@
 
 # Port of the metrics in the deployment file.
 _METRICS_PORT = 9464
+# Heartbeats without which the store removes an endpoint's entry.
+_HEARTBEATS_TO_EXPIRY = 3
 
 
 class SettingsFileError(Exception):
@@ -40,6 +42,7 @@
         peer_listen=f"{file_settings.ip}:{peer_port}",
         store=file_settings.platform.address,
         link_mbps=file_settings.limits.link_mbps,
+        registration_ttl_ms=file_settings.heartbeat_ms * _HEARTBEATS_TO_EXPIRY,
         guarantees=settings.Guarantees(
             recovery_ms=bounds.contact_ms,
             endpoint_drain_ms=bounds.drain_ms,
--- a/sardinewharf/platform/tests/test_decoders_fuzz.py
+++ b/sardinewharf/platform/tests/test_decoders_fuzz.py
@@ -16,6 +16,7 @@
 
 from sardinewharf import addresses
 from sardinewharf import claims
+from sardinewharf import clocks
 from sardinewharf import configuration
 from sardinewharf import decoding
 from sardinewharf import endpoints
@@ -29,6 +30,7 @@
 from sardinewharf.claims import records as claim_records
 from sardinewharf.daemons import codec
 from sardinewharf.daemons.gen.wire import ttypes
+from sardinewharf.gateway import crashes
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import drains
 from sardinewharf.gateway import exchange
@@ -36,6 +38,7 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import suspect_reports
 from sardinewharf.gateway.tests import stores
 from sardinewharf.platform import headers
 from sardinewharf.platform import items
@@ -138,6 +141,18 @@
     weights=[digests.WeightsUpdate("a", "m", 2)],
     prefills=[digests.PrefillUpdate(1, "a/1", 5)],
 )
+REPORT = digests.SuspectReport(
+    [
+        digests.SuspectUpdate(
+            b"f",
+            5,
+            [digests.CrashUpdate(b"f", f"e{i}/1", 5) for i in range(3)],
+            90_000,
+            1,
+            5,
+        )
+    ]
+)
 
 
 class Gateway:
@@ -153,13 +168,25 @@
             fleet.LoadTable(),
             drains.DrainTable(),
             prompts.PromptTable(lambda: None),
-            limits.CrashTable(),
+        )
+        self.suspects = limits.SuspectTable(600.0)
+        self.reports = suspect_reports.SuspectExchange(
+            self.suspects,
+            crashes.CrashDetector(
+                stores.make_settings("vm-1"),
+                self.replica.registry,
+                fleet.NoticeTable(),
+                self.suspects,
+                self.log,
+            ),
         )
 
     def check(self):
         """Checks that other gateways can be told what this one holds."""
         msgspec.msgpack.encode(self.exchange.make_digest())
         msgspec.msgpack.encode(self.exchange.make_urgent_update())
+        msgspec.msgpack.encode(self.reports.make_report())
+        self.suspects.is_quarantined(b"f", clocks.read_monotonic())
         for endpoint in self.replica.registry.list_all():
             addresses.parse_address(endpoint.address)
         for address in self.replica.members.values():
@@ -195,6 +222,8 @@
     )
     if isinstance(message, digests.Digest | digests.UrgentUpdate):
         gateway.exchange.handle(message)
+    if isinstance(message, digests.SuspectReport):
+        gateway.reports.merge(message)
     gateway.check()
 
 
@@ -264,6 +293,7 @@
     "cache events": Case(read_events, EVENTS),
     "digest": Case(merge_datagram, DIGEST, is_json=False),
     "urgent update": Case(merge_datagram, URGENT, is_json=False),
+    "suspect report": Case(merge_datagram, REPORT, is_json=False),
     "feed response": Case(
         merge_datagram, digests.FeedResponse(1, 2, 3, b"4"), is_json=False
     ),
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -146,6 +146,32 @@
     revision: int
 
 
+class EndpointCrashed(Record, tag="endpoint_crashed"):
+    """An endpoint crashed while it ran a request, which is suspect now.
+
+    ``fingerprint`` is the same for all repeats of the request, and ``crashes``
+    counts the endpoints that crashed while it ran. ``proof`` is a value of
+    ``gateway.crashes.Proof``.
+    """
+
+    request: str
+    endpoint: str
+    fingerprint: str
+    proof: str
+    crashes: int
+
+
+class SuspectTried(Record, tag="suspect_tried"):
+    """A request that crashed endpoints runs once more, to see if it still does.
+
+    ``trial`` counts these runs.
+    """
+
+    request: str
+    fingerprint: str
+    trial: int
+
+
 class EntryRejected(Record, tag="entry_rejected"):
     """An entry of the store cannot be decoded; it is ignored."""
 
