Recognise a request under each key of its caller's organisation

A request that crashes endpoints was another one under a second key of the same organisation, and crashed three more. Its fingerprint is of the organisation, the path and the body now; the query stays no part of it.

Evidence: test_a_request_is_the_same_under_each_key_and_query fails without the change.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -175,7 +175,7 @@
             headers = self._read_headers(scope, arrived)
             context.headers = headers
             body = await self._read_body(receive)
-            request = _make_request(scope, headers, body, arrived)
+            request = self._make_request(scope, headers, body, arrived)
             caller = _Caller(receive, scope["state"]["caller"])
             await self._respond(request, context, caller, responder)
         except refusals.RefusedError as error:
@@ -337,6 +337,36 @@
             if not message["more_body"]:
                 return b"".join(chunks)
 
+    def _make_request(
+        self,
+        scope: Mapping[str, object],
+        headers: messages.CallerHeaders,
+        body: bytes,
+        arrived: float,
+    ) -> requests.Request:
+        """Returns a request from its ASGI scope, decoded headers and body.
+
+        Repeats have the same fingerprint under each key of their caller's
+        organisation. The query is no part of what identifies them.
+        """
+        path = scope["raw_path"].decode("latin-1")
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        organisation = self._replica.configuration.find_organisation(
+            headers.key
+        )
+        caller = organisation.name if organisation else ""
+        return requests.Request(
+            method=scope["method"].encode(),
+            target=target,
+            path=path,
+            headers=headers,
+            body=body,
+            arrived=arrived,
+            fingerprint=limits.make_fingerprint(f"{caller}\0{path}", body),
+        )
+
     async def _respond(
         self,
         request: requests.Request,
@@ -480,25 +510,3 @@
     """Cancels a task and waits until it has ended."""
     task.cancel()
     await asyncio.wait({task})
-
-
-def _make_request(
-    scope: Mapping[str, object],
-    headers: messages.CallerHeaders,
-    body: bytes,
-    arrived: float,
-) -> requests.Request:
-    """Returns a request from its ASGI scope, decoded headers and body."""
-    target = scope["raw_path"]
-    if scope["query_string"]:
-        target += b"?" + scope["query_string"]
-    caller = f"{headers.key}\0{scope['raw_path'].decode('latin-1')}"
-    return requests.Request(
-        method=scope["method"].encode(),
-        target=target,
-        path=scope["raw_path"].decode("latin-1"),
-        headers=headers,
-        body=body,
-        arrived=arrived,
-        fingerprint=limits.make_fingerprint(caller, body),
-    )
--- a/sardinewharf/gateway/tests/test_crashing_requests.py
+++ b/sardinewharf/gateway/tests/test_crashing_requests.py
@@ -216,6 +216,21 @@
     assert statuses == [200] * 6
 
 
+# A second key of the organisation made another request of it.
+async def test_a_request_is_the_same_under_each_key_and_query(harness):
+    manifest = gateway_harness.make_manifest(2)
+    manifest["tenants"][0]["api_keys"] = [gateway_harness.KEY, "key-1b"]
+    await harness.store.put("op/config", manifest)
+    await _start_gateways(harness, 1)
+    servers = crashes.CrashingServers(harness, _BACK_AT_ONCE)
+    await _repeat_until_quarantined(harness, servers)
+    arrivals = len(servers.arrivals[b"poison"])
+    await harness.send_request(
+        "/look/1?again=1", body=b"poison", authorization="Token key-1b"
+    )
+    assert len(servers.arrivals[b"poison"]) == arrivals
+
+
 # It passed the check, waited for a connection, and was sent to a fourth.
 async def test_a_request_is_checked_again_before_it_is_sent(
     harness, monkeypatch
