Let requests crash servers in the soak, several at once

A family of its own draws up to three at a time; the servers go down, lose or keep their entries, and are back under a new or the same id, beside all other faults. The new check counts arrivals later than the recovery bound after the third crash, at gateways in touch; three are allowed.

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -60,6 +60,7 @@
         body: Received part of the response body.
         is_complete: Whether the body was received to its end.
         work_ms: Time that a server works on it.
+        sent_body: Body of the request, if it crashes servers.
     """
 
     request: str
@@ -79,6 +80,7 @@
     body: bytes = b""
     is_complete: bool = False
     work_ms: int = 0
+    sent_body: bytes = b""
 
     @property
     def is_repeatable(self) -> bool:
@@ -103,7 +105,8 @@
     @property
     def method(self) -> str:
         """HTTP method."""
-        return "GET" if self._kind == "look" else "POST"
+        is_look = self._kind == "look" and not self.sent_body
+        return "GET" if is_look else "POST"
 
     @property
     def _kind(self) -> str:
@@ -285,6 +288,7 @@
 def _make_request(attempt: Attempt) -> bytes:
     """Returns the bytes of a request."""
     body = b"a body" if attempt.method == "POST" else b""
+    body = attempt.sent_body or body
     headers = gateway_harness.make_headers(
         attempt.request, attempt.path, attempt.key, attempt.deadline_ms
     )
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -7,6 +7,7 @@
 import abc
 import random
 
+from sardinewharf.soak import crashes
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
 from sardinewharf.soak import odd_entries
@@ -28,6 +29,9 @@
 _MIN_BACKOFF_S = 1.0
 _BACKOFF_RANGE_S = (1.0, 6.0)
 _MAX_BACKOFF_INTERVAL = 4
+_MAX_CRASHING_REQUESTS = 3
+_CRASH_SPREAD_S = 1.5
+_CRASH_RANGE_S = (0.0, 2.0)
 # Seconds and fractions, twice each, and values that ask for no pause.
 _SOUND_RETRY_AFTER = ("1", "1.5", "2", "2.75", "3", "4")
 _ODD_RETRY_AFTER = ("Wed, 21 Oct 2026 07:28:00 GMT", "-3", "0", "soon", "")
@@ -193,6 +197,38 @@
         return drawn
 
 
+class CrashingRequests(Family):
+    """Requests that crash the servers that run them, several at once."""
+
+    name = "crashes"
+    share = 0.4
+    is_planned = False
+
+    def draw(self, rng, deployment, seconds):
+        """Returns requests to one service, whose servers may all crash."""
+        is_engine = rng.random() < 0.5
+        paths = ("/chat/", "/ask/") if is_engine else ("/book/", "/look/")
+        names = deployment.engines if is_engine else deployment.servers
+        at = rng.uniform(0.0, seconds / 4)
+        drawn: list[faults.Fault] = [
+            faults.CrashRisk(at, seconds, name) for name in names
+        ]
+        for number in range(rng.randint(1, _MAX_CRASHING_REQUESTS)):
+            order = crashes.CrashOrder(
+                number,
+                rng.choice(paths),
+                rng.uniform(*_CRASH_RANGE_S),
+                removes_entry=rng.random() < 0.5,
+                keeps_id=rng.random() < 0.3,
+            )
+            drawn.append(
+                faults.CrashingRequest(
+                    at + rng.uniform(0.0, _CRASH_SPREAD_S), seconds, order
+                )
+            )
+        return drawn
+
+
 def _draw_endpoints(
     rng: random.Random, deployment: deployment_lib.Deployment
 ) -> list[str]:
@@ -207,4 +243,5 @@
     LateRequests(),
     LeavingServers(),
     Backoffs(),
+    CrashingRequests(),
 )
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -10,6 +10,7 @@
 import time
 
 from sardinewharf import clocks
+from sardinewharf.soak import crashes
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import odd_entries
 from sardinewharf.soak import operators
@@ -349,6 +350,44 @@
         deployment.start_process(self.name, keeps_id=self.keeps_id)
 
 
+@dataclasses.dataclass(slots=True)
+class CrashingRequest(Fault):
+    """A caller repeats a request that crashes the servers that run it.
+
+    Attributes:
+        order: Body of the request.
+    """
+
+    order: crashes.CrashOrder
+
+    @property
+    def target(self):
+        """The request, since it may reach any server."""
+        return f"crash {self.order.number}"
+
+    def begin(self, deployment, operator):
+        """Does nothing: the request's caller knows when to begin."""
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRisk(Fault):
+    """A server may crash, as such requests are sent to its service.
+
+    Attributes:
+        name: The server or engine.
+    """
+
+    name: str
+
+    @property
+    def target(self):
+        """The crashes of a server, beside which it has other faults."""
+        return f"crash of {self.name}"
+
+    def begin(self, deployment, operator):
+        """Does nothing: requests crash the server."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOverride:
     """An override of the configuration, and when it is written.
--- a/sardinewharf/soak/invariants/checker.py
+++ b/sardinewharf/soak/invariants/checker.py
@@ -5,6 +5,7 @@
 from sardinewharf.soak import operators
 from sardinewharf.soak.invariants import backoffs
 from sardinewharf.soak.invariants import checks
+from sardinewharf.soak.invariants import crashes
 from sardinewharf.soak.invariants import drains
 from sardinewharf.soak.invariants import engines
 from sardinewharf.soak.invariants import processes
@@ -20,6 +21,7 @@
     responses.ResponseCheck,
     drains.DrainCheck,
     backoffs.BackoffCheck,
+    crashes.CrashCheck,
     processes.ProcessCheck,
     totals.TotalCheck,
 )
--- a/sardinewharf/soak/invariants/checks.py
+++ b/sardinewharf/soak/invariants/checks.py
@@ -24,6 +24,7 @@
     INTERNAL = "no gateway fails because of an error of its own"
     DRAIN = "a server that leaves gets no requests later on"
     BACKOFF = "a server that asks for a pause gets it"
+    CRASHES = "a request that crashes servers is stopped"
     CALM = "without a fault, answers are whole and do not fail"
     GONE = "servers stop when the caller has left"
     HOLDER = "one holder for each fencing token"
--- a/sardinewharf/soak/invariants/records.py
+++ b/sardinewharf/soak/invariants/records.py
@@ -29,6 +29,7 @@
         leaving: Responses which say that their server leaves.
         states: Starts and changed entries of each server, oldest first.
         began: Runs of each request.
+        crashed: Crashes of servers by the requests that caused them.
         ended: Ends of runs, by request and server.
         ordered: Orders to load weights.
     """
@@ -54,6 +55,7 @@
             list
         )
         self.ended: dict[tuple[str, str], journals.Ended] = {}
+        self.crashed: list[journals.Crashed] = []
         self.ordered: list[journals.Ordered] = []
         self._readers = [
             journals.JournalReader(deployment.find_journal(name))
@@ -107,5 +109,7 @@
                 self.began[note.request].append(note)
             case journals.Ended():
                 self.ended[note.request, note.server] = note
+            case journals.Crashed():
+                self.crashed.append(note)
             case journals.Ordered():
                 self.ordered.append(note)
--- a/sardinewharf/soak/journals.py
+++ b/sardinewharf/soak/journals.py
@@ -116,6 +116,18 @@
     server: str
 
 
+class Crashed(Note, frozen=True):
+    """A request crashed the server that began to run it.
+
+    Attributes:
+        request: Id of the request.
+        server: Id of the server.
+    """
+
+    request: str
+    server: str
+
+
 class Ordered(Note, frozen=True):
     """An engine received an order to load weights.
 
@@ -133,7 +145,15 @@
 
 
 AnyNote = (
-    Arrived | Refused | Leaving | Started | Registered | Began | Ended | Ordered
+    Arrived
+    | Refused
+    | Leaving
+    | Started
+    | Registered
+    | Began
+    | Ended
+    | Crashed
+    | Ordered
 )
 
 
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -7,6 +7,7 @@
 
 from sardinewharf import clocks
 from sardinewharf.soak import callers
+from sardinewharf.soak import crashes
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults as faults_lib
 from sardinewharf.soak import invariants
@@ -88,7 +89,20 @@
         for fault in faults
         if isinstance(fault, faults_lib.BusyRestart)
     ]
-    sending = [asyncio.create_task(row.run()) for row in (pool, *late)]
+    crashing = [
+        crashes.CrashingCaller(
+            pool,
+            fault.order,
+            deployment.gateways,
+            clocks.Deadline(timeline.started_at + fault.at),
+            clocks.Deadline(timeline.started_at + settings.seconds),
+        )
+        for fault in faults
+        if isinstance(fault, faults_lib.CrashingRequest)
+    ]
+    sending = [
+        asyncio.create_task(row.run()) for row in (pool, *late, *crashing)
+    ]
     checking = asyncio.create_task(_check_periodically(checker))
     try:
         async with asyncio.TaskGroup() as group:
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+from collections.abc import Callable
 import pathlib
 import signal
 import time
@@ -10,6 +11,7 @@
 import msgspec
 
 from sardinewharf import clocks
+from sardinewharf.soak import crashes
 from sardinewharf.soak import journals
 from sardinewharf.standins import platform_servers
 from sardinewharf.standins import registrations
@@ -41,11 +43,13 @@
     All attributes must be set before the server starts.
 
     Attributes:
+        on_crash: Called when a request crashes the server.
         journal: The journal.
         registrar: Keeps its entry in the store.
         service: The service that the server belongs to.
     """
 
+    on_crash: Callable[[journals.Crashed, crashes.CrashOrder], None]
     journal: journals.Journal
     registrar: registrations.Registrar
     service: str
@@ -122,6 +126,17 @@
         now = clocks.read_monotonic()
         self.journal.write(journals.Ended(now, request.request_id, self.id))
 
+    async def respond(self, connection, request) -> None:
+        """Responds to a request, or crashes if that is what it orders."""
+        order = crashes.read_order(request.body)
+        if order is None:
+            await super().respond(connection, request)
+            return
+        now = clocks.read_monotonic()
+        note = journals.Crashed(now, request.request_id, self.id)
+        self.journal.write(note)
+        self.on_crash(note, order)
+
     def make_body(self, request) -> bytes:
         """Returns the response body of a request."""
         return make_response_body(request.request_id)
@@ -165,47 +180,93 @@
     return int(urllib.parse.parse_qs(query).get("ms", ["0"])[0]) / 1000
 
 
-async def serve(arguments: argparse.Namespace) -> None:
-    """Serves until SIGTERM, then drains and stops.
+class ServerProcess:
+    """Runs a server, and starts it again when a request has crashed it.
 
-    The entry in the store says that the server drains while it still serves.
+    Args:
+        arguments: The command line.
     """
+
+    def __init__(self, arguments: argparse.Namespace):
+        self._arguments = arguments
+        self._server = _make_server(arguments)
+        self._server.on_crash = self._start_restart
+        self._host, _, self._port = arguments.listen.rpartition(":")
+        self._registering: asyncio.Task[None] | None = None
+        self._restarting: asyncio.Task[None] | None = None
+        self._starts = 0
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then drains and stops.
+
+        The entry in the store says that the server drains while it still
+        serves.
+        """
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        await self._start()
+        await stopping.wait()
+        self._server.registrar.state = "draining"
+        await asyncio.sleep(registrations.HEARTBEAT_S + _DRAIN_S)
+        self._registering.cancel()
+        await self._server.stop()
+
+    async def _start(self) -> None:
+        """Starts to listen and to register, as a new incarnation."""
+        server, arguments = self._server, self._arguments
+        server.journal.write(
+            journals.Started(clocks.read_monotonic(), server.id)
+        )
+        registrar = registrations.Registrar(
+            server,
+            gateway_harness.MODEL,
+            arguments.store,
+            {
+                "service": server.service,
+                "address": arguments.address,
+                "zone": arguments.zone,
+                "slots": 8,
+                "born": int(time.time() * 1000),
+            },
+        )
+        registrar.on_written = server.record_state
+        server.registrar = registrar
+        await server.start(int(self._port), self._host)
+        self._registering = asyncio.create_task(registrar.run())
+
+    def _start_restart(
+        self, note: journals.Crashed, order: crashes.CrashOrder
+    ) -> None:
+        """Ends the incarnation that a request has crashed, unless it has."""
+        is_down = self._restarting is not None and not self._restarting.done()
+        if note.server == self._server.id and not is_down:
+            self._restarting = asyncio.create_task(self._restart(order))
+
+    async def _restart(self, order: crashes.CrashOrder) -> None:
+        """Ends as a crash does, and is back after some time."""
+        self._registering.cancel()
+        await self._server.stop()
+        if order.removes_entry:
+            await self._server.registrar.remove_entry()
+        await asyncio.sleep(order.down_s)
+        if not order.keeps_id:
+            self._starts += 1
+            self._server.id = f"{self._arguments.id}-{self._starts}"
+        await self._start()
+
+
+def _make_server(arguments: argparse.Namespace) -> _RecordedServerBase:
     if arguments.is_engine:
         server = RecordedEngine(arguments.id, gateway_harness.MODEL)
         server.event_interval_s = _EVENT_INTERVAL_S
+        server.service = gateway_harness.ENGINES
     else:
         server = RecordedServer(arguments.id)
-    server.service = (
-        gateway_harness.ENGINES
-        if arguments.is_engine
-        else gateway_harness.ORDERS
-    )
+        server.service = gateway_harness.ORDERS
     server.journal = journals.Journal(arguments.journal)
-    server.journal.write(journals.Started(clocks.read_monotonic(), server.id))
     server.set_faults(arguments.faults)
-    entry = {
-        "service": server.service,
-        "address": arguments.address,
-        "zone": arguments.zone,
-        "slots": 8,
-        "born": int(time.time() * 1000),
-    }
-    registrar = registrations.Registrar(
-        server, gateway_harness.MODEL, arguments.store, entry
-    )
-    registrar.on_written = server.record_state
-    server.registrar = registrar
-    host, port = arguments.listen.rsplit(":", 1)
-    await server.start(int(port), host)
-    stopping = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
-    async with asyncio.TaskGroup() as group:
-        task = group.create_task(registrar.run())
-        await stopping.wait()
-        registrar.state = "draining"
-        await asyncio.sleep(registrations.HEARTBEAT_S + _DRAIN_S)
-        task.cancel()
-    await server.stop()
+    return server
 
 
 def main() -> None:
@@ -219,7 +280,11 @@
     parser.add_argument("--journal", required=True, type=pathlib.Path)
     parser.add_argument("--faults", default="{}", help="its faults as JSON")
     parser.add_argument("--is-engine", action="store_true")
-    asyncio.run(serve(parser.parse_args()))
+    asyncio.run(_run(parser.parse_args()))
+
+
+async def _run(arguments: argparse.Namespace) -> None:
+    await ServerProcess(arguments).run()
 
 
 if __name__ == "__main__":
--- a/sardinewharf/standins/registrations.py
+++ b/sardinewharf/standins/registrations.py
@@ -56,6 +56,15 @@
                     await self._renew(session)
                 await asyncio.sleep(HEARTBEAT_S)
 
+    async def remove_entry(self) -> None:
+        """Removes the entry, as far as the store can be reached."""
+        timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+        path = f"{self._store}/kv-lease-end/{self._lease}"
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            with contextlib.suppress(OSError, aiohttp.ClientError):
+                async with session.delete(path):
+                    pass
+
     async def _renew(self, session: aiohttp.ClientSession) -> None:
         """Renews or acquires the lease, and writes the entry if it changed."""
         if self._lease:
