--- a/sardinewharf/platform/tests/test_decoders_fuzz.py
+++ b/sardinewharf/platform/tests/test_decoders_fuzz.py
@@ -141,7 +141,7 @@
     weights=[digests.WeightsUpdate("a", "m", 2)],
     prefills=[digests.PrefillUpdate(1, "a/1", 5)],
 )
-REPORT = digests.SuspectReport(
+SUSPECT_REPORT = digests.SuspectReport(
     [
         digests.SuspectUpdate(
             b"f",
@@ -293,7 +293,7 @@
     "cache events": Case(read_events, EVENTS),
     "digest": Case(merge_datagram, DIGEST, is_json=False),
     "urgent update": Case(merge_datagram, URGENT, is_json=False),
-    "suspect report": Case(merge_datagram, REPORT, is_json=False),
+    "suspect report": Case(merge_datagram, SUSPECT_REPORT, is_json=False),
     "feed response": Case(
         merge_datagram, digests.FeedResponse(1, 2, 3, b"4"), is_json=False
     ),
