Keep a pause that was stated before an endpoint's restart was known

What endpoints saw: one that started again under its id and asked for a pause got 42 requests within it, where two are allowed. Cause: until the store shows the new incarnation, its statement is recorded for the former one; the bound held only if the store was faster. A new registration takes over a pause that was stated shortly before, and after the new incarnation's start.

--- a/sardinewharf/fleet/pauses.py
+++ b/sardinewharf/fleet/pauses.py
@@ -23,6 +23,8 @@
 
     def __init__(self) -> None:
         self._ends: dict[str, clocks.Deadline] = {}
+        # When each was recorded, on the monotonic clock and on that of the day.
+        self._recorded_at: dict[str, tuple[float, float]] = {}
 
     def __len__(self) -> int:
         return len(self._ends)
@@ -33,8 +35,29 @@
         """Records a pause; returns whether the endpoint had none before."""
         end = self.find_end(incarnation, now)
         self._ends[incarnation] = until if end is None else max(end, until)
+        self._recorded_at[incarnation] = (now, clocks.read_wall())
         return end is None
 
+    def carry_over(
+        self, former: str, current: str, started_at: float, since: float
+    ) -> None:
+        """Applies a pause to the incarnation that replaced another.
+
+        An endpoint may state it before its new incarnation is known, so that it
+        is recorded for the former one.
+
+        Args:
+            former: The former incarnation.
+            current: The incarnation in its place.
+            started_at: When the current one started, by the time of day.
+            since: Since when it may have been unknown, on the monotonic clock.
+        """
+        if former not in self._ends:
+            return
+        at, time_of_day = self._recorded_at[former]
+        if at >= since and time_of_day >= started_at:
+            self.record(current, self._ends[former], at)
+
     def find_end(self, incarnation: str, now: float) -> clocks.Deadline | None:
         """Returns when an endpoint's pause ends; None if it has none."""
         end = self._ends.get(incarnation)
@@ -51,3 +74,8 @@
             for incarnation, end in self._ends.items()
             if not end.is_past(now)
         }
+        self._recorded_at = {
+            incarnation: times
+            for incarnation, times in self._recorded_at.items()
+            if incarnation in self._ends
+        }
--- a/sardinewharf/fleet/registry.py
+++ b/sardinewharf/fleet/registry.py
@@ -15,6 +15,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 
@@ -39,11 +40,19 @@
     was_leaving: bool
 
 
+def _ignore_renewal(
+    former: endpoints.Endpoint, current: endpoints.Endpoint
+) -> None:
+    """Does nothing; the default callback for renewed endpoints."""
+
+
 class Registry:
     """The registered endpoints, by id and by service.
 
     Attributes:
         changes: Number of changes to the registrations so far.
+        on_renewal: Called with the former and the new registration if an
+            endpoint has started again under the same id.
     """
 
     def __init__(self) -> None:
@@ -54,6 +63,9 @@
             collections.OrderedDict()
         )
         self.changes = 0
+        self.on_renewal: Callable[
+            [endpoints.Endpoint, endpoints.Endpoint], None
+        ] = _ignore_renewal
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -68,6 +80,7 @@
         if known is not None and known.started_ms != endpoint.started_ms:
             self._forget_weights(endpoint.id)
             self._record_departure(known)
+            self.on_renewal(known, endpoint)
         self._endpoints[endpoint.id] = endpoint
         self._ready.clear()
         self.changes += 1
--- a/sardinewharf/gateway/notices.py
+++ b/sardinewharf/gateway/notices.py
@@ -54,6 +54,19 @@
         if head.retry_after_s and _turns_away(head):
             self._record_pause(call, attempt, head.retry_after_s)
 
+    def handle_renewal(
+        self, former: fleet.Endpoint, current: fleet.Endpoint
+    ) -> None:
+        """Keeps what a new incarnation stated before it was known."""
+        recovery_s = self._guarantees.recovery_ms / 1000
+        since = clocks.read_monotonic() - recovery_s
+        self._table.pauses.carry_over(
+            former.incarnation,
+            current.incarnation,
+            current.started_ms / 1000,
+            since,
+        )
+
     def _record_departure(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> None:
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -135,6 +135,10 @@
             self._prompts,
         )
         self._shutdown = shutdown_lib.Shutdown(self._exchange.has_other_gateway)
+        notice_recorder = notices_lib.NoticeRecorder(
+            settings.guarantees, self._notices, log
+        )
+        self._replica.registry.on_renewal = notice_recorder.handle_renewal
         availability = availability_lib.EndpointAvailability(
             self._replica.registry, self._health, self._notices
         )
@@ -168,9 +172,7 @@
                 quarantine=quarantine_lib.Quarantine(
                     settings, self._replica, self._suspects, log
                 ),
-                notices=notices_lib.NoticeRecorder(
-                    settings.guarantees, self._notices, log
-                ),
+                notices=notice_recorder,
                 estimators=self._estimators,
                 reader=reader,
                 shutdown=self._shutdown,
