Free requests sooner that were suspected with others

Cause: whatever ran on a crashing endpoint counted as much as a request of one caller, and one failed trial put the next off by 20 s.

A crash counts by how often the request ran there at the time; only losses of the last moments before a crash count; trials come after 2.5, 7.5 and 90 s, and those of different requests do not coincide. Completed requests are not reported for good.

--- a/sardinewharf/gateway/crashes.py
+++ b/sardinewharf/gateway/crashes.py
@@ -17,6 +17,7 @@
     ``limits.SuspectTable``, which decides what the crashes mean.
 """
 
+import collections
 import dataclasses
 import enum
 
@@ -26,9 +27,9 @@
 from sardinewharf import records
 from sardinewharf.gateway import settings as settings_lib
 
-# Time before or after a loss within which a failure to connect proves a crash,
-# in seconds.
-_UNREACHABLE_WINDOW_S = 1.5
+# Time after a loss within which a failure to connect proves a crash, and within
+# which a crash ends all connections, in seconds.
+_CRASH_WINDOW_S = 1.5
 # Share of the time that a leaving endpoint serves on after its registration was
 # removed. A loss sooner than that is no planned exit.
 _EXIT_SHARE = 0.5
@@ -102,10 +103,10 @@
         self._exit_s = (
             settings.guarantees.endpoint_drain_ms / 1000 * _EXIT_SHARE
         )
-        # Losses by incarnation and fingerprint.
-        self._losses: dict[str, dict[bytes, Loss]] = {}
+        self._losses: dict[str, list[Loss]] = {}
         self._unreachable_at: dict[str, float] = {}
-        self._crashed_at: dict[str, float] = {}
+        # Time of the crash and its proof, by incarnation.
+        self._crashed: dict[str, tuple[float, Proof]] = {}
         # The registry's count of changes when it was last checked.
         self._checked_changes = -1
 
@@ -116,17 +117,17 @@
             Whether it is open if the endpoint crashed.
         """
         incarnation = loss.incarnation
-        crashed_at = self._crashed_at.get(incarnation)
-        if crashed_at is not None:
+        if incarnation in self._crashed:
+            crashed_at, proof = self._crashed[incarnation]
             # A request that was sent later cannot have caused the crash.
             if loss.sent_at <= crashed_at:
-                self._record_crash(loss, Proof.PEER)
+                self._record_crash(loss, proof, runs=1)
             return False
         if self._was_leaving(loss):
             return False
         if self._count_losses() >= _MAX_LOSSES:
             self.forget_old(loss.at)
-        self._losses.setdefault(incarnation, {})[loss.fingerprint] = loss
+        self._losses.setdefault(incarnation, []).append(loss)
         unreachable_at = self._unreachable_at.get(incarnation, float("-inf"))
         if loss.sent_at <= unreachable_at <= loss.at:
             self._confirm(incarnation, Proof.UNREACHABLE)
@@ -137,10 +138,8 @@
     def record_unreachable(self, incarnation: str, now: float) -> None:
         """Records a failure to connect to an endpoint."""
         self._unreachable_at[incarnation] = now
-        losses = self._losses.get(incarnation, {})
-        if any(
-            now - loss.at <= _UNREACHABLE_WINDOW_S for loss in losses.values()
-        ):
+        losses = self._losses.get(incarnation, ())
+        if any(now - loss.at <= _CRASH_WINDOW_S for loss in losses):
             self._confirm(incarnation, Proof.UNREACHABLE)
 
     def record_peer_crash(self, incarnation: str) -> None:
@@ -159,19 +158,23 @@
     def forget_old(self, now: float) -> None:
         """Drops losses that were not confirmed as crashes in time."""
         for incarnation, losses in list(self._losses.items()):
-            kept = {
-                fingerprint: loss
-                for fingerprint, loss in losses.items()
-                if now - loss.at <= self._proof_window_s
-            }
+            kept = [
+                loss for loss in losses if now - loss.at <= self._proof_window_s
+            ]
             if kept:
                 self._losses[incarnation] = kept
             else:
                 del self._losses[incarnation]
-        self._unreachable_at = _keep_newer(
-            self._unreachable_at, now - _UNREACHABLE_WINDOW_S
-        )
-        self._crashed_at = _keep_newer(self._crashed_at, now - _CRASH_TTL_S)
+        self._unreachable_at = {
+            incarnation: at
+            for incarnation, at in self._unreachable_at.items()
+            if now - at <= _CRASH_WINDOW_S
+        }
+        self._crashed = {
+            incarnation: (at, proof)
+            for incarnation, (at, proof) in self._crashed.items()
+            if now - at <= _CRASH_TTL_S
+        }
 
     def _count_losses(self) -> int:
         return sum(len(losses) for losses in self._losses.values())
@@ -191,7 +194,7 @@
 
     def _check(self, incarnation: str) -> None:
         """Confirms or drops an incarnation's losses by its registration."""
-        loss = next(iter(self._losses[incarnation].values()))
+        loss = self._losses[incarnation][0]
         current = self._registry.find(loss.endpoint.id)
         if current is not None and current.incarnation == incarnation:
             if current.state is fleet.EndpointState.LEAVING:
@@ -215,14 +218,22 @@
         )
 
     def _confirm(self, incarnation: str, proof: Proof) -> None:
-        """Records the losses of an incarnation as caused by its crash."""
-        losses = self._losses.pop(incarnation)
-        self._crashed_at[incarnation] = min(loss.at for loss in losses.values())
-        for loss in losses.values():
-            self._record_crash(loss, proof)
+        """Records the last losses of an incarnation as caused by its crash.
 
-    def _record_crash(self, loss: Loss, proof: Proof) -> None:
-        crash = limits.Crash(loss.fingerprint, loss.incarnation, loss.at)
+        Before them it was alive, whatever it lost.
+        """
+        losses = self._losses.pop(incarnation)
+        since = max(loss.at for loss in losses) - _CRASH_WINDOW_S
+        last = [loss for loss in losses if loss.at >= since]
+        self._crashed[incarnation] = (min(loss.at for loss in last), proof)
+        runs = collections.Counter(loss.fingerprint for loss in last)
+        for loss in last:
+            self._record_crash(loss, proof, runs[loss.fingerprint])
+
+    def _record_crash(self, loss: Loss, proof: Proof, runs: int) -> None:
+        crash = limits.Crash(
+            loss.fingerprint, loss.incarnation, loss.at, runs=runs
+        )
         if not self._suspects.record_crash(crash, loss.at):
             return
         self._log.write(
@@ -234,7 +245,3 @@
                 crashes=self._suspects.count_crashes(loss.fingerprint, loss.at),
             )
         )
-
-
-def _keep_newer(times: dict[str, float], oldest: float) -> dict[str, float]:
-    return {key: at for key, at in times.items() if at >= oldest}
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -4,6 +4,7 @@
 protocol, and the names of the fields are not sent.
 """
 
+from typing import Annotated
 import zlib
 
 import msgspec
@@ -93,11 +94,13 @@
         fingerprint: Fingerprint of the request.
         incarnation: Incarnation of the endpoint.
         age_ms: Time since the request's connection was lost.
+        runs: How often the request ran there at the time.
     """
 
     fingerprint: bytes
     incarnation: str
     age_ms: decoding.Integer
+    runs: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1
 
 
 class SuspectUpdate(msgspec.Struct, array_like=True):
--- a/sardinewharf/gateway/suspect_reports.py
+++ b/sardinewharf/gateway/suspect_reports.py
@@ -87,6 +87,7 @@
                 crash.fingerprint,
                 crash.incarnation,
                 int((now - crash.at) * 1000),
+                crash.runs,
             )
             for crash in latest[-_MAX_CRASHES:]
         ],
@@ -107,6 +108,7 @@
                 update.fingerprint,
                 crash.incarnation,
                 _decode_age(crash.age_ms, now),
+                runs=crash.runs,
             )
             for crash in update.crashes
         },
--- a/sardinewharf/limits/suspects.py
+++ b/sardinewharf/limits/suspects.py
@@ -37,15 +37,19 @@
 # other suspects at one of these endpoints.
 _CRASHES_TO_QUARANTINE = 3
 _CRASHES_TO_QUARANTINE_ALONE = 2
-# A quarantined request may run once more after this time, in seconds, and again
-# after a multiple of it. The first trial is soon: endpoints that crash together
-# make all requests that ran on them suspect.
-_TRIAL_INTERVAL_S = 2.5
-_TRIAL_INTERVAL_FACTOR = 8.0
-_MAX_TRIALS = 3
+# Times until each trial of a quarantined request, in seconds. The first one is
+# soon: endpoints that crash together make all that ran on them suspect.
+_TRIAL_INTERVALS_S = (2.5, 7.5, 90.0)
+# A request's trials are this much later at most, as a share of the interval, so
+# that those of requests that were suspected together do not coincide.
+_TRIAL_SPREAD = 0.2
+# Sums of fractions are compared with this tolerance.
+_ROUNDING = 1e-6
 # Least time until a trial if the request ran without other suspects, in
 # seconds.
 _TRIAL_INTERVAL_ALONE_S = 160.0
+# Time for which a completion is told to others, in seconds.
+_COMPLETION_TTL_S = 30.0
 # Suspects that a table keeps.
 _MAX_SUSPECTS = 10_000
 
@@ -59,12 +63,14 @@
         incarnation: Incarnation of the endpoint that crashed.
         at: When it was observed, on this process's monotonic clock.
         was_alone: Whether no other suspect ran there.
+        runs: How often the request ran there at the time, as far as known.
     """
 
     fingerprint: bytes
     incarnation: str
     at: float
     was_alone: bool = False
+    runs: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,11 +97,16 @@
 
     @property
     def has_crashed_enough(self) -> bool:
-        """Whether its crashes suffice for a quarantine."""
+        """Whether its crashes suffice for a quarantine.
+
+        A request that crashes what runs it seldom runs twice on one endpoint.
+        One that many callers send does, so that each crash says less of it.
+        """
         count = len(self.crashes)
-        if count >= _CRASHES_TO_QUARANTINE:
+        if self.ran_alone and count >= _CRASHES_TO_QUARANTINE_ALONE:
             return True
-        return self.ran_alone and count >= _CRASHES_TO_QUARANTINE_ALONE
+        weight = sum(1 / crash.runs for crash in self.crashes.values())
+        return weight > _CRASHES_TO_QUARANTINE - _ROUNDING
 
     @property
     def ran_alone(self) -> bool:
@@ -105,14 +116,19 @@
     @property
     def next_trial_at(self) -> float:
         """When a trial may begin; infinite if none may."""
-        if self.trials >= _MAX_TRIALS:
+        if self.trials >= len(_TRIAL_INTERVALS_S):
             return math.inf
         last_crash_at = max(crash.at for crash in self.crashes.values())
-        interval_s = _TRIAL_INTERVAL_S * _TRIAL_INTERVAL_FACTOR**self.trials
+        interval_s = _TRIAL_INTERVALS_S[self.trials] * self._spread
         if self.ran_alone:
             interval_s = max(interval_s, _TRIAL_INTERVAL_ALONE_S)
         return max(last_crash_at, self.trial_at) + interval_s
 
+    @property
+    def _spread(self) -> float:
+        position = xxhash.xxh3_64_intdigest(self.fingerprint) / 2**64
+        return 1 + _TRIAL_SPREAD * position
+
     def drop_completed(self) -> None:
         """Removes the crashes before the last completion."""
         kept = {
@@ -130,6 +146,9 @@
     return xxhash.xxh3_128_digest(organisation.encode() + b"\x00" + body)
 
 
+_Suspects = collections.OrderedDict[bytes, Suspect]
+
+
 def _ignore_change() -> None:
     """Does nothing; the default callback for changes."""
 
@@ -150,13 +169,11 @@
 
     def __init__(self, quarantine_seconds: float):
         self._quarantine_seconds = quarantine_seconds
-        # In the order of ``seen_at``, apart for those with several crashes.
-        self._single: collections.OrderedDict[bytes, Suspect] = (
-            collections.OrderedDict()
-        )
-        self._repeated: collections.OrderedDict[bytes, Suspect] = (
-            collections.OrderedDict()
-        )
+        # Each in the order of ``seen_at``: those without, with one and with
+        # several crashes that count.
+        self._completed: _Suspects = collections.OrderedDict()
+        self._single: _Suspects = collections.OrderedDict()
+        self._repeated: _Suspects = collections.OrderedDict()
         # Those that changed since ``take_changed`` returned them.
         self._changed: dict[bytes, None] = {}
         # Number of suspects that were chosen to be shared, in turn.
@@ -164,14 +181,14 @@
         self.on_change: Callable[[], None] = _ignore_change
 
     def __len__(self) -> int:
-        return len(self._single) + len(self._repeated)
+        return sum(len(suspects) for suspects, _ in self._tables)
 
     def record_crash(self, crash: Crash, now: float) -> bool:
         """Records a crash; returns whether it was not known before."""
         self._forget_old(now)
         suspect = self._find_or_add(crash.fingerprint, crash.at)
-        is_known = crash.incarnation in suspect.crashes
-        if is_known or crash.at <= suspect.completed_at:
+        known = suspect.crashes.get(crash.incarnation)
+        if known is not None or crash.at <= suspect.completed_at:
             return False
         suspect.crashes[crash.incarnation] = crash
         self._put(suspect, max(suspect.seen_at, crash.at))
@@ -189,7 +206,11 @@
             return False
         suspect = self._find_or_add(reported.fingerprint, reported.seen_at)
         known = len(suspect.crashes)
-        suspect.crashes = reported.crashes | suspect.crashes
+        for crash in reported.crashes.values():
+            own = suspect.crashes.get(crash.incarnation, crash)
+            suspect.crashes[crash.incarnation] = max(
+                own, crash, key=lambda row: row.runs
+            )
         is_new = len(suspect.crashes) > known
         suspect.completed_at = max(suspect.completed_at, reported.completed_at)
         suspect.trials = max(suspect.trials, reported.trials)
@@ -277,7 +298,7 @@
     def record_repeat(self, fingerprint: bytes, now: float) -> None:
         """Records that a request was repeated, whether or not it may run."""
         suspect = self._find(fingerprint)
-        if suspect is not None:
+        if suspect is not None and suspect.crashes:
             self._put(suspect, now)
 
     def record_run(self, fingerprint: bytes, now: float) -> int:
@@ -287,7 +308,7 @@
             The number of the trial, if a quarantined request is tried; else 0.
         """
         suspect = self._find(fingerprint)
-        if suspect is None:
+        if suspect is None or not suspect.crashes:
             return 0
         self._put(suspect, now)
         if not suspect.has_crashed_enough:
@@ -336,48 +357,59 @@
             Whether there were any.
         """
         suspect = self._find(fingerprint)
-        if suspect is None:
+        if suspect is None or not suspect.crashes:
             return False
-        had_crashes = bool(suspect.crashes)
         suspect.completed_at = now
         suspect.drop_completed()
         self._put(suspect, now)
-        if had_crashes:
-            self._record_change(fingerprint)
-        return had_crashes
+        self._record_change(fingerprint)
+        return True
 
     def _record_change(self, fingerprint: bytes) -> None:
         self._changed[fingerprint] = None
         self.on_change()
 
     def _iterate(self) -> Iterator[Suspect]:
-        return itertools.chain(self._single.values(), self._repeated.values())
+        return itertools.chain.from_iterable(
+            suspects.values() for suspects, _ in self._tables
+        )
+
+    @property
+    def _tables(self) -> tuple[tuple[_Suspects, float], ...]:
+        """All suspects and how long they are kept, least important first."""
+        return (
+            (self._completed, _COMPLETION_TTL_S),
+            (self._single, self._quarantine_seconds),
+            (self._repeated, self._quarantine_seconds),
+        )
 
     def _find(self, fingerprint: bytes) -> Suspect | None:
-        return self._repeated.get(fingerprint) or self._single.get(fingerprint)
+        for suspects, _ in self._tables:
+            if fingerprint in suspects:
+                return suspects[fingerprint]
+        return None
 
     def _find_or_add(self, fingerprint: bytes, seen_at: float) -> Suspect:
         suspect = self._find(fingerprint)
         if suspect is None:
-            suspect = self._single[fingerprint] = Suspect(fingerprint, seen_at)
+            suspect = Suspect(fingerprint, seen_at)
+            self._completed[fingerprint] = suspect
         return suspect
 
     def _put(self, suspect: Suspect, seen_at: float) -> None:
         """Stores a suspect as the one that was seen last."""
         suspect.seen_at = seen_at
-        self._single.pop(suspect.fingerprint, None)
-        self._repeated.pop(suspect.fingerprint, None)
-        has_several = len(suspect.crashes) > 1
-        suspects = self._repeated if has_several else self._single
+        for suspects, _ in self._tables:
+            suspects.pop(suspect.fingerprint, None)
+        suspects, _ = self._tables[min(len(suspect.crashes), 2)]
         suspects[suspect.fingerprint] = suspect
 
     def _forget_old(self, now: float) -> None:
         """Removes suspects that were not seen for long or exceed the limit."""
-        oldest_kept = now - self._quarantine_seconds
-        for suspects in (self._single, self._repeated):
+        for suspects, ttl_s in self._tables:
             while suspects:
                 suspect = next(iter(suspects.values()))
-                is_old = suspect.seen_at < oldest_kept
+                is_old = suspect.seen_at < now - ttl_s
                 if not is_old and len(self) <= _MAX_SUSPECTS:
                     break
                 del suspects[suspect.fingerprint]
