--- a/sardinewharf/soak/tests/test_invariants.py
+++ b/sardinewharf/soak/tests/test_invariants.py
@@ -579,3 +579,27 @@
     history.faults.append(fault)
     back_off(history)
     assert history.list_violated() == {invariants.Invariant.BACKOFF}
+
+
+def crash_servers(history, later):
+    """Records a request that crashes three servers, and later arrivals."""
+    for number, at in enumerate([111.0] * 3 + later):
+        request = f"crash-{number}"
+        history.send(
+            request, status=502, stamp="", sent_body=b"crash", sent_at=at
+        )
+        history.record("s0", journals.Arrived(at, request, "orders", "s0.1"))
+        if number < 3:
+            history.record("s0", journals.Crashed(at, request, "s0.1"))
+
+
+def test_a_request_that_crashes_servers_again_and_again(history):
+    history.faults = [faults.CrashRisk(10.0, 20.0, "s0")]
+    crash_servers(history, [118.0] * 4)
+    assert history.list_violated() == {invariants.Invariant.CRASHES}
+
+
+def test_a_request_that_crashes_servers_and_is_stopped(history):
+    history.faults = [faults.CrashRisk(10.0, 20.0, "s0")]
+    crash_servers(history, [112.0] * 40 + [118.0] * 3)
+    assert history.list_violated() == set()
--- a/sardinewharf/soak/tests/test_soak.py
+++ b/sardinewharf/soak/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Runs the soak test with two short seeds, and with more seeds on demand.
+"""Runs the soak test with three short seeds, and with more seeds on demand.
 
 ``SARDINEWHARF_SOAK=long`` adds all seeds that failed once, from seeds.toml, and
 some random ones.
@@ -29,6 +29,8 @@
     # Has engines that refuse falsely all the time, a nested entry, requests
     # late in a shutdown, a server that leaves and servers that ask for pauses.
     runner.SoakSettings(seed=59232, seconds=_SHORT_SECONDS),
+    # Has three requests that crash engines, which lose or keep their entries.
+    runner.SoakSettings(seed=1, seconds=_SHORT_SECONDS, family="crashes"),
 ]
 
 
@@ -67,7 +69,7 @@
     deployment = deployment_lib.Deployment(
         tmp_path, deployment_lib.DeploymentSize()
     )
-    settings = _SHORT[-1]
+    settings = _SHORT[1]
     drawn = schedules.draw_faults(settings.seed, deployment, settings.seconds)
     assert {type(fault) for fault in drawn} >= {
         faults.LastingServerFault,
