Say in a refusal which crashes quarantined a request

An on-call engineer could not tell from the id of a refused request why it was quarantined: the refusal named no crash, and the crashes name other requests. Its detail has the count and the fingerprint now, as the crashes have, and explain prints those of the endpoints. Checked in test_a_quarantined_request_is_tried_and_then_free.

--- a/sardinewharf/gateway/policy.py
+++ b/sardinewharf/gateway/policy.py
@@ -59,6 +59,9 @@
         """
         self._dependencies.crashes.check_registry()
         if not self._dependencies.quarantine.may_run(call.request):
+            call.last_failure_detail = self._dependencies.quarantine.explain(
+                call.request
+            )
             raise self.make_refusal(call, refusals.Reason.QUARANTINED)
 
     def check_has_time(self, call: requests.Call) -> None:
--- a/sardinewharf/gateway/quarantine.py
+++ b/sardinewharf/gateway/quarantine.py
@@ -69,6 +69,19 @@
             )
         )
 
+    def explain(self, request: requests.Request) -> str:
+        """Returns why a request is quarantined, for the caller and the log.
+
+        The log has a line ``endpoint_crashed`` with the same fingerprint for
+        each crash.
+        """
+        now = clocks.read_monotonic()
+        crashes = self._suspects.count_crashes(request.fingerprint, now)
+        return (
+            f"{crashes} endpoints crashed while they ran it (fingerprint"
+            f" {request.fingerprint.hex()})"
+        )
+
     def choose_retry_after(self, request: requests.Request) -> float:
         """Returns when a quarantined request may be repeated, in seconds."""
         trial_at = self._suspects.read_trial_time(request.fingerprint)
--- a/sardinewharf/gateway/tests/test_crashing_requests.py
+++ b/sardinewharf/gateway/tests/test_crashing_requests.py
@@ -201,6 +201,7 @@
     refused = await harness.send_request("/look/1", body=b"poison")
     assert refused.status == 503
     assert float(refused.headers["retry-after"]) >= 1.0
+    assert b"3 endpoints crashed" in refused.body
     arrivals = len(servers.arrivals[b"poison"])
     servers.heal()
     monkeypatch.setattr(suspects_lib, "_TRIAL_INTERVALS_S", (0.5, 1.0))
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -50,6 +50,7 @@
         "endpoint_reopened",
         "endpoint_leaving",
         "endpoint_paused",
+        "endpoint_crashed",
         "order_given",
         "order_ended",
     }
