End the faults of a soak's server that is down just then

Cause: a fault of s0 was cleared while a request had crashed it, so that it went on without ids in its responses for good (its log: 'the answer is not the endpoint's'). The end of a fault is repeated until the server has heard of it.

The gateway is not changed.

--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -199,7 +199,18 @@
 
     def set_faults(self, deployment, **faults):
         """Sets the faults of the server."""
-        deployment.set_server_faults(self.name, **faults)
+        return deployment.set_server_faults(self.name, **faults)
+
+    def end(self, deployment, operator):
+        """Clears the faults, once a server that crashed is back."""
+        while not self._clear(deployment):
+            if deployment.has_exited(self.name):
+                return
+            time.sleep(_RESTORE_INTERVAL_S)
+
+    def _clear(self, deployment) -> bool:
+        """Returns whether the server has cleared the faults."""
+        return self.set_faults(deployment)
 
 
 @dataclasses.dataclass(slots=True)
@@ -218,9 +229,8 @@
         """Sets the fault."""
         deployment.set_lasting_fault(self.name, self.harm, self.value)
 
-    def end(self, deployment, operator):
-        """Clears the fault."""
-        deployment.set_lasting_fault(self.name, self.harm, None)
+    def _clear(self, deployment) -> bool:
+        return deployment.set_lasting_fault(self.name, self.harm, None)
 
 
 @dataclasses.dataclass(slots=True)
