--- a/sardinewharf/soak/tests/test_soak.py
+++ b/sardinewharf/soak/tests/test_soak.py
@@ -39,7 +39,8 @@
         return _SHORT
     failed = tomllib.loads(_FAILED_SEEDS.read_text())["seed"]
     failed_settings = [
-        runner.SoakSettings(row["seed"], row["seconds"]) for row in failed
+        runner.SoakSettings(row["seed"], row["seconds"], row.get("family", ""))
+        for row in failed
     ]
     random_settings = [
         runner.SoakSettings(random.randrange(1_000_000))
