Limit the losses that wait for the proof of a crash

Further ones are left out and logged now. test_the_losses_that_are_kept_are_limited fails without the change; five more tests of the detector hold what its proofs mean.

--- a/sardinewharf/gateway/crashes.py
+++ b/sardinewharf/gateway/crashes.py
@@ -24,6 +24,7 @@
 from sardinewharf import fleet
 from sardinewharf import ids
 from sardinewharf import limits
+from sardinewharf import logs
 from sardinewharf import records
 from sardinewharf.gateway import settings as settings_lib
 
@@ -38,6 +39,7 @@
 _CRASH_TTL_S = 30.0
 # Lost connections that are kept until it shows whether the endpoint crashed.
 _MAX_LOSSES = 10_000
+_log = logs.get_logger("crashes")
 
 
 class Proof(enum.Enum):
@@ -123,10 +125,8 @@
             if loss.sent_at <= crashed_at:
                 self._record_crash(loss, proof, runs=1)
             return False
-        if self._was_leaving(loss):
+        if self._was_leaving(loss) or self._is_full(loss.at):
             return False
-        if self._count_losses() >= _MAX_LOSSES:
-            self.forget_old(loss.at)
         self._losses.setdefault(incarnation, []).append(loss)
         unreachable_at = self._unreachable_at.get(incarnation, float("-inf"))
         if loss.sent_at <= unreachable_at <= loss.at:
@@ -176,6 +176,16 @@
             if now - at <= _CRASH_TTL_S
         }
 
+    def _is_full(self, now: float) -> bool:
+        """Returns whether no further loss is kept, and logs that."""
+        if self._count_losses() < _MAX_LOSSES:
+            return False
+        self.forget_old(now)
+        if self._count_losses() < _MAX_LOSSES:
+            return False
+        _log.warning("{} connections were lost at once.", _MAX_LOSSES)
+        return True
+
     def _count_losses(self) -> int:
         return sum(len(losses) for losses in self._losses.values())
 
