Test that a prompt part which crashes engines is stopped

Requests of which no two are alike share one part, and each engine that begins its response ends, in five ways, beside sound requests of the same key and first part.

--- a/sardinewharf/gateway/tests/test_crashing_requests.py
+++ b/sardinewharf/gateway/tests/test_crashing_requests.py
@@ -21,7 +21,7 @@
     "same id": crashes.Restart(down_s=1.0, keeps_id=True),
     "same id, back at once": crashes.Restart(down_s=0.0, keeps_id=True),
     "after a part of its response": crashes.Restart(
-        down_s=1.0, removes_entry=True, sends_head=True
+        down_s=1.0, removes_entry=True, ending=crashes.Ending.RESET
     ),
 }
 
--- a/sardinewharf/testbed/gateway_harness.py
+++ b/sardinewharf/testbed/gateway_harness.py
@@ -131,12 +131,13 @@
 
 
 class GatewayHarness:
-    """Gateways with test doubles of the store, three engines and three servers.
+    """Gateways with test doubles of the store, of engines and three servers.
 
     All run in this process and listen on loopback.
 
     Args:
         guarantees: Bounds that the gateways must keep; the defaults if None.
+        engines: Number of engines.
 
     Attributes:
         guarantees: The same bounds.
@@ -150,11 +151,16 @@
         session: HTTP client for the callers' requests, once started.
     """
 
-    def __init__(self, guarantees: settings_lib.Guarantees | None = None):
+    def __init__(
+        self,
+        guarantees: settings_lib.Guarantees | None = None,
+        engines: int = 3,
+    ):
         self.guarantees = guarantees or settings_lib.Guarantees()
         self.store = platform_store.PlatformStore()
         self.engines = [
-            platform_servers.PlatformEngine(f"e{i}", MODEL) for i in range(3)
+            platform_servers.PlatformEngine(f"e{i}", MODEL)
+            for i in range(engines)
         ]
         self.servers = [
             platform_servers.PlatformServer(f"s{i}") for i in range(3)
