Quarantine prompt parts that crash endpoints, not only requests

Callers saw: sound requests of one key refused or cut, since all engines went down again and again.

Now the request and each shared part of its prompt are possible causes in one table. A completion frees all causes of a request. A crash does not count for a cause that completed before if one explains it that crashed enough endpoints and never completed, or longer ago; so a popular part stays open while all engines are down. What is suspect and never completed runs one request at a time over all gateways, for two seconds at most, and a lost request waits up to 0.15 s for the probe of its endpoint. A trial that no endpoint took is not spent, and what crashed more than three is tried late. Reports carry six crashes of a suspect, and end before a datagram is full. The log names the parts.

The doubles began a resumed stream at event 1 again, so that the gateway ended it before the crash; now they go on.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -364,7 +364,12 @@
             headers=headers,
             body=body,
             arrived=arrived,
-            fingerprint=limits.make_fingerprint(f"{caller}\0{path}", body),
+            causes=(
+                limits.make_request_cause(f"{caller}\0{path}", body),
+                *limits.make_part_causes(
+                    headers.prompt.shared_ids if headers.prompt else ()
+                ),
+            ),
         )
 
     async def _respond(
--- a/sardinewharf/gateway/crash_probes.py
+++ b/sardinewharf/gateway/crash_probes.py
@@ -17,6 +17,8 @@
 _DELAY_S = 0.05
 # Least time between two probes of an endpoint, in seconds.
 _INTERVAL_S = 1.0
+# Longest wait of a request for the result of a probe, in seconds.
+_MAX_WAIT_S = 0.15
 
 
 class CrashProber:
@@ -38,6 +40,7 @@
         self._health = health
         self._tasks = tasks.TaskGroup(failures)
         self._next_probe_at: dict[str, clocks.Deadline] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
 
     def start(self, incarnation: str, pool: http1.Pool) -> None:
         """Starts a probe, unless there was one just before.
@@ -57,16 +60,33 @@
         self._next_probe_at[incarnation] = clocks.Deadline.after(
             _INTERVAL_S, now
         )
-        self._tasks.start(self._probe(incarnation, pool), "crash-probe")
+        self._running[incarnation] = self._tasks.start(
+            self._probe(incarnation, pool), "crash-probe"
+        )
+
+    async def wait(self, incarnation: str) -> bool:
+        """Waits for the end of an endpoint's probe, for a limited time.
+
+        Returns:
+            Whether there was one.
+        """
+        task = self._running.get(incarnation)
+        if task is None:
+            return False
+        await asyncio.wait([task], timeout=_MAX_WAIT_S)
+        return True
 
     async def close(self) -> None:
         """Ends all probes."""
         await self._tasks.close()
 
     async def _probe(self, incarnation: str, pool: http1.Pool) -> None:
-        await asyncio.sleep(_DELAY_S)
-        if await reachability.accepts_connections(pool):
-            return
+        try:
+            await asyncio.sleep(_DELAY_S)
+            if await reachability.accepts_connections(pool):
+                return
+        finally:
+            del self._running[incarnation]
         now = clocks.read_monotonic()
         self._health.record_unreachable(incarnation, now)
         self._detector.record_unreachable(incarnation, now)
--- a/sardinewharf/gateway/crashes.py
+++ b/sardinewharf/gateway/crashes.py
@@ -57,18 +57,23 @@
 
     Attributes:
         request: Id of the request.
-        fingerprint: Fingerprint of the request.
+        causes: What of the request may have crashed the endpoint.
         endpoint: The endpoint that ran it.
         sent_at: When the request was sent, on the monotonic clock.
         at: When the connection ended, on the monotonic clock.
     """
 
     request: ids.RequestId
-    fingerprint: bytes
+    causes: tuple[limits.Cause, ...]
     endpoint: fleet.Endpoint
     sent_at: float
     at: float
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Fingerprint of the request."""
+        return self.causes[0].fingerprint
+
     @property
     def incarnation(self) -> str:
         """The incarnation that ran the request."""
@@ -241,17 +246,41 @@
             self._record_crash(loss, proof, runs[loss.fingerprint])
 
     def _record_crash(self, loss: Loss, proof: Proof, runs: int) -> None:
-        crash = limits.Crash(
-            loss.fingerprint, loss.incarnation, loss.at, runs=runs
-        )
-        if not self._suspects.record_crash(crash, loss.at):
-            return
+        """Records a crash for each of its possible causes.
+
+        Args:
+            loss: The request that was lost.
+            proof: What proves the crash.
+            runs: How often the same request ran there.
+        """
+        is_new = [
+            self._suspects.record_crash(
+                limits.Crash(
+                    cause.fingerprint,
+                    loss.incarnation,
+                    loss.at,
+                    runs=1 if cause.part else runs,
+                ),
+                loss.at,
+            )
+            for cause in loss.causes
+        ]
+        if any(is_new):
+            self._log_crash(loss, proof)
+
+    def _log_crash(self, loss: Loss, proof: Proof) -> None:
+        crashes, *part_crashes = [
+            self._suspects.count_crashes(cause.fingerprint, loss.at)
+            for cause in loss.causes
+        ]
         self._log.write(
             records.events.EndpointCrashed(
                 request=loss.request,
                 endpoint=loss.endpoint.id,
                 fingerprint=loss.fingerprint.hex(),
                 proof=proof.value,
-                crashes=self._suspects.count_crashes(loss.fingerprint, loss.at),
+                crashes=crashes,
+                parts=[cause.part for cause in loss.causes[1:]],
+                part_crashes=part_crashes,
             )
         )
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -91,7 +91,8 @@
     """An endpoint that crashed while it ran a request.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        fingerprint: Empty; that of the suspect counts. Earlier versions sent it
+            twice.
         incarnation: Incarnation of the endpoint.
         age_ms: Time since the request's connection was lost.
         runs: How often the request ran there at the time.
@@ -104,15 +105,16 @@
 
 
 class SuspectUpdate(msgspec.Struct, array_like=True):
-    """A request that ran on endpoints when they crashed.
+    """A request or prompt part that ran on endpoints when they crashed.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        fingerprint: Its fingerprint.
         seen_age_ms: Time since it last ran or was repeated.
         crashes: Its crashes.
         completed_age_ms: Time since it last completed; None if it did not.
         trials: Number of its trials since it was quarantined.
-        trial_age_ms: Time since the last of them; None if there was none.
+        trial_age_ms: Time since the last of them, or since its last run before;
+            None if there was none.
     """
 
     fingerprint: bytes
@@ -269,7 +271,7 @@
 
 
 class SuspectReport(msgspec.Struct, array_like=True, tag=4):
-    """Requests that ran on endpoints when they crashed, or some of them."""
+    """Requests and parts that ran on endpoints when they crashed, or some."""
 
     suspects: list[SuspectUpdate] = []
 
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -76,6 +76,8 @@
         connect_failures = 0
         while connect_failures < _MAX_CONNECT_FAILURES:
             self.policy.check_may_send(call)
+            if await self._wait_for_suspects(call):
+                continue
             target = self._dependencies.selector.choose(call)
             if target is None:
                 if not call.last_failure_detail:
@@ -103,6 +105,9 @@
                 pool.release(connection)
                 continue
             self._check_may_still_send(call, pool, connection)
+            if self._dependencies.quarantine.must_wait(call):
+                pool.release(connection)
+                continue
             if not self.policy.charge_retry_budget(call):
                 pool.release(connection)
                 raise self.policy.make_refusal(call, refusals.Reason.BUSY)
@@ -131,6 +136,26 @@
             pool.release(connection)
             raise
 
+    async def _wait_for_suspects(self, call: requests.Call) -> bool:
+        """Waits until it shows what crashed an endpoint, for a limited time.
+
+        A request whose connection was lost waits until it is known whether the
+        endpoint crashed. One with a suspect waits while another run of that
+        may crash an endpoint.
+
+        Returns:
+            Whether it waited, so that it has to be checked again.
+        """
+        lost_at, call.lost_at = call.lost_at, ""
+        has_waited = await self._dependencies.crash_prober.wait(lost_at)
+        latest_start = self._dependencies.shutdown.find_latest_start(call)
+        return (
+            await self._dependencies.quarantine.wait_for_turn(
+                call, latest_start
+            )
+            or has_waited
+        )
+
     async def _wait_for_prefill(
         self, call: requests.Call, target: requests.Target
     ) -> bool:
@@ -204,7 +229,7 @@
             target.endpoint.id, target.prefill_tokens, target.held_tokens
         )
         data = self._encode(call, target)
-        self._dependencies.quarantine.record_run(call.request)
+        self._dependencies.quarantine.record_run(call)
         call.sends += 1
         call.runs += 1
         call.endpoint = target.endpoint.id
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -187,13 +187,14 @@
         """Records what may be the crash of an endpoint, and probes that."""
         loss = crashes_lib.Loss(
             call.request.headers.request_id,
-            call.request.fingerprint,
+            call.request.causes,
             attempt.target.endpoint,
             attempt.sent_at,
             now,
         )
         if self._crashes.record_loss(loss):
             self._crash_prober.start(loss.incarnation, attempt.pool)
+            call.lost_at = loss.incarnation
 
     def _record_failure(
         self,
@@ -227,9 +228,13 @@
 
         A response that ends with its connection does not show that.
         """
-        if attempt.head.status < 500 and attempt.exchange.has_framed_end:
-            now = clocks.read_monotonic()
-            self._suspects.clear(call.request.fingerprint, now)
+        if attempt.head.status >= 500 or not attempt.exchange.has_framed_end:
+            return
+        now = clocks.read_monotonic()
+        for cause in call.request.causes:
+            # An error may precede the prompt.
+            if attempt.head.is_success or not cause.part:
+                self._suspects.clear(cause.fingerprint, now)
 
 
 def _proves_not_run(
--- a/sardinewharf/gateway/policy.py
+++ b/sardinewharf/gateway/policy.py
@@ -58,7 +58,7 @@
             RefusedError: If it has.
         """
         self._dependencies.crashes.check_registry()
-        if not self._dependencies.quarantine.may_run(call.request):
+        if not self._dependencies.quarantine.may_run(call):
             call.last_failure_detail = self._dependencies.quarantine.explain(
                 call.request
             )
--- a/sardinewharf/gateway/quarantine.py
+++ b/sardinewharf/gateway/quarantine.py
@@ -1,5 +1,11 @@
-"""Refuses requests that crash the endpoints that run them."""
+"""Refuses requests that crash the endpoints that run them.
 
+A request may do so by itself, or by a part of its prompt that other requests
+share. What has crashed too few endpoints for a quarantine, and is not known to
+have completed, runs one request at a time.
+"""
+
+import asyncio
 import math
 
 import xxhash
@@ -11,14 +17,23 @@
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
 
-# Time after which a request is forgotten that is no longer repeated, in
+# Time after which a request or part is forgotten that is no longer repeated, in
 # seconds.
 QUARANTINE_S = 600.0
 # Time between the trials of two gateways, in which the second one hears of the
 # first one's, in seconds.
 _TRIAL_STAGGER_S = 0.3
+# Later than this a request may be tried of which several causes are
+# quarantined, in seconds: one with a single such cause tells more.
+_JOINT_TRIAL_DELAY_S = 5.0
 # Longest Retry-After, in seconds.
 _MAX_RETRY_AFTER_S = 120.0
+# Longest wait for another run of a suspect, in seconds and as a share of the
+# remaining time.
+_MAX_HOLD_S = 2.0
+_HOLD_SHARE = 0.5
+# Time between two looks at whether the other run has ended, in seconds.
+_HOLD_POLL_S = 0.03
 
 
 class Quarantine:
@@ -43,55 +58,132 @@
         self._suspects = suspects
         self._log = log
 
-    def may_run(self, request: requests.Request) -> bool:
+    def may_run(self, call: requests.Call) -> bool:
         """Returns whether a request may run now, and records that it came."""
         now = clocks.read_monotonic()
-        fingerprint = request.fingerprint
-        self._suspects.record_repeat(fingerprint, now)
-        if not self._suspects.is_quarantined(fingerprint, now):
-            return True
-        if math.isinf(self._suspects.read_trial_time(fingerprint)):
+        for cause in call.request.causes:
+            self._suspects.record_repeat(cause.fingerprint, now)
+        found = self._list_quarantined(call.request)
+        delay_s = _JOINT_TRIAL_DELAY_S if len(found) > 1 else 0.0
+        return all(self._may_try(call, c, now, delay_s) for c in found)
+
+    def must_wait(self, call: requests.Call) -> bool:
+        """Returns whether a request has to wait for another run of a suspect.
+
+        It waits for a limited time in all, so that a suspect that is sound is
+        not held up for long.
+        """
+        now = clocks.read_monotonic()
+        if all(
+            self._suspects.read_hold(c.fingerprint, call.suspect_run_at) <= now
+            for c in call.request.causes
+        ):
             return False
-        delay_s = self._find_trial_delay(fingerprint)
-        return not self._suspects.is_quarantined(fingerprint, now, delay_s)
+        if call.hold_limit is None:
+            left_s = call.deadline.remaining() * _HOLD_SHARE
+            call.hold_limit = clocks.Deadline.after(
+                min(_MAX_HOLD_S, left_s), now
+            )
+        return not call.hold_limit.is_past(now)
 
-    def record_run(self, request: requests.Request) -> None:
+    async def wait_for_turn(
+        self, call: requests.Call, latest_start: clocks.Deadline
+    ) -> bool:
+        """Waits while another run of a suspect has to end first.
+
+        Args:
+            call: The request.
+            latest_start: When the request must be sent.
+
+        Returns:
+            Whether it waited, so that it has to be checked again.
+        """
+        has_waited = False
+        while self.must_wait(call) and self.may_run(call):
+            if latest_start.is_past():
+                break
+            has_waited = True
+            await asyncio.sleep(_HOLD_POLL_S)
+        return has_waited
+
+    def record_run(self, call: requests.Call) -> None:
         """Records that a request is sent to an endpoint."""
         now = clocks.read_monotonic()
-        trial = self._suspects.record_run(request.fingerprint, now)
-        if not trial:
-            return
-        self._log.write(
-            records.events.SuspectTried(
-                request=request.headers.request_id,
-                fingerprint=request.fingerprint.hex(),
-                trial=trial,
+        own_run_at = -math.inf if call.may_have_run else call.suspect_run_at
+        for cause in call.request.causes:
+            trial = self._suspects.record_run(
+                cause.fingerprint, now, own_run_at
             )
-        )
+            if trial:
+                self._log_trial(call.request, cause, trial)
+        call.suspect_run_at = now
 
     def explain(self, request: requests.Request) -> str:
         """Returns why a request is quarantined, for the caller and the log.
 
-        The log has a line ``endpoint_crashed`` with the same fingerprint for
-        each crash.
+        The log has a line ``endpoint_crashed`` with the same fingerprint or
+        part for each crash.
         """
         now = clocks.read_monotonic()
-        crashes = self._suspects.count_crashes(request.fingerprint, now)
+        return "; ".join(
+            self._explain_cause(cause, now)
+            for cause in self._list_quarantined(request)
+        )
+
+    def _explain_cause(self, cause: limits.Cause, now: float) -> str:
+        crashes = self._suspects.count_crashes(cause.fingerprint, now)
+        ran = "it"
+        if cause.part:
+            ran = f"requests with the prompt part {cause.part}"
         return (
-            f"{crashes} endpoints crashed while they ran it (fingerprint"
-            f" {request.fingerprint.hex()})"
+            f"{crashes} endpoints crashed while they ran {ran} (fingerprint"
+            f" {cause.fingerprint.hex()})"
         )
 
     def choose_retry_after(self, request: requests.Request) -> float:
         """Returns when a quarantined request may be repeated, in seconds."""
-        trial_at = self._suspects.read_trial_time(request.fingerprint)
+        trial_at = max(
+            (
+                self._suspects.read_trial_time(cause.fingerprint)
+                for cause in request.causes
+            ),
+            default=-math.inf,
+        )
         left_s = trial_at - clocks.read_monotonic()
         return min(max(left_s, 1.0), _MAX_RETRY_AFTER_S)
 
+    def _list_quarantined(
+        self, request: requests.Request
+    ) -> list[limits.Cause]:
+        """Returns what of a request has crashed too many endpoints."""
+        return [
+            cause
+            for cause in request.causes
+            if self._suspects.has_crashed_enough(cause.fingerprint)
+        ]
+
+    def _may_try(
+        self,
+        call: requests.Call,
+        cause: limits.Cause,
+        now: float,
+        delay_s: float,
+    ) -> bool:
+        """Returns whether a request may be a trial of a quarantined cause."""
+        fingerprint = cause.fingerprint
+        if not call.may_have_run and self._suspects.is_own_trial(
+            fingerprint, call.suspect_run_at
+        ):
+            # No endpoint took it, so that its trial is still to come.
+            return True
+        if not self._suspects.is_quarantined(fingerprint, now, delay_s):
+            delay_s += self._find_trial_delay(fingerprint)
+        return not self._suspects.is_quarantined(fingerprint, now, delay_s)
+
     def _find_trial_delay(self, fingerprint: bytes) -> float:
-        """Returns how much later than others this gateway may try a request.
+        """Returns how much later than others this gateway may try a suspect.
 
-        Gateways take turns in an order that each request has of its own, with
+        Gateways take turns in an order that each suspect has of its own, with
         time in between to hear of each other's trials.
         """
         own = _rank(self._settings.name, fingerprint)
@@ -100,6 +192,18 @@
         )
         return earlier * _TRIAL_STAGGER_S
 
+    def _log_trial(
+        self, request: requests.Request, cause: limits.Cause, trial: int
+    ) -> None:
+        self._log.write(
+            records.events.SuspectTried(
+                request=request.headers.request_id,
+                fingerprint=cause.fingerprint.hex(),
+                trial=trial,
+                part=cause.part,
+            )
+        )
+
 
 def _rank(name: str, fingerprint: bytes) -> int:
     return xxhash.xxh3_64_intdigest(name.encode() + fingerprint)
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -1,12 +1,14 @@
 """Defines a request in a gateway, and its attempts at endpoints."""
 
 import dataclasses
+import math
 
 from sardinewharf import balancing
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf import http1
 from sardinewharf import ids
+from sardinewharf import limits
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts
@@ -23,8 +25,9 @@
         headers: The decoded headers.
         body: The complete body.
         arrived: When its headers were complete, on the monotonic clock.
-        fingerprint: Hash of the caller's organisation, the path and the body,
-            which is the same for repeats.
+        causes: What may make it crash endpoints: first the request itself,
+            which is the same for repeats, then the parts of its prompt that
+            other requests may share.
     """
 
     method: bytes
@@ -33,7 +36,12 @@
     headers: messages.CallerHeaders
     body: bytes
     arrived: float
-    fingerprint: bytes
+    causes: tuple[limits.Cause, ...]
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Digest that is the same for all repeats of the request."""
+        return self.causes[0].fingerprint
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +71,12 @@
         sent_bytes: Bytes of the response's body that were forwarded.
         is_withdrawn: Whether its caller has left, so that it is sent to no
             other endpoint.
+        lost_at: Incarnation whose connection it was lost with last, until it
+            is known whether that one crashed; empty before.
+        suspect_run_at: When its last run was recorded for what is suspect of
+            it, on the monotonic clock.
+        hold_limit: Until when it waits for other runs of what is suspect of it;
+            None before it has to.
     """
 
     request: Request
@@ -82,6 +96,9 @@
     first_byte_at: float | None = None
     sent_bytes: int = 0
     is_withdrawn: bool = False
+    lost_at: str = ""
+    suspect_run_at: float = -math.inf
+    hold_limit: clocks.Deadline | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/sardinewharf/gateway/suspect_reports.py
+++ b/sardinewharf/gateway/suspect_reports.py
@@ -1,8 +1,9 @@
-"""Tells other gateways of requests that crash endpoints, and merges theirs.
+"""Tells other gateways of what crashes endpoints, and merges their reports.
 
-The next gateway that gets such a request is told within the time in which all
-state has to spread: what a gateway learns goes to all peers at once, and what
-it knows to a few at intervals, for those that started later or missed it.
+The next gateway that gets such a request or prompt part is told within the time
+in which all state has to spread: what a gateway learns goes to all peers at
+once, and what it knows to a few at intervals, for those that started later or
+missed it.
 
 See Also:
     ``peers``, which sends the reports.
@@ -10,22 +11,26 @@
 
 import math
 
+import msgspec
+
 from sardinewharf import clocks
 from sardinewharf import limits
 from sardinewharf.gateway import crashes as crashes_lib
 from sardinewharf.gateway import digests
 
-# Requests in a report.
-_MAX_SUSPECTS = 8
-# Crashes of one request in a report: as many as matter.
-_MAX_CRASHES = 3
+# Suspects in a report of what is known.
+_MAX_SUSPECTS = 6
+# Bytes after which a report of changes ends, so that it fits into a datagram.
+_MAX_CHANGE_BYTES = 900
+# Crashes of one suspect in a report: as many as may explain those of others.
+_MAX_CRASHES = 6
 
 
 class SuspectExchange:
     """Makes and merges reports of requests that crash endpoints.
 
     Args:
-        suspects: Requests that ran when endpoints crashed.
+        suspects: Requests and parts that ran when endpoints crashed.
         crashes: Detects endpoints that crashed while they ran requests.
     """
 
@@ -48,15 +53,26 @@
         It is None if there is nothing. If there is too much for one report, the
         next ones hold the rest.
         """
-        return _make_report(self._suspects.take_changed(_MAX_SUSPECTS))
+        now = clocks.read_monotonic()
+        updates: list[digests.SuspectUpdate] = []
+        size = 0
+        while size < _MAX_CHANGE_BYTES and self._suspects.has_changed:
+            for suspect in self._suspects.take_changed(1):
+                updates.append(_encode_suspect(suspect, now))
+                size += len(msgspec.msgpack.encode(updates[-1]))
+        return digests.SuspectReport(updates) if updates else None
 
     def make_report(self) -> digests.SuspectReport | None:
-        """Returns a report of some requests that crashed endpoints.
+        """Returns a report of some requests and parts that are suspect.
 
         It is None if there are none. The next ones hold others in turn.
         """
         now = clocks.read_monotonic()
-        return _make_report(self._suspects.choose_to_share(now, _MAX_SUSPECTS))
+        updates = [
+            _encode_suspect(suspect, now)
+            for suspect in self._suspects.choose_to_share(now, _MAX_SUSPECTS)
+        ]
+        return digests.SuspectReport(updates) if updates else None
 
     def merge(self, report: digests.SuspectReport) -> None:
         """Merges the report of another gateway."""
@@ -67,14 +83,6 @@
                 self._crashes.record_peer_crash(crash.incarnation)
 
 
-def _make_report(
-    suspects: list[limits.Suspect],
-) -> digests.SuspectReport | None:
-    now = clocks.read_monotonic()
-    updates = [_encode_suspect(suspect, now) for suspect in suspects]
-    return digests.SuspectReport(updates) if updates else None
-
-
 def _encode_suspect(
     suspect: limits.Suspect, now: float
 ) -> digests.SuspectUpdate:
@@ -84,7 +92,7 @@
         int((now - suspect.seen_at) * 1000),
         [
             digests.CrashUpdate(
-                crash.fingerprint,
+                b"",
                 crash.incarnation,
                 int((now - crash.at) * 1000),
                 crash.runs,
--- a/sardinewharf/gateway/tests/crashes.py
+++ b/sardinewharf/gateway/tests/crashes.py
@@ -188,9 +188,10 @@
             is_chunked = ending not in _UNFRAMED
             connection.write_head(200, headers, None, is_chunked)
             write = connection.write_chunk if is_chunked else connection.write
-            write(b"id: 1\ndata: a\n\n")
+            number = int(request.headers.get("last-event-id", "0")) + 1
+            write(b"id: %d\ndata: a\n\n" % number)
             if ending is Ending.UNFRAMED_WITHIN_EVENT:
-                write(b"id: 2\nda")
+                write(b"id: %d\nda" % (number + 1))
             await asyncio.sleep(0.02)
         if ending in _RESETS:
             connection.abort()
--- a/sardinewharf/gateway/tests/test_crash_detector.py
+++ b/sardinewharf/gateway/tests/test_crash_detector.py
@@ -32,7 +32,11 @@
 
     def lose(self, fingerprint, at, sent_at=0.0):
         loss = crashes.Loss(
-            ids.RequestId("r"), fingerprint, _ENDPOINT, sent_at, at
+            ids.RequestId("r"),
+            (limits.Cause(fingerprint),),
+            _ENDPOINT,
+            sent_at,
+            at,
         )
         return self.detector.record_loss(loss)
 
--- a/sardinewharf/limits/suspect_table.py
+++ b/sardinewharf/limits/suspect_table.py
@@ -1,12 +1,14 @@
-"""Limits how many endpoints one request can crash.
+"""Limits how many endpoints a request, or a part of prompts, can crash.
 
-A request that runs on an endpoint when it crashes is suspect. It is
-quarantined once three endpoints have crashed, or two if no other suspect ran at
-one of them.
+What runs on an endpoint when it crashes is suspect: each request, and each part
+of its prompt that other requests may share. It is quarantined once endpoints
+have crashed that ran it and it did not complete since. A crash does not count
+if another suspect explains it: one that has crashed enough endpoints, and that
+completed longer ago or never.
 
-A quarantined request is refused for as long as its caller repeats it, except
-for a few trials, so that one that was suspected wrongly is found out. It is
-free again once it completes, or once it was not repeated for some time.
+What is quarantined is refused for as long as callers repeat it, except for a
+few trials, so that one that was suspected wrongly is found out. It is free
+again once it completes, or once it was not repeated for some time.
 
 Examples:
     >>> table = SuspectTable(quarantine_seconds=600.0)
@@ -21,131 +23,33 @@
     True
     >>> table.is_quarantined(b"f", now=700.0)
     False
+
+See Also:
+    ``causes.Cause``, for what may be suspect.
 """
 
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import itertools
 import math
 
-import xxhash
-
-# Crashes after which a request is quarantined, and the same if it ran without
-# other suspects at one of these endpoints.
-_CRASHES_TO_QUARANTINE = 3
-_CRASHES_TO_QUARANTINE_ALONE = 2
-# Times until each trial of a quarantined request, in seconds. The first one is
-# soon: endpoints that crash together make all that ran on them suspect.
-_TRIAL_INTERVALS_S = (2.5, 7.5, 90.0)
-# A request's trials are this much later at most, as a share of the interval, so
-# that those of requests that were suspected together do not coincide.
-_TRIAL_SPREAD = 0.2
-# Sums of fractions are compared with this tolerance.
-_ROUNDING = 1e-6
-# Least time until a trial if the request ran without other suspects, in
-# seconds.
-_TRIAL_INTERVAL_ALONE_S = 160.0
+from sardinewharf.limits import completions
+from sardinewharf.limits import suspects as suspects_lib
+
 # Time for which a completion is told to others, in seconds.
 _COMPLETION_TTL_S = 30.0
 # Suspects that a table keeps.
 _MAX_SUSPECTS = 10_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """An endpoint's crash while a request ran on it.
-
-    Attributes:
-        fingerprint: Fingerprint of the request.
-        incarnation: Incarnation of the endpoint that crashed.
-        at: When it was observed, on this process's monotonic clock.
-        was_alone: Whether no other suspect ran there.
-        runs: How often the request ran there at the time, as far as known.
-    """
-
-    fingerprint: bytes
-    incarnation: str
-    at: float
-    was_alone: bool = False
-    runs: int = 1
-
-
-@dataclasses.dataclass(slots=True)
-class Suspect:
-    """What is known of a request that ran on endpoints when they crashed.
-
-    Times are on this process's monotonic clock.
-
-    Attributes:
-        fingerprint: Fingerprint of the request.
-        seen_at: When it last ran, was repeated, or crashed an endpoint.
-        crashes: Its crashes by incarnation.
-        completed_at: When it last completed; earlier crashes do not count.
-        trials: Number of its trials since it was quarantined.
-        trial_at: When the last of them began.
-    """
-
-    fingerprint: bytes
-    seen_at: float
-    crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
-    completed_at: float = -math.inf
-    trials: int = 0
-    trial_at: float = -math.inf
-
-    @property
-    def has_crashed_enough(self) -> bool:
-        """Whether its crashes suffice for a quarantine.
-
-        A request that crashes what runs it seldom runs twice on one endpoint.
-        One that many callers send does, so that each crash says less of it.
-        """
-        count = len(self.crashes)
-        if self.ran_alone and count >= _CRASHES_TO_QUARANTINE_ALONE:
-            return True
-        weight = sum(1 / crash.runs for crash in self.crashes.values())
-        return weight > _CRASHES_TO_QUARANTINE - _ROUNDING
-
-    @property
-    def ran_alone(self) -> bool:
-        """Whether it ran without other suspects when an endpoint crashed."""
-        return any(crash.was_alone for crash in self.crashes.values())
-
-    @property
-    def next_trial_at(self) -> float:
-        """When a trial may begin; infinite if none may."""
-        if self.trials >= len(_TRIAL_INTERVALS_S):
-            return math.inf
-        last_crash_at = max(crash.at for crash in self.crashes.values())
-        interval_s = _TRIAL_INTERVALS_S[self.trials] * self._spread
-        if self.ran_alone:
-            interval_s = max(interval_s, _TRIAL_INTERVAL_ALONE_S)
-        return max(last_crash_at, self.trial_at) + interval_s
-
-    @property
-    def _spread(self) -> float:
-        position = xxhash.xxh3_64_intdigest(self.fingerprint) / 2**64
-        return 1 + _TRIAL_SPREAD * position
-
-    def drop_completed(self) -> None:
-        """Removes the crashes before the last completion."""
-        kept = {
-            incarnation: crash
-            for incarnation, crash in self.crashes.items()
-            if crash.at > self.completed_at
-        }
-        if len(kept) < len(self.crashes):
-            self.crashes = kept
-            self.trials = 0
-
-
-def make_fingerprint(organisation: str, body: bytes) -> bytes:
-    """Returns a digest that is the same for all retries of a request."""
-    return xxhash.xxh3_128_digest(organisation.encode() + b"\x00" + body)
-
-
+# A run of a suspect that never completed holds up others on it for this long,
+# in seconds, unless it ends before.
+_HOLD_S = 2.0
+# Times of one run differ by less than this between processes, in seconds.
+_RUN_TOLERANCE_S = 0.05
+
+Crash = suspects_lib.Crash
+Suspect = suspects_lib.Suspect
 _Suspects = collections.OrderedDict[bytes, Suspect]
 
 
@@ -154,12 +58,12 @@
 
 
 class SuspectTable:
-    """Requests that ran on endpoints when these crashed.
+    """Requests and prompt parts that ran on endpoints when these crashed.
 
-    If it is full, requests with a single crash make room before others.
+    If it is full, suspects with a single crash make room before others.
 
     Args:
-        quarantine_seconds: Time after which a request is forgotten that is no
+        quarantine_seconds: Time after which a suspect is forgotten that is no
             longer repeated.
 
     Attributes:
@@ -176,6 +80,10 @@
         self._repeated: _Suspects = collections.OrderedDict()
         # Those that changed since ``take_changed`` returned them.
         self._changed: dict[bytes, None] = {}
+        self._completions = completions.CompletionLog()
+        # When the suspect last completed that explains an incarnation's crash;
+        # None if it has to be computed anew.
+        self._explanations: dict[str, float] | None = None
         # Number of suspects that were chosen to be shared, in turn.
         self._shared = 0
         self.on_change: Callable[[], None] = _ignore_change
@@ -197,7 +105,7 @@
         return True
 
     def merge(self, reported: Suspect, now: float) -> bool:
-        """Merges what another process knows of a request.
+        """Merges what another process knows of a suspect.
 
         Returns:
             Whether a crash was not known before.
@@ -266,68 +174,119 @@
         return tuple(itertools.islice(crashes, limit))
 
     def is_suspect(self, fingerprint: bytes, now: float) -> bool:
-        """Returns whether an endpoint crashed while the request ran."""
+        """Returns whether an endpoint crashed while it ran."""
         return self.count_crashes(fingerprint, now) > 0
 
+    def is_unproven(self, fingerprint: bytes, now: float) -> bool:
+        """Returns whether it is suspect, and not known to have completed."""
+        suspect = self._find(fingerprint)
+        if suspect is None or suspect.has_completed:
+            return False
+        return self.is_suspect(fingerprint, now)
+
+    def read_hold(
+        self, fingerprint: bytes, own_run_at: float = -math.inf
+    ) -> float:
+        """Returns until when another run holds up what never completed.
+
+        Those of a suspect follow one another, so that fewer endpoints crash
+        before it shows whether it completes. It is minus infinity if there is
+        no other run.
+
+        Args:
+            fingerprint: Fingerprint of the suspect.
+            own_run_at: When the caller's own run was recorded.
+        """
+        suspect = self._find(fingerprint)
+        if suspect is None or not suspect.crashes or suspect.has_completed:
+            return -math.inf
+        if suspect.trial_at <= suspect.last_crash_at:
+            return -math.inf
+        if _is_same_run(suspect, own_run_at):
+            return -math.inf
+        return suspect.trial_at + _HOLD_S
+
+    def is_own_trial(self, fingerprint: bytes, own_run_at: float) -> bool:
+        """Returns whether the last trial or run is the caller's own."""
+        suspect = self._find(fingerprint)
+        return suspect is not None and _is_same_run(suspect, own_run_at)
+
+    def has_crashed_enough(self, fingerprint: bytes) -> bool:
+        """Returns whether its crashes suffice for a quarantine."""
+        suspect = self._find(fingerprint)
+        return suspect is not None and self._has_crashed_enough(suspect)
+
     def is_quarantined(
         self, fingerprint: bytes, now: float, trial_delay_s: float = 0.0
     ) -> bool:
-        """Returns whether the request must not run.
+        """Returns whether it must not run.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the suspect.
             now: The time.
             trial_delay_s: How much later than others this process may begin a
                 trial, so that they do not begin one at the same time.
         """
         self._forget_old(now)
         suspect = self._find(fingerprint)
-        if suspect is None or not suspect.has_crashed_enough:
+        if suspect is None or not self._has_crashed_enough(suspect):
             return False
         if suspect.seen_at < now - self._quarantine_seconds:
             return False
         return now < suspect.next_trial_at + trial_delay_s
 
     def read_trial_time(self, fingerprint: bytes) -> float:
-        """Returns when a quarantined request may run; infinite if never."""
+        """Returns when a quarantined suspect may run; infinite if never."""
         suspect = self._find(fingerprint)
-        if suspect is None or not suspect.has_crashed_enough:
+        if suspect is None or not self._has_crashed_enough(suspect):
             return -math.inf
         return suspect.next_trial_at
 
     def record_repeat(self, fingerprint: bytes, now: float) -> None:
-        """Records that a request was repeated, whether or not it may run."""
+        """Records that it came again, whether or not it may run."""
         suspect = self._find(fingerprint)
         if suspect is not None and suspect.crashes:
             self._put(suspect, now)
 
-    def record_run(self, fingerprint: bytes, now: float) -> int:
+    def record_run(
+        self, fingerprint: bytes, now: float, own_run_at: float = -math.inf
+    ) -> int:
         """Records that a request is about to be sent to an endpoint.
 
+        Args:
+            fingerprint: Fingerprint of the request, or of a part of its prompt.
+            now: The time.
+            own_run_at: When an earlier run of the same request was recorded
+                which no endpoint took; minus infinity if there was none.
+
         Returns:
-            The number of the trial, if a quarantined request is tried; else 0.
+            The number of the trial, if one begins; else 0.
         """
         suspect = self._find(fingerprint)
         if suspect is None or not suspect.crashes:
             return 0
         self._put(suspect, now)
-        if not suspect.has_crashed_enough:
+        is_trial = self._has_crashed_enough(suspect)
+        if not is_trial and suspect.has_completed:
             return 0
-        suspect.trials += 1
+        is_new = not _is_same_run(suspect, own_run_at)
         suspect.trial_at = now
+        if is_trial and is_new:
+            suspect.trials += 1
         self._record_change(fingerprint)
-        return suspect.trials
+        return suspect.trials if is_trial and is_new else 0
 
     def count_crashes(self, fingerprint: bytes, now: float) -> int:
-        """Returns how many endpoints crashed while the request ran."""
+        """Returns how many endpoints crashed while it ran."""
         self._forget_old(now)
         suspect = self._find(fingerprint)
         return len(suspect.crashes) if suspect else 0
 
     def count_quarantined(self) -> int:
-        """Returns how many requests are quarantined."""
+        """Returns how many requests and parts are quarantined."""
         return sum(
-            suspect.has_crashed_enough for suspect in self._repeated.values()
+            self._has_crashed_enough(suspect)
+            for suspect in self._repeated.values()
         )
 
     def has_crashed(self, incarnation: str) -> bool:
@@ -351,11 +310,12 @@
                 self._put(suspect, suspect.seen_at)
 
     def clear(self, fingerprint: bytes, now: float) -> bool:
-        """Removes the crashes of a request that completed successfully.
+        """Records a completion, and removes the crashes before it.
 
         Returns:
             Whether there were any.
         """
+        self._completions.record(fingerprint, now)
         suspect = self._find(fingerprint)
         if suspect is None or not suspect.crashes:
             return False
@@ -365,6 +325,29 @@
         self._record_change(fingerprint)
         return True
 
+    def _has_crashed_enough(self, suspect: Suspect) -> bool:
+        """Returns whether crashes that nothing else explains suffice."""
+        if not suspect.has_crashed_enough:
+            return False
+        if self._explanations is None:
+            self._explanations = self._explain_crashes()
+        return suspect.suffice(
+            crash
+            for incarnation, crash in suspect.crashes.items()
+            if self._explanations[incarnation] >= suspect.completed_at
+        )
+
+    def _explain_crashes(self) -> dict[str, float]:
+        """Returns when the likeliest cause of each crash last completed."""
+        explanations: dict[str, float] = {}
+        for suspect in self._repeated.values():
+            if not suspect.has_crashed_enough:
+                continue
+            for incarnation in suspect.crashes:
+                known = explanations.get(incarnation, math.inf)
+                explanations[incarnation] = min(known, suspect.completed_at)
+        return explanations
+
     def _record_change(self, fingerprint: bytes) -> None:
         self._changed[fingerprint] = None
         self.on_change()
@@ -392,13 +375,15 @@
     def _find_or_add(self, fingerprint: bytes, seen_at: float) -> Suspect:
         suspect = self._find(fingerprint)
         if suspect is None:
-            suspect = Suspect(fingerprint, seen_at)
+            completed_at = self._completions.read(fingerprint)
+            suspect = Suspect(fingerprint, seen_at, completed_at=completed_at)
             self._completed[fingerprint] = suspect
         return suspect
 
     def _put(self, suspect: Suspect, seen_at: float) -> None:
         """Stores a suspect as the one that was seen last."""
         suspect.seen_at = seen_at
+        self._explanations = None
         for suspects, _ in self._tables:
             suspects.pop(suspect.fingerprint, None)
         suspects, _ = self._tables[min(len(suspect.crashes), 2)]
@@ -413,6 +398,7 @@
                 if not is_old and len(self) <= _MAX_SUSPECTS:
                     break
                 del suspects[suspect.fingerprint]
+                self._explanations = None
                 self._changed.pop(suspect.fingerprint, None)
 
 
@@ -420,3 +406,7 @@
     return itertools.chain.from_iterable(
         suspect.crashes.values() for suspect in suspects
     )
+
+
+def _is_same_run(suspect: Suspect, run_at: float) -> bool:
+    return abs(suspect.trial_at - run_at) < _RUN_TOLERANCE_S
--- a/sardinewharf/limits/tests/test_suspects.py
+++ b/sardinewharf/limits/tests/test_suspects.py
@@ -125,3 +125,80 @@
         table.record_crash(crash, 0.0)
     assert table.is_quarantined(b"f", 159.0)
     assert not table.is_quarantined(b"f", 160.0)
+
+
+# A popular part ran in each engine that another part crashed, and nothing could
+# complete on it while all engines were down.
+def test_crashes_that_another_suspect_explains_do_not_count():
+    table = _make_table()
+    table.clear(b"popular", 0.5)
+    _record_crashes(table, b"bad", at=1.0)
+    _record_crashes(table, b"popular", at=1.0)
+    assert table.is_quarantined(b"bad", 1.1)
+    assert not table.is_quarantined(b"popular", 1.1)
+
+
+def test_crashes_beyond_those_of_a_worse_suspect_count():
+    table = _make_table()
+    table.clear(b"also-bad", 0.5)
+    _record_crashes(table, b"bad", at=1.0)
+    _record_crashes(table, b"also-bad", at=1.0)
+    _record_crashes(table, b"also-bad", at=2.0, prefix="other")
+    assert table.is_quarantined(b"also-bad", 2.1)
+
+
+# Two suspects that always ran together must not excuse each other.
+def test_suspects_that_never_completed_explain_nothing_of_each_other():
+    table = _make_table()
+    _record_crashes(table, b"bad", at=1.0)
+    _record_crashes(table, b"companion", at=1.0)
+    assert table.is_quarantined(b"bad", 1.1)
+    assert table.is_quarantined(b"companion", 1.1)
+
+
+# Requests on one part crashed several engines before the first crash was known.
+def test_runs_of_what_never_completed_follow_one_another():
+    table = _make_table()
+    _record_crashes(table, count=1, at=1.0)
+    assert table.read_hold(b"f") < 1.0
+    assert not table.record_run(b"f", 1.1)
+    assert table.read_hold(b"f") > 1.2
+    assert table.read_hold(b"f", own_run_at=1.1) < 1.2
+    _record_crashes(table, count=1, at=1.3, prefix="second")
+    assert table.read_hold(b"f") < 1.3
+
+
+def test_runs_of_what_has_completed_hold_up_nothing():
+    table = _make_table()
+    table.clear(b"f", 0.5)
+    _record_crashes(table, count=2, at=1.0)
+    assert not table.record_run(b"f", 1.1)
+    assert table.read_hold(b"f") < 1.1
+
+
+# A run is told to other processes, so that those of all follow one another.
+def test_a_run_of_a_suspect_is_told():
+    table, other = _make_table(), _make_table()
+    _record_crashes(table, count=1, at=1.0)
+    table.take_changed(8)
+    table.record_run(b"f", 1.1)
+    for suspect in table.take_changed(8):
+        other.merge(suspect, 1.1)
+    assert other.read_hold(b"f") > 1.2
+
+
+# A full engine refused the trial, and the next one came a minute later.
+def test_a_trial_that_no_endpoint_took_is_not_spent():
+    table = _make_table()
+    _record_crashes(table)
+    assert table.record_run(b"f", 3.0) == 1
+    assert table.record_run(b"f", 3.5, own_run_at=3.0) == 0
+    assert table.record_run(b"f", 20.0) == 2
+
+
+# Engines that crash at once used up the crashes, and each trial another one.
+def test_what_crashed_many_and_never_completed_is_tried_late():
+    table = _make_table()
+    _record_crashes(table, b"bad", count=6)
+    assert table.is_quarantined(b"bad", 60.0)
+    assert not table.is_quarantined(b"bad", 110.0)
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -151,7 +151,8 @@
 
     ``fingerprint`` is the same for all repeats of the request, and ``crashes``
     counts the endpoints that crashed while it ran. ``proof`` is a value of
-    ``gateway.crashes.Proof``.
+    ``gateway.crashes.Proof``. ``parts`` are the parts of its prompt that other
+    requests may share, and ``part_crashes`` the same count for each.
     """
 
     request: str
@@ -159,17 +160,21 @@
     fingerprint: str
     proof: str
     crashes: int
+    parts: list[str]
+    part_crashes: list[int]
 
 
 class SuspectTried(Record, tag="suspect_tried"):
     """A request that crashed endpoints runs once more, to see if it still does.
 
-    ``trial`` counts these runs.
+    ``trial`` counts these runs. ``part`` is the prompt part that is tried;
+    empty for the request itself.
     """
 
     request: str
     fingerprint: str
     trial: int
+    part: str
 
 
 class EntryRejected(Record, tag="entry_rejected"):
