Count crashes that end responses without framing

A stream without a length or chunks ends with its connection.

Now such an end is kept like a lost connection and probed; if it shows within the usual time that the endpoint crashed, its causes are suspect, and if not, it counts as a completion, which it never did before.

--- a/sardinewharf/gateway/crashes.py
+++ b/sardinewharf/gateway/crashes.py
@@ -53,7 +53,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loss:
-    """A connection that ended before the response to a request did.
+    """A connection that ended before, or with, the response to a request.
 
     Attributes:
         request: Id of the request.
@@ -61,6 +61,8 @@
         endpoint: The endpoint that ran it.
         sent_at: When the request was sent, on the monotonic clock.
         at: When the connection ended, on the monotonic clock.
+        is_complete: Whether that may be the end of a complete response, which
+            had neither a length nor chunks.
     """
 
     request: ids.RequestId
@@ -68,6 +70,7 @@
     endpoint: fleet.Endpoint
     sent_at: float
     at: float
+    is_complete: bool = False
 
     @property
     def fingerprint(self) -> bytes:
@@ -118,7 +121,7 @@
         self._checked_changes = -1
 
     def record_loss(self, loss: Loss) -> bool:
-        """Records that a connection ended before the request's response.
+        """Records a connection that may have ended by a crash.
 
         Returns:
             Whether it is open if the endpoint crashed.
@@ -166,6 +169,7 @@
             kept = [
                 loss for loss in losses if now - loss.at <= self._proof_window_s
             ]
+            self._clear_complete(losses[: len(losses) - len(kept)])
             if kept:
                 self._losses[incarnation] = kept
             else:
@@ -181,6 +185,14 @@
             if now - at <= _CRASH_TTL_S
         }
 
+    def _clear_complete(self, losses: list[Loss]) -> None:
+        """Records the completions among losses that proved to be no crash."""
+        for loss in losses:
+            if not loss.is_complete:
+                continue
+            for cause in loss.causes:
+                self._suspects.clear(cause.fingerprint, loss.at)
+
     def _is_full(self, now: float) -> bool:
         """Returns whether no further loss is kept, and logs that."""
         if self._count_losses() < _MAX_LOSSES:
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -178,19 +178,31 @@
         endpoint = attempt.target.endpoint
         now = clocks.read_monotonic()
         self._health.record_failure(endpoint.incarnation, now)
-        if attempt.exchange.was_lost:
-            self._record_lost_connection(call, attempt, now)
+        if attempt.exchange.has_ended_with_connection:
+            self._record_end_of_connection(call, attempt, now)
 
-    def _record_lost_connection(
-        self, call: requests.Call, attempt: requests.Attempt, now: float
+    def _record_end_of_connection(
+        self,
+        call: requests.Call,
+        attempt: requests.Attempt,
+        now: float,
+        is_complete: bool = False,
     ) -> None:
-        """Records what may be the crash of an endpoint, and probes that."""
+        """Records what may be the crash of an endpoint, and probes that.
+
+        Args:
+            call: The request.
+            attempt: The attempt whose connection has ended.
+            now: The time.
+            is_complete: Whether that may be the end of a complete response.
+        """
         loss = crashes_lib.Loss(
             call.request.headers.request_id,
             call.request.causes,
             attempt.target.endpoint,
             attempt.sent_at,
             now,
+            is_complete,
         )
         if self._crashes.record_loss(loss):
             self._crash_prober.start(loss.incarnation, attempt.pool)
@@ -226,11 +238,16 @@
     ) -> None:
         """Records that an endpoint completed a request without a crash.
 
-        A response that ends with its connection does not show that.
+        A response that ends with its connection shows that only if the endpoint
+        turns out not to have crashed.
         """
-        if attempt.head.status >= 500 or not attempt.exchange.has_framed_end:
+        if attempt.head.status >= 500:
             return
         now = clocks.read_monotonic()
+        if not attempt.exchange.has_framed_end:
+            is_complete = attempt.head.is_success
+            self._record_end_of_connection(call, attempt, now, is_complete)
+            return
         for cause in call.request.causes:
             # An error may precede the prompt.
             if attempt.head.is_success or not cause.part:
--- a/sardinewharf/gateway/tests/test_crash_detector.py
+++ b/sardinewharf/gateway/tests/test_crash_detector.py
@@ -105,3 +105,40 @@
         found.lose(b"%d" % number, 5.0)
     found.detector.record_unreachable(_ENDPOINT.incarnation, 5.1)
     assert sum(found.count(b"%d" % number) for number in range(20)) == 5
+
+
+def _end(found, at, is_complete=True):
+    loss = crashes.Loss(
+        ids.RequestId("r"),
+        (limits.Cause(b"f"), limits.make_part_cause("aa")),
+        _ENDPOINT,
+        0.0,
+        at,
+        is_complete,
+    )
+    return found.detector.record_loss(loss)
+
+
+# A response without a length or chunks looked whole, so that the crash that had
+# ended it was not counted.
+def test_an_end_without_framing_counts_if_the_endpoint_has_crashed():
+    found = Detector()
+    _end(found, 5.0)
+    found.detector.record_unreachable(_ENDPOINT.incarnation, 5.1)
+    assert found.count(b"f") == 1
+    assert found.count(limits.make_part_cause("aa").fingerprint) == 1
+
+
+# What is only answered without framing could never be free again.
+def test_an_end_without_framing_is_a_completion_if_it_has_not():
+    found = Detector()
+    for number in range(3):
+        crash = limits.Crash(b"f", f"other-{number}", 1.0)
+        found.suspects.record_crash(crash, 1.0)
+    _end(found, 5.0)
+    found.detector.forget_old(5.1)
+    assert found.count(b"f", 5.1) == 3
+    found.detector.forget_old(100.0)
+    assert found.count(b"f", 100.0) == 0
+    _end(found, 101.0, is_complete=False)
+    assert not found.suspects.is_unproven(b"f", 101.0)
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -102,6 +102,11 @@
         self.has_framed_end = True
         self.has_begun = False
 
+    @property
+    def has_ended_with_connection(self) -> bool:
+        """Whether the response ended because its connection did."""
+        return self.was_lost or (self.is_complete and not self.has_framed_end)
+
     async def read_head(self) -> Head:
         """Waits for the status and headers of the response and returns them.
 
