Quarantine messages that crash engines in the daemon too

Each message but the last is now a possible cause in the shared table; one that is suspect and not known to have completed runs in a slot. The refusal names the digest of the message.

--- a/sardinewharf/callers/app.py
+++ b/sardinewharf/callers/app.py
@@ -229,8 +229,11 @@
             path=incoming.http.url.path,
             body=parsed.fields,
             segments=parsed.segments,
-            fingerprint=limits.make_fingerprint(
-                incoming.organisation.name, incoming.body
+            causes=(
+                limits.make_request_cause(
+                    incoming.organisation.name, incoming.body
+                ),
+                *limits.make_content_causes(parsed.segments[:-1]),
             ),
             deadline=deadline,
         )
--- a/sardinewharf/relay/openers.py
+++ b/sardinewharf/relay/openers.py
@@ -127,10 +127,11 @@
         A request with a complete response is no longer a suspect.
         """
         self._release_slot()
-        if is_complete:
-            self._relay.suspects.clear(
-                self._request.fingerprint, clocks.read_monotonic()
-            )
+        if not is_complete:
+            return
+        now = clocks.read_monotonic()
+        for cause in self._request.causes:
+            self._relay.suspects.clear(cause.fingerprint, now)
 
     def record_progress(self, chunks: int) -> bool:
         """Releases a suspect's slot once it has passed the point of the crash.
@@ -145,10 +146,11 @@
             return False
         if chunks < _SLOT_RELEASE_CHUNKS:
             return True
-        crashes = self._relay.suspects.count_crashes(
-            self._request.fingerprint, clocks.read_monotonic()
-        )
-        if crashes > 1:
+        now = clocks.read_monotonic()
+        if any(
+            self._relay.suspects.count_crashes(cause.fingerprint, now) > 1
+            for cause in self._list_suspect_causes(now)
+        ):
             return False
         # The request has passed the point of the crash, so that the next
         # suspect in the queue need not wait for its end.
@@ -176,7 +178,7 @@
         pool = self._find_loaded_pool()
         if pool.members <= self._excluded.keys():
             self._readmit()
-        if not relay.suspects.is_suspect(self._request.fingerprint, now):
+        if not self._list_suspect_causes(now):
             return pool
         self._slot = await relay.slots.enter(
             self._list_engines, self._list_local, self._request.deadline
@@ -236,16 +238,29 @@
             work = self._relay.slots.leave(slot)
             self._relay.background.start(work, "leave-slot")
 
+    def _list_suspect_causes(self, now: float) -> list[limits.Cause]:
+        """Returns what of the request may crash the engine that runs it.
+
+        A part that is known to have completed is none.
+        """
+        suspects = self._relay.suspects
+        request, *parts = self._request.causes
+        found = [c for c in parts if suspects.is_unproven(c.fingerprint, now)]
+        if suspects.is_suspect(request.fingerprint, now):
+            found.append(request)
+        return found
+
     def _check_quarantine_and_deadline(self) -> None:
         now = clocks.read_monotonic()
-        fingerprint = self._request.fingerprint
-        self._relay.suspects.record_repeat(fingerprint, now)
-        if self._relay.suspects.is_quarantined(fingerprint, now):
-            raise outcomes.refuse(
-                outcomes.RefusalKind.QUARANTINED,
-                "Two endpoints died while they ran this request.",
-                self._run_state(),
-            )
+        suspects = self._relay.suspects
+        for cause in self._request.causes:
+            suspects.record_repeat(cause.fingerprint, now)
+            if suspects.is_quarantined(cause.fingerprint, now):
+                raise outcomes.refuse(
+                    outcomes.RefusalKind.QUARANTINED,
+                    _explain_quarantine(cause),
+                    self._run_state(),
+                )
         if self._request.deadline.is_past(now):
             raise outcomes.refuse(
                 outcomes.RefusalKind.DEADLINE,
@@ -341,7 +356,8 @@
             endpoint.report.incarnation
         )
         now = clocks.read_monotonic()
-        relay.suspects.record_run(request.fingerprint, now)
+        for cause in request.causes:
+            relay.suspects.record_run(cause.fingerprint, now)
         relay.router.record_dispatch(choice, chain, now)
         relay.pending_dispatches.add(
             routing.make_dispatch_update(choice, chain, now)
@@ -451,13 +467,19 @@
         relay.router.forget_engine(engine)
         if self._had_engine_crashed:
             return
-        crash = limits.Crash(
-            self._request.fingerprint,
-            incarnation,
-            now,
-            was_alone=self._slot is not None,
-        )
-        if relay.suspects.record_crash(crash, now):
+        is_new = [
+            relay.suspects.record_crash(
+                limits.Crash(
+                    cause.fingerprint,
+                    incarnation,
+                    now,
+                    was_alone=self._slot is not None and not cause.part,
+                ),
+                now,
+            )
+            for cause in self._request.causes
+        ]
+        if any(is_new):
             _log.warning(
                 "Engine {} crashed while it ran request {}.",
                 engine,
@@ -501,3 +523,12 @@
             choice.preferred_count,
             considered,
         )
+
+
+def _explain_quarantine(cause: limits.Cause) -> str:
+    if cause.part:
+        return (
+            "Endpoints died while they ran requests with one of its messages"
+            f" (digest {cause.part}); send it without that message."
+        )
+    return "Two endpoints died while they ran this request."
--- a/sardinewharf/relay/requests.py
+++ b/sardinewharf/relay/requests.py
@@ -6,6 +6,7 @@
 from sardinewharf import clocks
 from sardinewharf import configuration
 from sardinewharf import ids
+from sardinewharf import limits
 from sardinewharf import routing
 
 
@@ -36,7 +37,9 @@
         path: The URL path that the caller used.
         body: The fields of the caller's body.
         segments: The prompt's messages.
-        fingerprint: A digest that is the same for all retries of the request.
+        causes: What may make it crash engines: first the request itself, which
+            is the same for all retries, then the messages of its prompt that
+            other requests may share.
         deadline: When the caller no longer needs the response.
     """
 
@@ -47,7 +50,7 @@
     path: str
     body: Mapping[str, object]
     segments: tuple[bytes, ...]
-    fingerprint: bytes
+    causes: tuple[limits.Cause, ...]
     deadline: clocks.Deadline
 
     def make_salt(self, weights: str) -> str:
--- a/sardinewharf/relay/tests/test_continuations.py
+++ b/sardinewharf/relay/tests/test_continuations.py
@@ -130,7 +130,7 @@
         path="/v1/completions",
         body={},
         segments=(b"prompt",),
-        fingerprint=b"f",
+        causes=(limits.Cause(b"f"),),
         deadline=clocks.Deadline.after(1.0),
     )
 
