Hold up no stream that has begun for long after a crash

A stream that goes on for 0.2 s after its first event has passed the start of its response; its causes need not run one at a time. One that has begun waits 0.5 s at most. The delay of joint trials is for several parts only: the request itself and its single part were tried 5 s late (test_other_crashes_hold_up_no_request_for_long, whose count of what is quarantined names the part too now: two in place of one, as strict).

--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -165,6 +165,7 @@
         call = self._call
         self._attempt.record_first_event()
         self._progress_at = clocks.read_monotonic()
+        self._dispatcher.outcomes.record_progress(call, self._attempt)
         if call.first_byte_at is None:
             call.first_byte_at = self._progress_at
         call.sent_bytes += len(events)
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -19,6 +19,9 @@
 # never will. They are not forwarded: an endpoint that did not run a request
 # states that in a header.
 _PROMISES = frozenset({408, 421, 429, 503})
+# A stream that goes on for this long after its first event has passed the start
+# of its response, where a bad prompt shows, in seconds.
+_PROGRESS_S = 0.2
 # Statuses of refusals by endpoints that may have room a moment later.
 _FULL_STATUSES = frozenset({429, 503})
 
@@ -233,6 +236,19 @@
         """Records that a response arrived completely."""
         self._health.record_success(attempt.target.endpoint.incarnation)
 
+    def record_progress(
+        self, call: requests.Call, attempt: requests.Attempt
+    ) -> None:
+        """Records once that a stream has gone on without a crash."""
+        if attempt.has_progressed:
+            return
+        now = clocks.read_monotonic()
+        if now - attempt.first_event_at < _PROGRESS_S:
+            return
+        attempt.has_progressed = True
+        for cause in call.request.causes:
+            self._suspects.record_progress(cause.fingerprint, now)
+
     def record_completion(
         self, call: requests.Call, attempt: requests.Attempt
     ) -> None:
--- a/sardinewharf/gateway/quarantine.py
+++ b/sardinewharf/gateway/quarantine.py
@@ -23,15 +23,17 @@
 # Time between the trials of two gateways, in which the second one hears of the
 # first one's, in seconds.
 _TRIAL_STAGGER_S = 0.3
-# Later than this a request may be tried of which several causes are
-# quarantined, in seconds: one with a single such cause tells more.
+# Later than this a request may be tried of which several parts are quarantined,
+# in seconds: one with a single such part tells more.
 _JOINT_TRIAL_DELAY_S = 5.0
 # Longest Retry-After, in seconds.
 _MAX_RETRY_AFTER_S = 120.0
 # Longest wait for another run of a suspect, in seconds and as a share of the
-# remaining time.
+# remaining time; that of a stream that has begun, whose caller waits for the
+# next event.
 _MAX_HOLD_S = 2.0
 _HOLD_SHARE = 0.5
+_MAX_STREAM_HOLD_S = 0.5
 # Time between two looks at whether the other run has ended, in seconds.
 _HOLD_POLL_S = 0.03
 
@@ -64,7 +66,8 @@
         for cause in call.request.causes:
             self._suspects.record_repeat(cause.fingerprint, now)
         found = self._list_quarantined(call.request)
-        delay_s = _JOINT_TRIAL_DELAY_S if len(found) > 1 else 0.0
+        is_joint = sum(bool(cause.part) for cause in found) > 1
+        delay_s = _JOINT_TRIAL_DELAY_S if is_joint else 0.0
         return all(self._may_try(call, c, now, delay_s) for c in found)
 
     def must_wait(self, call: requests.Call) -> bool:
@@ -80,10 +83,10 @@
         ):
             return False
         if call.hold_limit is None:
+            has_begun = call.first_byte_at is not None
+            limit_s = _MAX_STREAM_HOLD_S if has_begun else _MAX_HOLD_S
             left_s = call.deadline.remaining() * _HOLD_SHARE
-            call.hold_limit = clocks.Deadline.after(
-                min(_MAX_HOLD_S, left_s), now
-            )
+            call.hold_limit = clocks.Deadline.after(min(limit_s, left_s), now)
         return not call.hold_limit.is_past(now)
 
     async def wait_for_turn(
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -186,6 +186,8 @@
             respond.
         pool: The pool that the connection belongs to.
         sent_at: When the request was sent, on the monotonic clock.
+        first_event_at: When the first event of a stream came; None before.
+        has_progressed: Whether its stream is known to have gone on for a while.
     """
 
     def __init__(
@@ -201,7 +203,7 @@
         self.target = target
         self._estimator = estimator
         self.sent_at = clocks.read_monotonic()
-        self._has_first_event = False
+        self.first_event_at: float | None = None
         self.exchange = exchange
         self._running_request = running_request
         self._prefill_handle = prefill_handle
@@ -210,18 +212,19 @@
         self._connection = connection
         self._is_closed = False
         self.has_stalled = False
+        self.has_progressed = False
 
     def record_first_event(self) -> None:
         """Records the first event of a stream, which ends the prefill.
 
         Later calls have no effect.
         """
-        if self._has_first_event:
+        if self.first_event_at is not None:
             return
-        self._has_first_event = True
+        self.first_event_at = clocks.read_monotonic()
         self._running_request.end_prefill()
         self._prefill_handle.succeed()
-        took_s = clocks.read_monotonic() - self.sent_at
+        took_s = self.first_event_at - self.sent_at
         self._estimator.record_first_token(
             self.target.prefill_tokens,
             self.target.load.prompt_tokens,
--- a/sardinewharf/gateway/tests/test_crashing_requests.py
+++ b/sardinewharf/gateway/tests/test_crashing_requests.py
@@ -288,7 +288,8 @@
     await crash
     for engine in harness.engines:
         engine.event_interval_s = 0.0
-    assert harness.gateways[0]._suspects.count_quarantined() == 1
+    # The request, and the part of its prompt.
+    assert harness.gateways[0]._suspects.count_quarantined() == 2
     await asyncio.sleep(_FIRST_TRIAL_S)
     statuses = await _count_refused(harness, "/chat/1", b"often", 40)
     assert statuses[-20:] == [200] * 20
--- a/sardinewharf/limits/suspect_table.py
+++ b/sardinewharf/limits/suspect_table.py
@@ -81,6 +81,7 @@
         # Those that changed since ``take_changed`` returned them.
         self._changed: dict[bytes, None] = {}
         self._completions = completions.CompletionLog()
+        self._progress = completions.CompletionLog()
         # When the suspect last completed that explains an incarnation's crash;
         # None if it has to be computed anew.
         self._explanations: dict[str, float] | None = None
@@ -187,7 +188,7 @@
     def read_hold(
         self, fingerprint: bytes, own_run_at: float = -math.inf
     ) -> float:
-        """Returns until when another run holds up what never completed.
+        """Returns until when another run holds up what never progressed.
 
         Those of a suspect follow one another, so that fewer endpoints crash
         before it shows whether it completes. It is minus infinity if there is
@@ -200,6 +201,8 @@
         suspect = self._find(fingerprint)
         if suspect is None or not suspect.crashes or suspect.has_completed:
             return -math.inf
+        if not math.isinf(self._progress.read(fingerprint)):
+            return -math.inf
         if suspect.trial_at <= suspect.last_crash_at:
             return -math.inf
         if _is_same_run(suspect, own_run_at):
@@ -348,6 +351,14 @@
                 explanations[incarnation] = min(known, suspect.completed_at)
         return explanations
 
+    def record_progress(self, fingerprint: bytes, now: float) -> None:
+        """Records that a response has gone on for a while without a crash.
+
+        That is no proof as a completion is, but its runs need not follow one
+        another.
+        """
+        self._progress.record(fingerprint, now)
+
     def _record_change(self, fingerprint: bytes) -> None:
         self._changed[fingerprint] = None
         self.on_change()
--- a/sardinewharf/limits/tests/test_suspects.py
+++ b/sardinewharf/limits/tests/test_suspects.py
@@ -202,3 +202,12 @@
     _record_crashes(table, b"bad", count=6)
     assert table.is_quarantined(b"bad", 60.0)
     assert not table.is_quarantined(b"bad", 110.0)
+
+
+# Streams that had long begun waited for one another after a crash.
+def test_runs_of_what_has_progressed_hold_up_nothing():
+    table = _make_table()
+    table.record_progress(b"f", 0.5)
+    _record_crashes(table, count=2, at=1.0)
+    assert not table.record_run(b"f", 1.1)
+    assert table.read_hold(b"f") < 1.1
