Let prompt parts crash engines in the soak, several at once

The family parts draws one to three parts that crash each engine which begins to respond to them, before the head or behind one or two events, beside all other faults. Streams now share their first part, and one of seven more. The check CRASHES counts arrivals of a part later than the recovery bound after its fifth crash, and the new check SOUND the streams that are served beside it, against before. Tests of both checks fail without them.

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -30,6 +30,8 @@
 # Callers that disconnect do so while the request is still running.
 _DISCONNECT_SHARE = 0.03
 _DISCONNECT_AFTER_S = 0.15
+# Parts of prompts that many requests share, beside the first.
+_DOCUMENTS = 7
 _NEW_ROUTE_SHARE = 0.05
 _REVOKED_SHARE = 0.25
 # A caller waits this long beyond its deadline before it gives up.
@@ -60,7 +62,10 @@
         body: Received part of the response body.
         is_complete: Whether the body was received to its end.
         work_ms: Time that a server works on it.
-        sent_body: Body of the request, if it crashes servers.
+        sent_body: Body of the request; empty for that of others.
+        prompt: Description of the prompt's parts; empty for that of others.
+        crash_order: What the request, or a part of its prompt, orders if it
+            crashes servers; see ``crashes.CrashOrder``.
         connecting_s: Time from the start of a new connection until the request
             was written, in seconds; 0 on one in use.
     """
@@ -83,6 +88,8 @@
     is_complete: bool = False
     work_ms: int = 0
     sent_body: bytes = b""
+    prompt: str = ""
+    crash_order: bytes = b""
     connecting_s: float = 0.0
 
     @property
@@ -202,6 +209,11 @@
             key=self._choose_key(),
             sent_at=clocks.read_monotonic(),
         )
+        if attempt.is_stream:
+            attempt.prompt = (
+                f"aa:1000,d{len(self.attempts) % _DOCUMENTS}:300,"
+                f"{attempt.request}:200"
+            )
         self.attempts.append(attempt)
         return attempt
 
@@ -299,6 +311,8 @@
         attempt.request, attempt.path, attempt.key, attempt.deadline_ms
     )
     headers["content-length"] = str(len(body))
+    if attempt.prompt:
+        headers["x-sardinewharf-prompt-prefix"] = attempt.prompt
     lines = [f"{attempt.method} {attempt.path}1?ms={attempt.work_ms} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -30,6 +30,8 @@
 _BACKOFF_RANGE_S = (1.0, 6.0)
 _MAX_BACKOFF_INTERVAL = 4
 _MAX_CRASHING_REQUESTS = 3
+# Parts have other numbers than requests.
+_FIRST_PART_NUMBER = 100
 _CRASH_SPREAD_S = 1.5
 _CRASH_RANGE_S = (0.0, 2.0)
 # Seconds and fractions, twice each, and values that ask for no pause.
@@ -229,6 +231,38 @@
         return drawn
 
 
+class CrashingParts(Family):
+    """Prompt parts that crash the engines that respond to them, several."""
+
+    name = "parts"
+    share = 0.4
+    is_planned = False
+
+    def draw(self, rng, deployment, seconds):
+        """Returns parts of requests to the engines, which may all crash."""
+        # Sound requests are counted before.
+        at = rng.uniform(seconds / 8, seconds / 4)
+        drawn: list[faults.Fault] = [
+            faults.CrashRisk(at, seconds, name) for name in deployment.engines
+        ]
+        for number in range(rng.randint(1, _MAX_CRASHING_REQUESTS)):
+            order = crashes.CrashOrder(
+                _FIRST_PART_NUMBER + number,
+                rng.choice(("/chat/", "/ask/")),
+                rng.uniform(*_CRASH_RANGE_S),
+                removes_entry=rng.random() < 0.5,
+                keeps_id=rng.random() < 0.3,
+                is_part=True,
+                events=rng.randint(0, 2),
+            )
+            drawn.append(
+                faults.CrashingRequest(
+                    at + rng.uniform(0.0, _CRASH_SPREAD_S), seconds, order
+                )
+            )
+        return drawn
+
+
 def _draw_endpoints(
     rng: random.Random, deployment: deployment_lib.Deployment
 ) -> list[str]:
@@ -244,4 +278,5 @@
     LeavingServers(),
     Backoffs(),
     CrashingRequests(),
+    CrashingParts(),
 )
--- a/sardinewharf/soak/faults.py
+++ b/sardinewharf/soak/faults.py
@@ -362,10 +362,10 @@
 
 @dataclasses.dataclass(slots=True)
 class CrashingRequest(Fault):
-    """A caller repeats a request that crashes the servers that run it.
+    """A caller sends requests that crash the servers that run them.
 
     Attributes:
-        order: Body of the request.
+        order: Body of the request that it repeats, or the part in common.
     """
 
     order: crashes.CrashOrder
--- a/sardinewharf/soak/invariants/checker.py
+++ b/sardinewharf/soak/invariants/checker.py
@@ -8,6 +8,7 @@
 from sardinewharf.soak.invariants import crashes
 from sardinewharf.soak.invariants import drains
 from sardinewharf.soak.invariants import engines
+from sardinewharf.soak.invariants import parts
 from sardinewharf.soak.invariants import processes
 from sardinewharf.soak.invariants import records
 from sardinewharf.soak.invariants import responses
@@ -22,6 +23,7 @@
     drains.DrainCheck,
     backoffs.BackoffCheck,
     crashes.CrashCheck,
+    parts.SoundCheck,
     processes.ProcessCheck,
     totals.TotalCheck,
 )
--- a/sardinewharf/soak/invariants/checks.py
+++ b/sardinewharf/soak/invariants/checks.py
@@ -25,6 +25,7 @@
     DRAIN = "a server that leaves gets no requests later on"
     BACKOFF = "a server that asks for a pause gets it"
     CRASHES = "a request that crashes servers is stopped"
+    SOUND = "what shares parts with it is served"
     CALM = "without a fault, answers are whole and do not fail"
     GONE = "servers stop when the caller has left"
     HOLDER = "one holder for each fencing token"
--- a/sardinewharf/soak/invariants/timelines.py
+++ b/sardinewharf/soak/invariants/timelines.py
@@ -54,6 +54,23 @@
             unplanned, clocks.Deadline(start), clocks.Deadline(end)
         )
 
+    def is_calm_beside(
+        self, kinds: tuple[type, ...], since: float, until: float
+    ) -> bool:
+        """Returns whether no unplanned fault of other kinds affects a span.
+
+        Args:
+            kinds: Classes of the faults that are not considered.
+            since: Monotonic time of the span's start, in seconds.
+            until: Monotonic time of the span's end, in seconds.
+        """
+        others = [
+            fault
+            for fault in self.faults
+            if not fault.is_planned and not isinstance(fault, kinds)
+        ]
+        return not self._overlaps(others, since, until)
+
     def is_in_touch(self, gateway: str, since: float, until: float) -> bool:
         """Returns whether a gateway ran and reached the store for some time.
 
--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -128,15 +128,19 @@
 
     async def respond(self, connection, request) -> None:
         """Responds to a request, or crashes if that is what it orders."""
-        order = crashes.read_order(request.body)
+        order = crashes.find_order(request.headers, request.body)
         if order is None:
             await super().respond(connection, request)
             return
+        await self.begin_response(connection, request, order.events)
         now = clocks.read_monotonic()
         note = journals.Crashed(now, request.request_id, self.id)
         self.journal.write(note)
         self.on_crash(note, order)
 
+    async def begin_response(self, connection, request, events: int) -> None:
+        """Sends what precedes a crash; an application server sends nothing."""
+
     def make_body(self, request) -> bytes:
         """Returns the response body of a request."""
         return make_response_body(request.request_id)
@@ -158,6 +162,20 @@
         """Returns one event of a stream."""
         return make_event(request.request_id, number)
 
+    async def begin_response(self, connection, request, events: int) -> None:
+        """Sends a head and some events, if any."""
+        if not events:
+            return
+        headers = self.make_headers(request)
+        version = str(self.version)
+        headers.append(("x-sardinewharf-weight-versions", version))
+        headers.append(("content-type", "text/event-stream"))
+        connection.write_head(200, headers, None, is_chunked=True)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, first + events):
+            connection.write_chunk(make_event(request.request_id, number))
+            await asyncio.sleep(self.event_interval_s)
+
     def find_event_interval(self, request) -> float:
         """Returns the interval that spreads the work over the stream."""
         return self.event_interval_s + _read_work_s(request) / self.events
--- a/sardinewharf/soak/tests/test_invariants.py
+++ b/sardinewharf/soak/tests/test_invariants.py
@@ -1,8 +1,10 @@
 """Tests that each invariant's check reports a history that violates it."""
 
+import msgspec
 import pytest
 
 from sardinewharf.soak import callers
+from sardinewharf.soak import crashes
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
 from sardinewharf.soak import invariants
@@ -593,15 +595,17 @@
     assert history.list_violated() == {invariants.Invariant.BACKOFF}
 
 
-def crash_servers(history, later):
-    """Records a request that crashes three servers, and later arrivals."""
-    for number, at in enumerate([111.0] * 3 + later):
+def crash_servers(history, later, crashed=3, is_part=False):
+    """Records requests that crash servers, and later arrivals."""
+    order = crashes.CrashOrder(1, "/ask/", 1.0, False, False, is_part)
+    encoded = msgspec.json.encode(order)
+    for number, at in enumerate([111.0] * crashed + later):
         request = f"crash-{number}"
         history.send(
-            request, status=502, stamp="", sent_body=b"crash", sent_at=at
+            request, status=502, stamp="", crash_order=encoded, sent_at=at
         )
         history.record("s0", journals.Arrived(at, request, "orders", "s0.1"))
-        if number < 3:
+        if number < crashed:
             history.record("s0", journals.Crashed(at, request, "s0.1"))
 
 
@@ -615,3 +619,49 @@
     history.faults = [faults.CrashRisk(10.0, 20.0, "s0")]
     crash_servers(history, [112.0] * 40 + [118.0] * 3)
     assert history.list_violated() == set()
+
+
+def test_a_part_that_crashes_servers_again_and_again(history):
+    history.faults = [faults.CrashRisk(10.0, 20.0, "s0")]
+    crash_servers(history, [118.0] * 4, crashed=5, is_part=True)
+    assert history.list_violated() == {invariants.Invariant.CRASHES}
+
+
+@pytest.mark.parametrize("crashed, late", [(4, 10), (5, 3)])
+def test_a_part_that_crashes_servers_and_is_stopped(history, crashed, late):
+    history.faults = [faults.CrashRisk(10.0, 20.0, "s0")]
+    crash_servers(history, [118.0] * late, crashed, is_part=True)
+    assert history.list_violated() == set()
+
+
+def serve_beside_part(history, served_share):
+    """Records sound streams before and after a part has crashed servers."""
+    history.faults = [faults.CrashRisk(10.0, 40.0, "e0")]
+    crash_servers(history, [140.0], crashed=5, is_part=True)
+    for number in range(60):
+        sent_at = 110.0 if number < 30 else 130.0
+        is_served = number < 30 or number % 30 < 30 * served_share
+        name = f"sound-{number}"
+        events = [server.make_event(name, event) for event in range(1, 5)]
+        history.send(
+            name,
+            "/ask/",
+            stamp="e0.1.stamp" if is_served else "",
+            was_sent=True,
+            status=200 if is_served else 503,
+            body=b"".join(events) if is_served else b"",
+            sent_at=sent_at,
+            ended_at=sent_at + 0.1,
+        )
+        if is_served:
+            history.run(name, "/ask/", "e0", at=sent_at)
+
+
+def test_sound_requests_that_are_refused_beside_a_part(history):
+    serve_beside_part(history, 0.4)
+    assert invariants.Invariant.SOUND in history.list_violated()
+
+
+def test_sound_requests_that_are_served_beside_a_part(history):
+    serve_beside_part(history, 0.6)
+    assert invariants.Invariant.SOUND not in history.list_violated()
