Tell other daemons of completions and trials of what crashed engines

So a request or message that completed at one daemon stayed refused at the others, and each daemon began its own three trials. With messages as causes this matters more, since they are in the requests of all daemons.

Two lists that were always cut at the same end are drawn at random now: the endpoints that leave in a digest, and the daemons that are told of a crash at once.

--- a/sardinewharf/daemons/digests.py
+++ b/sardinewharf/daemons/digests.py
@@ -1,7 +1,10 @@
-"""Converts members and configurations to Thrift messages and back."""
+"""Converts members, configurations and suspects to Thrift and back."""
+
+import math
 
 from sardinewharf import configuration
 from sardinewharf import ids
+from sardinewharf import limits
 from sardinewharf.daemons import membership
 from sardinewharf.daemons.gen.wire import ttypes
 
@@ -75,6 +78,37 @@
     )
 
 
+def encode_suspect(suspect: limits.Suspect, now: float) -> ttypes.SuspectState:
+    """Returns the message that tells a suspect's completion and trials."""
+    return ttypes.SuspectState(
+        suspect.fingerprint,
+        compute_age_ms(suspect.seen_at, now),
+        _encode_age(suspect.completed_at, now),
+        suspect.trials,
+        _encode_age(suspect.trial_at, now),
+    )
+
+
+def decode_suspect(state: ttypes.SuspectState, now: float) -> limits.Suspect:
+    """Returns the suspect that a message describes, without its crashes."""
+    return limits.Suspect(
+        state.fingerprint,
+        now - state.seen_age_ms / 1000,
+        completed_at=_decode_age(state.completed_age_ms, now),
+        trials=state.trials,
+        trial_at=_decode_age(state.trial_age_ms, now),
+    )
+
+
+def _encode_age(at: float, now: float) -> int | None:
+    """Returns the age of a time; None if it never came."""
+    return None if math.isinf(at) else compute_age_ms(at, now)
+
+
+def _decode_age(age_ms: int | None, now: float) -> float:
+    return -math.inf if age_ms is None else now - age_ms / 1000
+
+
 def compute_age_ms(at: float, now: float) -> int:
     """Returns the time from ``at`` to ``now`` in milliseconds, at least 0."""
     return max(0, int((now - at) * 1000))
--- a/sardinewharf/daemons/gen/wire/ttypes.py
+++ b/sardinewharf/daemons/gen/wire/ttypes.py
@@ -260,6 +260,122 @@
         return not (self == other)
 
 
+class SuspectState(object):
+    """
+    Attributes:
+     - fingerprint
+     - seen_age_ms
+     - completed_age_ms
+     - trials
+     - trial_age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'seen_age_ms',
+        'completed_age_ms',
+        'trials',
+        'trial_age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, seen_age_ms=None, completed_age_ms=None, trials=None, trial_age_ms=None,):
+        self.fingerprint = fingerprint
+        self.seen_age_ms = seen_age_ms
+        self.completed_age_ms = completed_age_ms
+        self.trials = trials
+        self.trial_age_ms = trial_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.seen_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.completed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.trial_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectState')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.seen_age_ms is not None:
+            oprot.writeFieldBegin('seen_age_ms', TType.I32, 2)
+            oprot.writeI32(self.seen_age_ms)
+            oprot.writeFieldEnd()
+        if self.completed_age_ms is not None:
+            oprot.writeFieldBegin('completed_age_ms', TType.I32, 3)
+            oprot.writeI32(self.completed_age_ms)
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.I32, 4)
+            oprot.writeI32(self.trials)
+            oprot.writeFieldEnd()
+        if self.trial_age_ms is not None:
+            oprot.writeFieldBegin('trial_age_ms', TType.I32, 5)
+            oprot.writeI32(self.trial_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Leaving(object):
     """
     Attributes:
@@ -628,6 +744,7 @@
      - leaving
      - deaths
      - loads
+     - suspects
 
     """
 
@@ -636,14 +753,16 @@
         'leaving',
         'deaths',
         'loads',
+        'suspects',
     )
 
 
-    def __init__(self, members=None, leaving=None, deaths=None, loads=None,):
+    def __init__(self, members=None, leaving=None, deaths=None, loads=None, suspects=None,):
         self.members = members
         self.leaving = leaving
         self.deaths = deaths
         self.loads = loads
+        self.suspects = suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -698,6 +817,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = SuspectState()
+                        _elem43.read(iprot)
+                        self.suspects.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -711,29 +841,36 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter38 in self.members:
-                iter38.write(oprot)
+            for iter44 in self.members:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter39 in self.leaving:
-                iter39.write(oprot)
+            for iter45 in self.leaving:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deaths is not None:
             oprot.writeFieldBegin('deaths', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.deaths))
-            for iter40 in self.deaths:
-                iter40.write(oprot)
+            for iter46 in self.deaths:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter41 in self.loads:
-                iter41.write(oprot)
+            for iter47 in self.loads:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter48 in self.suspects:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -868,10 +1005,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -888,8 +1025,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.known))
-            for iter48 in self.known:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.known:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -955,11 +1092,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.shards = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Shard()
-                        _elem54.read(iprot)
-                        self.shards.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Shard()
+                        _elem61.read(iprot)
+                        self.shards.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -985,8 +1122,8 @@
         if self.shards is not None:
             oprot.writeFieldBegin('shards', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.shards))
-            for iter55 in self.shards:
-                iter55.write(oprot)
+            for iter62 in self.shards:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vms is not None:
@@ -1056,10 +1193,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.operations = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readBinary()
-                        self.operations.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readBinary()
+                        self.operations.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1085,8 +1222,8 @@
         if self.operations is not None:
             oprot.writeFieldBegin('operations', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.operations))
-            for iter62 in self.operations:
-                oprot.writeBinary(iter62)
+            for iter69 in self.operations:
+                oprot.writeBinary(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
@@ -1145,10 +1282,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readBinary()
-                        self.results.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readBinary()
+                        self.results.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1165,8 +1302,8 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.results))
-            for iter69 in self.results:
-                oprot.writeBinary(iter69)
+            for iter76 in self.results:
+                oprot.writeBinary(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1450,6 +1587,15 @@
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.BOOL, 'was_alone', None, None, ),  # 4
 )
+all_structs.append(SuspectState)
+SuspectState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'seen_age_ms', None, None, ),  # 2
+    (3, TType.I32, 'completed_age_ms', None, None, ),  # 3
+    (4, TType.I32, 'trials', None, None, ),  # 4
+    (5, TType.I32, 'trial_age_ms', None, None, ),  # 5
+)
 all_structs.append(Leaving)
 Leaving.thrift_spec = (
     None,  # 0
@@ -1483,6 +1629,7 @@
     (2, TType.LIST, 'leaving', (TType.STRUCT, [Leaving, None], False), None, ),  # 2
     (3, TType.LIST, 'deaths', (TType.STRUCT, [Death, None], False), None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 4
+    (5, TType.LIST, 'suspects', (TType.STRUCT, [SuspectState, None], False), None, ),  # 5
 )
 all_structs.append(Shard)
 Shard.thrift_spec = (
--- a/sardinewharf/daemons/gossip.py
+++ b/sardinewharf/daemons/gossip.py
@@ -40,6 +40,8 @@
 _MAX_SAME_DOMAIN_MEMBERS = 16
 _MAX_REMOTE_MEMBERS = 4
 _MAX_CRASHES = 64
+# Suspects whose completions and trials are in a digest.
+_MAX_SUSPECT_STATES = 32
 _MAX_LOADS = 16
 _MAX_LEAVING = 64
 # Number of daemons that get an urgent update at once, and maximum number of
@@ -178,7 +180,7 @@
         than the report of the crash.
         """
         addresses = self.list_addresses(same_domain_only=False)
-        addresses = addresses[:_MAX_CRASH_PEERS]
+        addresses = self._sample(addresses, _MAX_CRASH_PEERS)
         exchanges = [
             self._tasks.start(self._exchange(address), "gossip-death")
             for address in addresses
@@ -204,7 +206,7 @@
             for endpoint, at in self._leaving.items()
             if now - at <= _LEAVING_RETENTION_S
         }
-        leaving = list(self._leaving)[:_MAX_LEAVING]
+        leaving = self._sample(list(self._leaving), _MAX_LEAVING)
         return ttypes.Digest(
             members=[
                 digests.encode_member(m) for m in self._sample_members(now)
@@ -222,6 +224,12 @@
                 for crash in crashes
             ],
             loads=self._sample_loads(now),
+            suspects=[
+                digests.encode_suspect(suspect, now)
+                for suspect in self._state.suspects.choose_states_to_share(
+                    now, _MAX_SUSPECT_STATES
+                )
+            ],
         )
 
     async def merge(self, digest: ttypes.Digest) -> None:
@@ -231,6 +239,10 @@
             self._state.members.merge(digests.decode_member(member), now)
         self._merge_leaving(digest, now)
         self._merge_crashes(digest, now)
+        for message in digest.suspects or ():
+            self._state.suspects.merge(
+                digests.decode_suspect(message, now), now
+            )
         self._merge_loads(digest, now)
         await self._fetch_newer(digest)
 
--- a/sardinewharf/daemons/sardinewharf.thrift
+++ b/sardinewharf/daemons/sardinewharf.thrift
@@ -20,6 +20,14 @@
   4: bool was_alone,
 }
 
+struct SuspectState {
+  1: binary fingerprint,
+  2: i32 seen_age_ms,
+  3: optional i32 completed_age_ms,
+  4: i32 trials,
+  5: optional i32 trial_age_ms,
+}
+
 struct Leaving {
   1: string endpoint,
   2: string incarnation,
@@ -47,6 +55,7 @@
   2: list<Leaving> leaving,
   3: list<Death> deaths,
   4: list<Load> loads,
+  5: list<SuspectState> suspects,
 }
 
 struct Shard {
--- a/sardinewharf/limits/suspect_table.py
+++ b/sardinewharf/limits/suspect_table.py
@@ -87,6 +87,7 @@
         self._explanations: dict[str, float] | None = None
         # Number of suspects that were chosen to be shared, in turn.
         self._shared = 0
+        self._states_shared = 0
         self.on_change: Callable[[], None] = _ignore_change
 
     def __len__(self) -> int:
@@ -174,6 +175,27 @@
         crashes = _list_crashes(self.choose_to_share(now, limit))
         return tuple(itertools.islice(crashes, limit))
 
+    def choose_states_to_share(self, now: float, limit: int) -> list[Suspect]:
+        """Returns suspects that completed or were tried, at most so many.
+
+        Half of them are those that did so last, the rest are others in turn.
+        """
+        self._forget_old(now)
+        known = [
+            suspect
+            for suspect in self._iterate()
+            if suspect.has_completed or suspect.trials
+        ]
+        if len(known) <= limit:
+            return known
+        known.sort(key=lambda row: max(row.completed_at, row.trial_at))
+        latest = limit // 2
+        others = known[:-latest]
+        self._states_shared %= len(others)
+        turned = others[self._states_shared :] + others[: self._states_shared]
+        self._states_shared += limit - latest
+        return known[-latest:] + turned[: limit - latest]
+
     def is_suspect(self, fingerprint: bytes, now: float) -> bool:
         """Returns whether an endpoint crashed while it ran."""
         return self.count_crashes(fingerprint, now) > 0
