--- a/sardinewharf/fleet/pauses.py
+++ b/sardinewharf/fleet/pauses.py
@@ -23,6 +23,8 @@
 
     def __init__(self) -> None:
         self._ends: dict[str, clocks.Deadline] = {}
+        # When the endpoints said that they end.
+        self._stated_ends: dict[str, clocks.Deadline] = {}
         # When each was recorded, on the monotonic clock and on that of the day.
         self._recorded_at: dict[str, tuple[float, float]] = {}
 
@@ -30,9 +32,23 @@
         return len(self._ends)
 
     def record(
-        self, incarnation: str, until: clocks.Deadline, now: float
+        self,
+        incarnation: str,
+        until: clocks.Deadline,
+        now: float,
+        stated_until: clocks.Deadline | None = None,
     ) -> bool:
-        """Records a pause; returns whether the endpoint had none before."""
+        """Records a pause; returns whether the endpoint had none before.
+
+        Args:
+            incarnation: The endpoint.
+            until: When the pause ends.
+            now: The time.
+            stated_until: When the endpoint said that it ends, if that is later.
+        """
+        self._stated_ends[incarnation] = max(
+            stated_until or until, self._stated_ends.get(incarnation, until)
+        )
         end = self.find_end(incarnation, now)
         self._ends[incarnation] = until if end is None else max(end, until)
         self._recorded_at[incarnation] = (now, clocks.read_wall())
@@ -67,6 +83,13 @@
         """Returns whether an endpoint wants no requests yet."""
         return self.find_end(incarnation, now) is not None
 
+    def is_repeated(self, incarnation: str, now: float) -> bool:
+        """Returns whether a statement repeats one whose pause was cut short."""
+        stated = self._stated_ends.get(incarnation)
+        if stated is None or stated.is_past(now):
+            return False
+        return not self.is_paused(incarnation, now)
+
     def forget_past(self, now: float) -> None:
         """Forgets the pauses that have ended."""
         self._ends = {
@@ -74,6 +97,11 @@
             for incarnation, end in self._ends.items()
             if not end.is_past(now)
         }
+        self._stated_ends = {
+            incarnation: end
+            for incarnation, end in self._stated_ends.items()
+            if not end.is_past(now)
+        }
         self._recorded_at = {
             incarnation: times
             for incarnation, times in self._recorded_at.items()
--- a/sardinewharf/gateway/notices.py
+++ b/sardinewharf/gateway/notices.py
@@ -15,9 +15,12 @@
 _UNAVAILABLE = 503
 _TOO_MANY = 429
 _MISDIRECTED = 421
-# Longest pause, in seconds. It is longer than a restart or a load of weights
-# takes; an endpoint that needs more says so again.
+# Longest pause for a first statement, in seconds. It is longer than a restart
+# or a load of weights takes. An endpoint that needs more says so again within
+# the stated time, and is believed then.
 _MAX_PAUSE_S = 120.0
+# Longest pause for a statement that was repeated, in seconds.
+_MAX_REPEATED_PAUSE_S = 86_400.0
 
 
 class NoticeRecorder:
@@ -89,9 +92,14 @@
     ) -> None:
         now = clocks.read_monotonic()
         endpoint = attempt.target.endpoint
-        pause_s = min(asked_s, _MAX_PAUSE_S)
+        pauses = self._table.pauses
+        is_repeated = pauses.is_repeated(endpoint.incarnation, now)
+        limit_s = _MAX_REPEATED_PAUSE_S if is_repeated else _MAX_PAUSE_S
+        pause_s = min(asked_s, limit_s)
         until = clocks.Deadline.after(pause_s, now)
-        if self._table.pauses.record(endpoint.incarnation, until, now):
+        stated_s = min(asked_s, _MAX_REPEATED_PAUSE_S)
+        stated_until = clocks.Deadline.after(stated_s, now)
+        if pauses.record(endpoint.incarnation, until, now, stated_until):
             self._log.write(
                 records.events.EndpointPaused(
                     endpoint=endpoint.id,
--- a/sardinewharf/gateway/tests/test_notices.py
+++ b/sardinewharf/gateway/tests/test_notices.py
@@ -108,6 +108,27 @@
     assert 119 < recorder.count_wait() <= 120
 
 
+# The pause was cut at two minutes each time, so that an endpoint that asked for
+# an hour got thirty requests within it.
+def test_a_long_pause_that_is_stated_again_holds_to_its_end(monkeypatch):
+    recorder = Recorder()
+    now = clocks.read_monotonic()
+    recorder.record(503, retry_after_s=3_600.0)
+    monkeypatch.setattr(clocks, "read_monotonic", lambda: now + 121.0)
+    assert recorder.count_wait() == 0.0
+    recorder.record(503, retry_after_s=3_479.0)
+    assert recorder.count_wait() > 3_400
+
+
+def test_a_long_pause_after_the_end_of_another_is_bounded(monkeypatch):
+    recorder = Recorder()
+    now = clocks.read_monotonic()
+    recorder.record(503, retry_after_s=100.0)
+    monkeypatch.setattr(clocks, "read_monotonic", lambda: now + 121.0)
+    recorder.record(503, retry_after_s=3_600.0)
+    assert recorder.count_wait() <= 120
+
+
 def test_only_the_first_statement_is_logged():
     recorder = Recorder()
     for _ in range(3):
