Count a departure from when it was stated before the entry was read

Once the entry of the new one was read, its next response began the drain time anew, so that it got requests for up to the store's lag too long (DRAIN).

The earlier deadline is kept for the new incarnation and counts if that says the same. The new test failed before; 94 tests of fleet, notices, pauses and departures pass.

--- a/sardinewharf/fleet/departures.py
+++ b/sardinewharf/fleet/departures.py
@@ -40,11 +40,13 @@
         endpoint_id: Id of the endpoint.
         send_until: When the last request may be sent to it.
         keep_until: When it is forgotten unless it is registered.
+        recorded_at: When it stated so, on the monotonic clock.
     """
 
     endpoint_id: ids.EndpointId
     send_until: clocks.Deadline
     keep_until: clocks.Deadline
+    recorded_at: float
 
 
 class DepartureTable:
@@ -52,6 +54,8 @@
 
     def __init__(self) -> None:
         self._departures: dict[str, _Departure] = {}
+        # Deadlines that count if the incarnation says that it leaves.
+        self._carried: dict[str, clocks.Deadline] = {}
 
     def __len__(self) -> int:
         return len(self._departures)
@@ -73,13 +77,36 @@
         """
         if endpoint.incarnation in self._departures:
             return False
+        carried = self._carried.pop(endpoint.incarnation, send_until)
         self._departures[endpoint.incarnation] = _Departure(
             endpoint.id,
-            send_until,
+            min(carried, send_until),
             clocks.Deadline.after(_KEEP_UNREGISTERED_S, now),
+            now,
         )
         return True
 
+    def carry_over(
+        self,
+        former: endpoints.Endpoint,
+        current: endpoints.Endpoint,
+        since: float,
+    ) -> None:
+        """Keeps a statement that may be that of the next incarnation.
+
+        An endpoint may make it before its new incarnation is known, so that it
+        is recorded for the former one. It counts from then on if the new one
+        says the same.
+
+        Args:
+            former: The former incarnation.
+            current: The incarnation in its place.
+            since: Since when it may have been unknown, on the monotonic clock.
+        """
+        departure = self._departures.get(former.incarnation)
+        if departure is not None and departure.recorded_at >= since:
+            self._carried[current.incarnation] = departure.send_until
+
     def is_leaving(self, incarnation: str) -> bool:
         """Returns whether an endpoint stated that it is leaving."""
         return incarnation in self._departures
@@ -91,6 +118,13 @@
 
     def forget_old(self, registry: registry_lib.Registry, now: float) -> None:
         """Forgets endpoints that have not been registered for a long time."""
+        self._carried = {
+            incarnation: send_until
+            for incarnation, send_until in self._carried.items()
+            if not clocks.Deadline.after(
+                _KEEP_UNREGISTERED_S, send_until.at
+            ).is_past(now)
+        }
         for incarnation, departure in list(self._departures.items()):
             endpoint = registry.find(departure.endpoint_id)
             if endpoint is not None and endpoint.incarnation == incarnation:
--- a/sardinewharf/fleet/tests/test_departures.py
+++ b/sardinewharf/fleet/tests/test_departures.py
@@ -62,3 +62,25 @@
         table.record(make_endpoint(name), clocks.Deadline(2.0), 0.0)
     table.forget_old(registry, 5_000.0)
     assert len(table) == 0
+
+
+# An endpoint started again, said at once that it leaves, and only then was its
+# entry read: the time in which it may be used began anew.
+def test_a_statement_before_the_new_incarnation_is_known_counts_if_repeated():
+    table = fleet.DepartureTable()
+    former, current = make_endpoint(), make_endpoint(started_ms=2)
+    table.record(former, clocks.Deadline(2.0), 0.0)
+    table.carry_over(former, current, since=-1.0)
+    assert not table.is_leaving(current.incarnation)
+    table.record(current, clocks.Deadline(3.0), 1.0)
+    assert table.may_send(current.incarnation, 1.9)
+    assert not table.may_send(current.incarnation, 2.0)
+
+
+def test_an_old_statement_of_the_former_incarnation_is_not_carried_over():
+    table = fleet.DepartureTable()
+    former, current = make_endpoint(), make_endpoint(started_ms=2)
+    table.record(former, clocks.Deadline(2.0), 0.0)
+    table.carry_over(former, current, since=1.0)
+    table.record(current, clocks.Deadline(9.0), 7.0)
+    assert table.may_send(current.incarnation, 8.0)
--- a/sardinewharf/gateway/notices.py
+++ b/sardinewharf/gateway/notices.py
@@ -69,6 +69,7 @@
             current.started_ms / 1000,
             since,
         )
+        self._table.departures.carry_over(former, current, since)
 
     def _record_departure(
         self, call: requests.Call, attempt: requests.Attempt
