--- a/features/environment.py
+++ b/features/environment.py
@@ -2,8 +2,8 @@
 
 The links between the processes pass through a proxy that can inject faults. A
 feature's tag selects its deployment: ``@rollout`` has engines that ignore
-fencing tokens, ``@small`` low limits, and ``@crash`` engines that exit on a
-marked prompt.
+fencing tokens, ``@small`` low limits, ``@crash`` engines that exit on a marked
+prompt, and ``@spare`` three more engines.
 """
 
 from behave.model_core import Status
@@ -43,9 +43,19 @@
             *_FAST_FLAGS,
             *_make_limit_flags(feature),
         )
+    if "spare" in feature.tags:
+        plan_spare_engines(deployment, feature)
     start(context, feature, deployment)
 
 
+def plan_spare_engines(deployment, feature):
+    for number in range(4, 7):
+        flags = ("--decode-ms=5", "--prefill-rate=200000")
+        deployment.plan_engine(
+            f"engine-{number}", "fd1", *flags, *_make_crash_flags(feature)
+        )
+
+
 def plan_rollout(deployment):
     for number in range(1, 7):
         flags = ("--ignore-fence",) if number % 2 else ()
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -307,6 +307,20 @@
     join_streams(context)
 
 
+@when(
+    "callers send {count:d} requests with the crashing message to the daemons"
+    " in turn"
+)
+def send_crashing_message(context, count):
+    names = context.deployment.planned_daemons
+    for number in range(count):
+        body = make_chat(f"Question {number}", 5)
+        body["messages"].insert(0, {"role": "user", "content": "CRASH"})
+        daemon = names[number % len(names)]
+        context.responses.append(post_chat(context, daemon, body))
+    join_streams(context)
+
+
 @then("at most {count:d} engines have crashed")
 def check_crashed(context, count):
     crashed = [
