Halt orders of weights that end each engine that loads them

A version that no engine could load ended 30 engines in 12 s (test_weights_that_end_each_engine_are_halted, failed before).

The test allows five engines, and the next version is loaded by all. Any engine that has the version proves it, so that crashes for other reasons halt nothing once one is done.

--- a/sardinewharf/balancing/__init__.py
+++ b/sardinewharf/balancing/__init__.py
@@ -14,6 +14,7 @@
 from sardinewharf.balancing.engines import misses_deadline
 from sardinewharf.balancing.estimates import EngineEstimates
 from sardinewharf.balancing.estimates import EngineEstimator
+from sardinewharf.balancing.load_failures import LoadFailures
 from sardinewharf.balancing.prefills import PrefillTable
 from sardinewharf.balancing.prefix_cache import PrefixCacheIndex
 from sardinewharf.balancing.prompt_lengths import LengthSplit
@@ -31,6 +32,7 @@
     "EngineState",
     "LengthSplit",
     "MAX_SILENCE_S",
+    "LoadFailures",
     "PrefixCacheIndex",
     "PromptSize",
     "PrefillTable",
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -110,6 +110,7 @@
         # Engines that are probed, and those whose last update failed.
         self._probing: set[ids.EndpointId] = set()
         self._backoffs: dict[ids.EndpointId, clocks.Deadline] = {}
+        self._load_failures = balancing.LoadFailures()
         # Moving average of the time that updates take.
         self._update_s = _INITIAL_UPDATE_S
         self._was_leader = False
@@ -197,8 +198,16 @@
         ]
         if all(state.version >= target for state in states):
             return
+        if any(state.version >= target for state in states):
+            self._load_failures.clear(model, target)
+        if not self._load_failures.may_order(model, target, now):
+            return
         pace = self._measure_pace(engines, model, estimates, now)
-        for engine in balancing.choose_engines_to_update(states, target, pace):
+        chosen = balancing.choose_engines_to_update(states, target, pace)
+        if chosen and self._load_failures.is_halted(model, target):
+            self._load_failures.record_trial(model, target, now)
+            chosen = chosen[:1]
+        for engine in chosen:
             endpoint = registry.find(ids.EndpointId(engine))
             if self._responded_recently(endpoint, now):
                 self._updating.add(endpoint.id)
@@ -326,6 +335,12 @@
         while not load_deadline.is_past():
             report = await self._read_report(endpoint)
             if report is None:
+                self._load_failures.record(
+                    model,
+                    target,
+                    endpoint.incarnation,
+                    clocks.read_monotonic(),
+                )
                 return False
             if self._record_report(endpoint, model, report, target):
                 return True
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -476,3 +476,59 @@
             )
     await set_target_version(harness, 2)
     await gateway_harness.wait_for(lambda: has_version(harness, 2))
+
+
+class _EndingEngines:
+    """Makes engines end when they load a version, and be back at once.
+
+    Attributes:
+        ended: Number of engines that ended.
+    """
+
+    def __init__(self, harness, version):
+        self._harness = harness
+        self._version = version
+        self._tasks = set()
+        self.ended = 0
+        for engine in harness.engines:
+            engine.record_order = self._make_handler(engine)
+
+    def _make_handler(self, engine):
+        def end(order):
+            if order["version"] == self._version:
+                task = asyncio.ensure_future(self._restart(engine))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+        return end
+
+    async def _restart(self, engine):
+        # The order has been accepted.
+        await asyncio.sleep(0.05)
+        self.ended += 1
+        port = int(engine.address.rpartition(":")[2])
+        former_id = engine.id
+        await engine.stop()
+        await self._harness.store.remove(f"servers/{former_id}")
+        engine.id = f"{former_id.partition('-')[0]}-{self.ended}"
+        engine.version = 1
+        engine._busy_until = 0.0
+        engine.orders.clear()
+        await asyncio.sleep(1.0)
+        await engine.start(port)
+        await self._harness.register(engine, born=1 + self.ended)
+
+
+# Failures were kept for one engine, whose id was another after each end, so
+# that weights which no engine could load ended all of them again and again.
+async def test_weights_that_end_each_engine_are_halted(harness):
+    engines = _EndingEngines(harness, version=2)
+    await set_target_version(harness, 2)
+    await asyncio.sleep(12.0)
+    assert 1 <= engines.ended <= 5
+    await set_target_version(harness, 3)
+
+    async def has_loaded():
+        return all(engine.version == 3 for engine in harness.engines)
+
+    await gateway_harness.wait_for(has_loaded, 10.0)
