Round Retry-After up, so that callers do not come back too soon

The header was written with two digits, rounded to the nearest, so up to 5 ms shorter than the wait, while the spread added to the wait may be nothing. Two of five cases of the new test failed before.

--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -189,7 +189,8 @@
         if request_id:
             headers.append((REQUEST_ID, request_id.encode()))
         if retry_after_s is not None:
-            headers.append((RETRY_AFTER, b"%.2f" % retry_after_s))
+            rounded_up_s = math.ceil(retry_after_s * 100) / 100
+            headers.append((RETRY_AFTER, b"%.2f" % rounded_up_s))
         return headers
 
 
--- a/sardinewharf/platform/tests/test_headers.py
+++ b/sardinewharf/platform/tests/test_headers.py
@@ -85,3 +85,12 @@
     ((_, value, name),) = logged
     assert value == b"in a while" * 4
     assert name == b"retry-after"
+
+
+# It was rounded down by up to 5 ms, so that a caller that came back on time was
+# refused once more.
+@pytest.mark.parametrize("seconds", [2.991, 2.994, 2.9951, 0.3, 1.0])
+def test_a_retry_after_is_not_shorter_than_the_wait(seconds):
+    written = platform.PlatformHeaderCodec().write_refusal("r", seconds)
+    stated = float(dict(written)[headers.RETRY_AFTER])
+    assert seconds <= stated < seconds + 0.011
