--- a/sardinewharf/gateway/quarantine.py
+++ b/sardinewharf/gateway/quarantine.py
@@ -62,6 +62,8 @@
 
     def may_run(self, call: requests.Call) -> bool:
         """Returns whether a request may run now, and records that it came."""
+        if not len(self._suspects):
+            return True
         now = clocks.read_monotonic()
         for cause in call.request.causes:
             self._suspects.record_repeat(cause.fingerprint, now)
@@ -76,6 +78,8 @@
         It waits for a limited time in all, so that a suspect that is sound is
         not held up for long.
         """
+        if not len(self._suspects):
+            return False
         now = clocks.read_monotonic()
         if all(
             self._suspects.read_hold(c.fingerprint, call.suspect_run_at) <= now
--- a/sardinewharf/limits/suspect_table.py
+++ b/sardinewharf/limits/suspect_table.py
@@ -400,10 +400,11 @@
         )
 
     def _find(self, fingerprint: bytes) -> Suspect | None:
-        for suspects, _ in self._tables:
-            if fingerprint in suspects:
-                return suspects[fingerprint]
-        return None
+        return (
+            self._completed.get(fingerprint)
+            or self._single.get(fingerprint)
+            or self._repeated.get(fingerprint)
+        )
 
     def _find_or_add(self, fingerprint: bytes, seen_at: float) -> Suspect:
         suspect = self._find(fingerprint)
