End no stream of the soak beyond its last event before a crash

Traced by its logs: the request crashed three engines, each of which sent two events after the last one that the caller had, as the crash says, and so came past the end. A fault of the soak's engines. They now stop before the last event.

--- a/sardinewharf/soak/server.py
+++ b/sardinewharf/soak/server.py
@@ -172,7 +172,8 @@
         headers.append(("content-type", "text/event-stream"))
         connection.write_head(200, headers, None, is_chunked=True)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, first + events):
+        # The last event is never sent, so that the stream is always cut.
+        for number in range(first, min(first + events, self.events)):
             connection.write_chunk(make_event(request.request_id, number))
             await asyncio.sleep(self.event_interval_s)
 
