Let probes of one endpoint overlap

Found in reading the diff: a probe removes its entry when it ends. If the process stands still for a second, the next one begins before, and the second to end failed for want of the entry: a task failure, which shows in readiness. The test failed before, passes now.

--- a/sardinewharf/gateway/crash_probes.py
+++ b/sardinewharf/gateway/crash_probes.py
@@ -86,7 +86,7 @@
             if await reachability.accepts_connections(pool):
                 return
         finally:
-            del self._running[incarnation]
+            self._running.pop(incarnation, None)
         now = clocks.read_monotonic()
         self._health.record_unreachable(incarnation, now)
         self._detector.record_unreachable(incarnation, now)
