Begin no trials in a gateway that is cut off from its peers

Trials are three in all, told from gateway to gateway. One that reaches the store but no peer counted its own beside those of the others: two within 16 s in the test, so that a bad part would have reached engines up to six times where three are allowed. A gateway that hears less than half of the others begins none now; one that is alone does. The test failed before and passes, as do trials of two gateways (test_a_quarantined_request_is_tried_and_then_free).

--- a/sardinewharf/gateway/exchange.py
+++ b/sardinewharf/gateway/exchange.py
@@ -18,6 +18,10 @@
 # A peer without a message for this long counts as stopped, and versions that
 # engines reported longer ago are no longer sent, in seconds.
 _PEER_TIMEOUT_S = 3.0
+# Peers to which a gateway sends a digest in each round.
+_PEERS_PER_ROUND = 8
+# Share of the other gateways that a gateway has to hear, or it is cut off.
+_MIN_HEARD_SHARE = 0.5
 # The same for versions in urgent updates, in seconds.
 _URGENT_WEIGHTS_S = 0.8
 # Time for which a drain counts that a digest reports, in seconds.
@@ -88,6 +92,21 @@
         others = self._replica.members.keys() - leaving - {self._settings.name}
         return bool(others)
 
+    def hears_most_peers(self) -> bool:
+        """Returns whether most other gateways were heard lately.
+
+        If not, this gateway is cut off, or has just started.
+        """
+        others = self._replica.members.keys() - {self._settings.name}
+        rounds = max(1.0, len(others) / _PEERS_PER_ROUND)
+        since = clocks.read_monotonic() - _PEER_TIMEOUT_S * rounds
+        heard = sum(
+            at >= since
+            for sender, (at, _, _) in self._last_received.items()
+            if sender in others
+        )
+        return heard >= len(others) * _MIN_HEARD_SHARE
+
     def record_weights(
         self, endpoint_id: ids.EndpointId, model: str, version: int
     ) -> None:
--- a/sardinewharf/gateway/quarantine.py
+++ b/sardinewharf/gateway/quarantine.py
@@ -13,6 +13,7 @@
 from sardinewharf import clocks
 from sardinewharf import limits
 from sardinewharf import records
+from sardinewharf.gateway import exchange as exchange_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
@@ -46,6 +47,8 @@
         replica: Names the other gateways.
         suspects: The crashes.
         log: Receives a record of each trial.
+        exchange: Tells whether other gateways are heard. One that is cut off
+            from them begins no trials, since they begin theirs.
     """
 
     def __init__(
@@ -54,11 +57,13 @@
         replica: replica_lib.Replica,
         suspects: limits.SuspectTable,
         log: records.RecordSink,
+        exchange: exchange_lib.StateExchange,
     ):
         self._settings = settings
         self._replica = replica
         self._suspects = suspects
         self._log = log
+        self._exchange = exchange
 
     def may_run(self, call: requests.Call) -> bool:
         """Returns whether a request may run now, and records that it came."""
@@ -183,6 +188,8 @@
         ):
             # No endpoint took it, so that its trial is still to come.
             return True
+        if not self._exchange.hears_most_peers():
+            return False
         if not self._suspects.is_quarantined(fingerprint, now, delay_s):
             delay_s += self._find_trial_delay(fingerprint)
         return not self._suspects.is_quarantined(fingerprint, now, delay_s)
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -170,7 +170,11 @@
                 crash_prober=self._crash_prober,
                 suspects=self._suspects,
                 quarantine=quarantine_lib.Quarantine(
-                    settings, self._replica, self._suspects, log
+                    settings,
+                    self._replica,
+                    self._suspects,
+                    log,
+                    self._exchange,
                 ),
                 notices=notice_recorder,
                 estimators=self._estimators,
--- a/sardinewharf/gateway/tests/test_crashing_parts.py
+++ b/sardinewharf/gateway/tests/test_crashing_parts.py
@@ -6,6 +6,7 @@
 import pytest_asyncio
 
 from sardinewharf import clocks
+from sardinewharf import limits
 from sardinewharf.gateway.tests import crashes
 from sardinewharf.gateway.tests import part_callers
 from sardinewharf.testbed import gateway_harness
@@ -145,3 +146,20 @@
         asyncio.ensure_future(servers.crash(engine))
     await running
     assert callers.count_refused()[503] == 0, callers.count_refused()
+
+
+# A gateway behind a cut knew only what it had lost itself, and began trials
+# beside those of the others.
+async def test_a_gateway_cut_off_from_its_peers_begins_no_trials(harness):
+    await _start_gateways(harness, 3)
+    cut_off = harness.gateways[0]._peers
+    cut_off._send_to = lambda *_: None
+    cut_off._handle_datagram = lambda *_: None
+    servers = crashes.CrashingServers(harness, _AWAY, (), [_BAD])
+    callers = part_callers.PartCallers(harness, servers)
+    await callers.run([_BAD], 16.0)
+    assert servers.count_late(_BAD, part_callers.MAX_CRASHES) <= 2
+    suspects = harness.gateways[0]._suspects
+    bad = limits.make_part_cause(_BAD).fingerprint
+    assert suspects.has_crashed_enough(bad)
+    assert not suspects._find(bad).trials
