--- a/sardinewharf/soak/tests/test_soak.py
+++ b/sardinewharf/soak/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Runs the soak test with three short seeds, and with more seeds on demand.
+"""Runs the soak test with four short seeds, and with more seeds on demand.
 
 ``SARDINEWHARF_SOAK=long`` adds all seeds that failed once, from seeds.toml, and
 some random ones.
@@ -31,6 +31,8 @@
     runner.SoakSettings(seed=59232, seconds=_SHORT_SECONDS),
     # Has three requests that crash engines, which lose or keep their entries.
     runner.SoakSettings(seed=1, seconds=_SHORT_SECONDS, family="crashes"),
+    # Has two prompt parts that crash engines, beside sound requests.
+    runner.SoakSettings(seed=1, seconds=_SECONDS, family="parts"),
 ]
 
 
@@ -49,7 +51,9 @@
     return [*_SHORT, *failed_settings, *random_settings]
 
 
-@pytest.mark.parametrize("settings", list_settings(), ids=lambda s: str(s.seed))
+@pytest.mark.parametrize(
+    "settings", list_settings(), ids=lambda s: f"{s.seed}{s.family}"
+)
 def test_promises_hold_under_faults(settings, tmp_path):
     outcome = runner.run_soak(settings, tmp_path)
     assert [str(finding) for finding in outcome.findings] == []
