--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -398,6 +398,9 @@
         def record_success(self, attempt):
             pass
 
+        def record_progress(self, call, attempt):
+            pass
+
         def record_completion(self, call, attempt):
             pass
 
