Let a gateway whose peers have gone for good begin trials, later

It now begins them a minute later than others. The new test failed before (no trial within ten seconds) and passes, as do the trials of two gateways and the test of a cut (five tests).

--- a/sardinewharf/gateway/quarantine.py
+++ b/sardinewharf/gateway/quarantine.py
@@ -27,6 +27,10 @@
 # Later than this a request may be tried of which several parts are quarantined,
 # in seconds: one with a single such part tells more.
 _JOINT_TRIAL_DELAY_S = 5.0
+# Later than others a gateway may try a suspect that hears less than half of the
+# registered ones, in seconds. It may be cut off from them, but these may also
+# have gone for good.
+_CUT_OFF_TRIAL_DELAY_S = 60.0
 # Longest Retry-After, in seconds.
 _MAX_RETRY_AFTER_S = 120.0
 # Longest wait for another run of a suspect, in seconds and as a share of the
@@ -48,7 +52,7 @@
         suspects: The crashes.
         log: Receives a record of each trial.
         exchange: Tells whether other gateways are heard. One that is cut off
-            from them begins no trials, since they begin theirs.
+            from them begins trials much later, since they begin theirs.
     """
 
     def __init__(
@@ -189,7 +193,7 @@
             # No endpoint took it, so that its trial is still to come.
             return True
         if not self._exchange.hears_most_peers():
-            return False
+            delay_s += _CUT_OFF_TRIAL_DELAY_S
         if not self._suspects.is_quarantined(fingerprint, now, delay_s):
             delay_s += self._find_trial_delay(fingerprint)
         return not self._suspects.is_quarantined(fingerprint, now, delay_s)
--- a/sardinewharf/gateway/tests/test_crashing_requests.py
+++ b/sardinewharf/gateway/tests/test_crashing_requests.py
@@ -6,6 +6,8 @@
 import pytest
 import pytest_asyncio
 
+from sardinewharf import clocks
+from sardinewharf.gateway import quarantine as quarantine_lib
 from sardinewharf.gateway.tests import crashes
 from sardinewharf.limits import suspects as suspects_lib
 from sardinewharf.testbed import gateway_harness
@@ -293,3 +295,30 @@
     await asyncio.sleep(_FIRST_TRIAL_S)
     statuses = await _count_refused(harness, "/chat/1", b"often", 40)
     assert statuses[-20:] == [200] * 20
+
+
+# Registrations of gateways that have gone stay in the store, so that a gateway
+# that waited for most of them would never find out what is sound.
+async def test_a_gateway_whose_peers_have_gone_begins_trials_later(
+    harness, monkeypatch
+):
+    await _start_gateways(harness, 1)
+    for number in range(5):
+        await harness.store.put(
+            f"sardinewharf/members/gone-{number}",
+            {"address": f"127.0.0.1:{number + 1}", "failure_domain": "fd-1"},
+        )
+    monkeypatch.setattr(suspects_lib, "_TRIAL_INTERVALS_S", (0.3, 1.0))
+    monkeypatch.setattr(quarantine_lib, "_CUT_OFF_TRIAL_DELAY_S", 1.5)
+    monkeypatch.setattr(quarantine_lib, "_TRIAL_STAGGER_S", 0.0)
+    servers = crashes.CrashingServers(harness, _BACK_AT_ONCE)
+    await _repeat_until_quarantined(harness, servers)
+    servers.heal()
+    began = clocks.read_monotonic()
+    async with asyncio.timeout(10.0):
+        while True:
+            response = await harness.send_request("/look/1", body=b"poison")
+            if response.status == 200:
+                break
+            await asyncio.sleep(0.05)
+    assert clocks.read_monotonic() - began > 1.0
