--- a/sardinewharf/limits/completions.py
+++ b/sardinewharf/limits/completions.py
@@ -1,4 +1,4 @@
-"""Remembers what requests have run with and not crashed an endpoint.
+"""Remembers when causes last ran without a crash of their endpoint.
 
 Examples:
     >>> log = CompletionLog(capacity=2)
@@ -15,7 +15,7 @@
 
 
 class CompletionLog:
-    """When requests with a fingerprint last did well, for the latest ones.
+    """When requests with a cause last ran without a crash, for the latest.
 
     Args:
         capacity: Fingerprints that are remembered.
@@ -28,12 +28,12 @@
         )
 
     def record(self, fingerprint: bytes, now: float) -> None:
-        """Records that a request did well."""
+        """Records that a request ran without a crash."""
         self._completed_at[fingerprint] = now
         self._completed_at.move_to_end(fingerprint)
         if len(self._completed_at) > self._capacity:
             self._completed_at.popitem(last=False)
 
     def read(self, fingerprint: bytes) -> float:
-        """Returns when one last did; minus infinity if not known."""
+        """Returns when one last did so; minus infinity if not known."""
         return self._completed_at.get(fingerprint, -math.inf)
