--- a/review/stage/engines.py
+++ b/review/stage/engines.py
@@ -34,6 +34,8 @@
         id: Its id, which is new after each start.
         arrivals: Time, id and path of each request that reached it.
         crashes: Times of its crashes.
+        uses: Each use of a cached part that another tenant's request made:
+            time, part, the tenant that made it and the one that used it.
     """
 
     def __init__(
@@ -58,6 +60,9 @@
         self.id = ""
         self.arrivals: list[tuple[float, str, str]] = []
         self.crashes: list[float] = []
+        self.uses: list[tuple[float, str, str, str]] = []
+        # The tenant that made each cached part, by salt and the parts before.
+        self._makers: dict[tuple[str, ...], str] = {}
 
     async def start(self, host: str) -> None:
         """Listens on an address and registers."""
@@ -66,6 +71,7 @@
             self.address = f"{host}:{self._port}"
         self.id = f"i-{next(_ids):08x}"
         self._running = 0
+        self._makers.clear()
         await self._server.start(self._host, self._port)
         self._beat = asyncio.ensure_future(self._register())
 
@@ -140,6 +146,20 @@
         finally:
             self._running -= 1
 
+    def _read_prompt(self, request: http.Request) -> None:
+        """Finds the prompt's parts in the cache, and caches the others."""
+        tenant = request.headers.get("x-sardinewharf-tenant", "")
+        salt = request.headers.get("x-sardinewharf-cache-salt", "")
+        listed = request.headers.get("x-sardinewharf-prompt-prefix", "")
+        key = (salt,)
+        for entry in listed.split(","):
+            part = entry.partition(":")[0].strip()
+            key = (*key, part)
+            maker = self._makers.setdefault(key, tenant)
+            if maker != tenant:
+                use = (time.monotonic(), part, maker, tenant)
+                self.uses.append(use)
+
     async def _run(
         self,
         request: http.Request,
@@ -150,6 +170,7 @@
         if request.target == self._crash_path:
             self._crash()
             return
+        self._read_prompt(request)
         writer.write(
             http.make_head(
                 200,
--- a/review/stage/manifests.py
+++ b/review/stage/manifests.py
@@ -4,14 +4,21 @@
 ENGINES = "huvo11a"
 HOST = "jepu9.example"
 KEY = "ctnfzs989anu6wsjnban"
+OTHER_KEY = "fqasnmgkcuyj8pjbvk9m"
+TENANT = "sese880"
+OTHER_TENANT = "lumi204"
 CACHE_STORE = "wuno96b"
 
 
-def make_manifest(cache_store: str = "") -> dict[str, object]:
-    """Returns a manifest with a service of model servers.
+def make_manifest(
+    cache_store: str = "", version: int = 7, is_isolated: bool = False
+) -> dict[str, object]:
+    """Returns a manifest with a service of model servers and two tenants.
 
     Args:
         cache_store: ``IP:PORT`` of the store of kept KV cache, if there is one.
+        version: Version of the manifest.
+        is_isolated: Whether the first tenant is isolated.
     """
     services: list[dict[str, object]] = [
         {
@@ -48,7 +55,7 @@
             }
         )
     return {
-        "version": 7,
+        "version": version,
         "routes": [
             _make_route("r-1", "/lepu270/", 6000, 1, is_resumable=False),
             _make_route("r-2", "/xapu221/", 3000, 2, is_resumable=True),
@@ -61,12 +68,8 @@
             "idle_timeout_ms": 15000,
         },
         "tenants": [
-            {
-                "name": "sese880",
-                "api_keys": [KEY],
-                "priority": 1,
-                "isolated": False,
-            }
+            _make_tenant(TENANT, KEY, is_isolated),
+            _make_tenant(OTHER_TENANT, OTHER_KEY, is_isolated=False),
         ],
     }
 
@@ -91,8 +94,17 @@
     }
 
 
+def _make_tenant(name: str, key: str, is_isolated: bool) -> dict[str, object]:
+    return {
+        "name": name,
+        "api_keys": [key],
+        "priority": 1,
+        "isolated": is_isolated,
+    }
+
+
 def make_headers(
-    request_id: str, parts: str, deadline_ms: int
+    request_id: str, parts: str, deadline_ms: int, key: str = KEY
 ) -> dict[str, str]:
     """Returns the headers of a consumer's request to a model."""
     return {
@@ -102,5 +114,5 @@
         "x-sardinewharf-token-usage": "1460,80",
         "x-sardinewharf-prompt-prefix": parts,
         "x-sardinewharf-deadline-ms": str(deadline_ms),
-        "authorization": f"Token {KEY}",
+        "authorization": f"Token {key}",
     }
