--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes servers comes again after a herd of restarts."""
+"""A tenant is isolated while prompts that it made are still cached."""
 
 import asyncio
 import itertools
@@ -17,28 +17,20 @@
 from stage import store as store_lib  # noqa: E402
 
 _ZONES = ("baires-almagro", "baires-avellaneda", "baires-palermo")
-_ENGINES = 6
-_CONTACT_S = 3.0
-_MAX_RETRIES = 3
-# Time between two repeats of the request that crashes servers, and between two
-# sound requests.
-_REPEAT_S = 5.0
-_SOUND_S = 0.25
+_APPLY_S = 2.0
+_REQUEST_INTERVAL_S = 0.2
 # From the start of traffic.
-_KILL_AT_S = 30.0
-_END_AT_S = 72.0
-# Time until the platform starts a process again that was killed.
-_DOWN_S = 1.0
-_BAD_PATH = "/lepu270/bad"
-_BAD_PARTS = "5c1e07a2:800,91bd3f06:410,e4402b7d:250"
+_CHANGE_AT_S = 8.0
+_END_AT_S = 24.0
+_SHARED_PARTS = 8
 
 
 class Case:
-    """Three gateways in front of six model servers.
+    """Three gateways in front of three model servers, and two tenants.
 
     Args:
         folder: A temporary folder.
-        with_trouble: Whether all gateways are killed at the same moment.
+        with_trouble: Whether the manifest changes.
     """
 
     def __init__(self, folder: pathlib.Path, with_trouble: bool):
@@ -47,23 +39,16 @@
         self._store = store_lib.Store()
         self._engines = [
             engines_lib.Engine(
-                self._store,
-                manifests.ENGINES,
-                manifests.MODEL,
-                _ZONES[index % 3],
-                _BAD_PATH,
+                self._store, manifests.ENGINES, manifests.MODEL, zone
             )
-            for index in range(_ENGINES)
+            for zone in _ZONES
         ]
         self._folder = folder
         self._gateways: list[gateways_lib.Gateway] = []
+        self._answers = {"whole": 0, "not whole": 0}
         self._lines: list[tuple[float, str]] = []
-        self._sound = {"whole": 0, "not whole": 0}
-        self._sender: dict[str, gateways_lib.Gateway] = {}
-        self._sent_at: dict[str, float] = {}
-        # When the gateway that a request was sent to had been started.
-        self._up_since: dict[str, float] = {}
         self._start = 0.0
+        self._isolated_at = float("inf")
 
     async def run(self) -> int:
         """Returns the exit code: 1 if the rule was broken, else 0."""
@@ -91,7 +76,6 @@
                 if not await gateway.wait_until_ready():
                     print("a gateway did not get ready")
                     return 2
-            await asyncio.sleep(_CONTACT_S + 0.5)
             await self._play()
         finally:
             expiry.cancel()
@@ -100,12 +84,9 @@
 
     async def _play(self) -> None:
         self._start = time.monotonic()
-        jobs = [
-            asyncio.ensure_future(self._send_bad()),
-            asyncio.ensure_future(self._send_sound()),
-        ]
+        jobs = [asyncio.ensure_future(self._send_requests())]
         if self._with_trouble:
-            jobs.append(asyncio.ensure_future(self._restart_all()))
+            jobs.append(asyncio.ensure_future(self._isolate()))
         await asyncio.sleep(_END_AT_S)
         for job in jobs:
             job.cancel()
@@ -114,93 +95,76 @@
     def _record(self, text: str, at: float | None = None) -> None:
         self._lines.append((at or time.monotonic(), text))
 
-    async def _restart_all(self) -> None:
-        await asyncio.sleep(_KILL_AT_S)
-        gateways_lib.kill_all(self._gateways)
-        self._record("all gateways are killed")
-        await asyncio.sleep(_DOWN_S)
-        for gateway in self._gateways:
-            gateway.start()
-        self._record("all gateways are started again")
-
-    async def _send_bad(self) -> None:
-        """Sends the request again and again, at one gateway after another."""
-        for number in itertools.count():
-            asyncio.ensure_future(self._send_bad_once(number))  # noqa: RUF006
-            await asyncio.sleep(_REPEAT_S)
-
-    async def _send_bad_once(self, number: int) -> None:
-        gateway = self._gateways[number % len(self._gateways)]
-        request_id = f"bad{number:013x}"
-        self._sender[request_id] = gateway
-        self._sent_at[request_id] = time.monotonic()
-        self._up_since[request_id] = gateway.started_at
-        self._record(f"sent {request_id} to {gateway.name}")
-        answer = await http.send(
-            gateway.front,
-            "POST",
-            _BAD_PATH,
-            manifests.make_headers(request_id, _BAD_PARTS, 4000),
-            b"the same body",
-            timeout_s=4.5,
+    async def _isolate(self) -> None:
+        await asyncio.sleep(_CHANGE_AT_S)
+        self._store.put(
+            "op/config", manifests.make_manifest(version=9, is_isolated=True)
         )
-        self._record(f"answered {request_id}: {answer.status}")
+        self._isolated_at = time.monotonic()
 
-    async def _send_sound(self) -> None:
+    async def _send_requests(self) -> None:
+        """Sends requests of both tenants that share their first part.
+
+        The first tenant makes them until the change, the other one after it;
+        without the change they do the same.
+        """
         for number in itertools.count():
-            asyncio.ensure_future(self._send_sound_once(number))  # noqa: RUF006
-            await asyncio.sleep(_SOUND_S)
+            age_s = time.monotonic() - self._start
+            is_first = age_s < _CHANGE_AT_S
+            key = manifests.KEY if is_first else manifests.OTHER_KEY
+            asyncio.ensure_future(self._send_once(number, key))  # noqa: RUF006
+            await asyncio.sleep(_REQUEST_INTERVAL_S)
 
-    async def _send_sound_once(self, number: int) -> None:
+    async def _send_once(self, number: int, key: str) -> None:
         gateway = self._gateways[number % len(self._gateways)]
+        shared = f"5c1e{number % _SHARED_PARTS:04x}:800"
         request_id = f"50{number:014x}"
+        self._record(f"sent {request_id} to {gateway.name}")
         answer = await http.send(
             gateway.front,
             "POST",
             f"/xapu221/{number}",
             manifests.make_headers(
-                request_id, f"aa{number:06x}:300,bb{number:06x}:90", 3000
+                request_id, f"{shared},bb{number:06x}:90", 3000, key
             ),
             timeout_s=3.5,
         )
+        self._record(f"answered {request_id}: {answer.status}")
         is_whole = answer.status == 200 and answer.is_complete
-        self._sound["whole" if is_whole else "not whole"] += 1
+        self._answers["whole" if is_whole else "not whole"] += 1
 
     def _judge(self) -> int:
-        """Counts the retries and writes the record."""
-        crashes = sorted(at for e in self._engines for at in e.crashes)
-        arrivals = sorted(
-            (at, request_id, engine.address)
-            for engine in self._engines
-            for at, request_id, path in engine.arrivals
-            if path == _BAD_PATH
-        )
-        for at in crashes:
-            self._record("a model server crashes", at)
-        counted = 0
-        limit = crashes[2] + _CONTACT_S if len(crashes) > 2 else float("inf")
-        for at, request_id, address in arrivals:
-            in_touch = at - self._up_since[request_id] > _CONTACT_S
-            counts = in_touch and self._sent_at[request_id] > limit
-            counted += counts
-            note = "counts" if counts else "does not count"
-            self._record(f"{request_id} reaches {address}, {note}", at)
-        is_broken = counted > _MAX_RETRIES
+        """Counts the uses across the wall and writes the record."""
+        uses = sorted(use for e in self._engines for use in e.uses)
+        broken = 0
+        for engine in self._engines:
+            for at, request_id, _ in engine.arrivals:
+                self._record(f"{engine.id} runs {request_id}", at)
+        for at, part, maker, user in uses:
+            is_isolated = at > self._isolated_at + _APPLY_S
+            broken += is_isolated
+            self._record(
+                f"a request of {user} uses part {part} that a request of"
+                f" {maker} made, {'one of them is' if is_isolated else 'not'}"
+                " isolated",
+                at,
+            )
         lines = [
             f"{at - self._start:8.3f} s  {text}"
             for at, text in sorted(self._lines)
         ]
         lines += [
-            f"model servers crashed: {len(crashes)}",
-            f"sound requests: {self._sound}",
-            f"retries that count, later than {_CONTACT_S:.0f} s after the third"
-            f" crash: {counted}, at most {_MAX_RETRIES}",
-            "BROKEN" if is_broken else "kept",
+            f"{manifests.TENANT} is isolated from"
+            f" {self._isolated_at - self._start:.3f} s on",
+            f"answers: {self._answers}",
+            f"uses by another tenant: {len(uses)}, later than {_APPLY_S:.0f} s"
+            f" after one of the two was isolated: {broken}",
+            "BROKEN" if broken else "kept",
         ]
         record = pathlib.Path(__file__).with_name("record.txt")
         record.write_text("\n".join(lines) + "\n")
         print("\n".join(lines[-4:]))
-        return int(is_broken)
+        return int(bool(broken))
 
 
 def main() -> None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -246,6 +246,7 @@
     async def _send_sound_once(self, number: int) -> None:
         gateway = self._gateways[number % len(self._gateways)]
         request_id = f"50{number:014x}"
+        self._record(f"sent {request_id} to {gateway.name}")
         answer = await http.send(
             gateway.front,
             "POST",
@@ -256,6 +257,8 @@
             timeout_s=3.5,
         )
         is_whole = answer.status == 200 and answer.is_complete
+        note = "whole" if is_whole else "not whole"
+        self._record(f"answered {request_id}: {answer.status}, {note}")
         self._sound["whole" if is_whole else "not whole"] += 1
 
     def _judge(self) -> int:
@@ -264,8 +267,10 @@
         is_broken = machines >= _MACHINES
         answers, spoiled = self._cache.answers
         peaks = {zone: round(mb) for zone, mb in self._peak_mb.items()}
+        runs = sum(len(engine.arrivals) for engine in self._engines)
         lines = [
             *self._lines,
+            f"requests that model servers ran: {runs}",
             f"answers of the cache store: {answers}, spoiled: {spoiled}",
             f"sound requests: {self._sound}",
             f"largest memory in MB: {peaks}",
