--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,7 +35,7 @@
 
     def __init__(self, folder: pathlib.Path, with_trouble: bool):
         self._with_trouble = with_trouble
-        self._host = f"127.0.{os.getpid() % 200 + 20}"
+        self._host = gateways_lib.choose_network()
         self._store = store_lib.Store()
         self._engines = [
             engines_lib.Engine(
@@ -47,6 +47,7 @@
         self._gateways: list[gateways_lib.Gateway] = []
         self._answers = {"whole": 0, "not whole": 0}
         self._lines: list[tuple[float, str]] = []
+        self._sent_at: dict[str, float] = {}
         self._start = 0.0
         self._isolated_at = float("inf")
 
@@ -85,6 +86,8 @@
     async def _play(self) -> None:
         self._start = time.monotonic()
         jobs = [asyncio.ensure_future(self._send_requests())]
+        for gateway in self._gateways:
+            jobs.append(asyncio.ensure_future(gateway.check_readiness()))
         if self._with_trouble:
             jobs.append(asyncio.ensure_future(self._isolate()))
         await asyncio.sleep(_END_AT_S)
@@ -116,9 +119,10 @@
             await asyncio.sleep(_REQUEST_INTERVAL_S)
 
     async def _send_once(self, number: int, key: str) -> None:
-        gateway = self._gateways[number % len(self._gateways)]
+        gateway = gateways_lib.choose(self._gateways, number)
         shared = f"5c1e{number % _SHARED_PARTS:04x}:800"
         request_id = f"50{number:014x}"
+        self._sent_at[request_id] = time.monotonic()
         self._record(f"sent {request_id} to {gateway.name}")
         answer = await http.send(
             gateway.front,
@@ -135,16 +139,19 @@
 
     def _judge(self) -> int:
         """Counts the uses across the wall and writes the record."""
+        if not self._answers["whole"]:
+            return 2
         uses = sorted(use for e in self._engines for use in e.uses)
         broken = 0
         for engine in self._engines:
             for at, request_id, _ in engine.arrivals:
                 self._record(f"{engine.id} runs {request_id}", at)
-        for at, part, maker, user in uses:
-            is_isolated = at > self._isolated_at + _APPLY_S
+        for at, request_id, part, maker, user in uses:
+            sent_at = self._sent_at[request_id]
+            is_isolated = sent_at > self._isolated_at + _APPLY_S
             broken += is_isolated
             self._record(
-                f"a request of {user} uses part {part} that a request of"
+                f"{request_id} of {user} uses part {part} that a request of"
                 f" {maker} made, {'one of them is' if is_isolated else 'not'}"
                 " isolated",
                 at,
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import itertools
-import json
 import os
 import pathlib
+import random
 import sys
 import tempfile
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
+from stage import caches  # noqa: E402
 from stage import engines as engines_lib  # noqa: E402
 from stage import gateways as gateways_lib  # noqa: E402
 from stage import http  # noqa: E402
@@ -22,15 +23,18 @@
 _MEMORY_MB = 150
 # The machine's link: 1,000 Mbit/s, of which a little is left unused.
 _BYTES_PER_S = 110e6
-_BLOCK = b"x" * 131_072
 # One in so many answers is spoiled: 5 in 100.
 _SPOILED_EVERY = 20
 # Begin and length of each impairment, in seconds from the start of traffic.
-_TROUBLES_AT_S = (4.0, 20.0, 36.0, 52.0)
-_TROUBLE_S = 5.5
-_END_AT_S = 62.0
-_EVENT_INTERVAL_S = 0.1
-_SOUND_S = 0.25
+_TROUBLES_AT_S = (2.0, 9.0, 16.0, 23.0)
+_TROUBLE_S = 5.0
+_END_AT_S = 40.0
+# Long prompts, as many a second as on the sheet, and the shared parts that
+# they have in turn at random.
+_SOUND_S = 1 / 11.4
+_THINGS = 172
+_SHARED_TOKENS = 13_300
+_OWN_TOKENS = 3_720
 # Time until the platform starts a process again that it has killed.
 _DOWN_S = 1.0
 _MEMORY_CHECK_S = 0.02
@@ -39,97 +43,6 @@
 _MACHINES = 2
 
 
-class CacheStore:
-    """The store of kept KV cache, with an event every tenth of a second.
-
-    Attributes:
-        address: ``IP:PORT`` that it listens on.
-        is_faulty: Whether it spoils some of its answers.
-        answers: Number of answers, and of those that were spoiled.
-    """
-
-    def __init__(self) -> None:
-        self.address = ""
-        self.is_faulty = False
-        self.answers = [0, 0]
-        self._events: list[list[object]] = []
-        self._changed = asyncio.Event()
-        self._polls: dict[str, int] = {}
-        self._server = http.HttpServer(self._handle)
-
-    async def start(self, host: str) -> None:
-        """Listens on a free port."""
-        port = http.find_port(host)
-        await self._server.start(host, port)
-        self.address = f"{host}:{port}"
-
-    async def run(self) -> None:
-        """Adds an event for a saved part now and then until cancelled."""
-        for number in itertools.count(1):
-            part = f"{number:08x}"
-            event = [number, "+", "s1", part, 800, manifests.MODEL]
-            self._events.append(event)
-            changed, self._changed = self._changed, asyncio.Event()
-            changed.set()
-            await asyncio.sleep(_EVENT_INTERVAL_S)
-
-    async def _handle(
-        self, request: http.Request, writer: asyncio.StreamWriter
-    ) -> None:
-        if not request.target.startswith("/-/kv-events"):
-            http.reply(writer, 404)
-            return
-        self.answers[0] += 1
-        if self._is_next_spoiled(writer):
-            self.answers[1] += 1
-            await _send_without_end(writer)
-            return
-        since = int(request.target.rpartition("=")[2])
-        wait_s = int(request.headers.get("wait-ms", "0")) / 1000
-        if since >= len(self._events):
-            changed = self._changed
-            try:
-                async with asyncio.timeout(wait_s):
-                    await changed.wait()
-            except TimeoutError:
-                pass
-        answer = {
-            "epoch": 77120,
-            "next": len(self._events),
-            "lost": False,
-            "events": self._events[since:],
-        }
-        http.reply(
-            writer,
-            200,
-            json.dumps(answer).encode(),
-            content_type="application/json",
-        )
-
-    def _is_next_spoiled(self, writer: asyncio.StreamWriter) -> bool:
-        """Returns whether the answer is one in twenty of its caller's."""
-        if not self.is_faulty:
-            return False
-        caller = writer.get_extra_info("peername")[0]
-        self._polls[caller] = self._polls.get(caller, 0) + 1
-        return self._polls[caller] % _SPOILED_EVERY == 0
-
-
-async def _send_without_end(writer: asyncio.StreamWriter) -> None:
-    """Sends a body without end at the speed of the caller's link."""
-    head = {
-        "content-type": "application/json",
-        "transfer-encoding": "chunked",
-    }
-    writer.write(http.make_head(200, head))
-    began = time.monotonic()
-    for number in itertools.count(1):
-        writer.write(b"%x\r\n%s\r\n" % (len(_BLOCK), _BLOCK))
-        await writer.drain()
-        due = began + number * len(_BLOCK) / _BYTES_PER_S
-        await asyncio.sleep(max(0.0, due - time.monotonic()))
-
-
 class Case:
     """Three gateways in front of three model servers and a cache store.
 
@@ -140,12 +53,17 @@
 
     def __init__(self, folder: pathlib.Path, with_trouble: bool):
         self._with_trouble = with_trouble
-        self._host = f"127.0.{os.getpid() % 200 + 20}"
+        self._host = gateways_lib.choose_network()
         self._store = store_lib.Store()
-        self._cache = CacheStore()
+        self._cache = caches.CacheStore(_SPOILED_EVERY, _BYTES_PER_S)
+        self._random = random.Random(1)
         self._engines = [
             engines_lib.Engine(
-                self._store, manifests.ENGINES, manifests.MODEL, zone
+                self._store,
+                manifests.ENGINES,
+                manifests.MODEL,
+                zone,
+                cache_store=self._cache,
             )
             for zone in _ZONES
         ]
@@ -163,7 +81,6 @@
         await self._cache.start(f"{self._host}.90")
         jobs = [
             asyncio.ensure_future(self._store.run()),
-            asyncio.ensure_future(self._cache.run()),
         ]
         self._store.put(
             "op/config", manifests.make_manifest(self._cache.address)
@@ -203,6 +120,7 @@
         for gateway, zone in zip(self._gateways, _ZONES, strict=True):
             watch = self._limit_memory(gateway, zone)
             jobs.append(asyncio.ensure_future(watch))
+            jobs.append(asyncio.ensure_future(gateway.check_readiness()))
         jobs.append(asyncio.ensure_future(self._send_sound()))
         if self._with_trouble:
             for at in _TROUBLES_AT_S:
@@ -244,17 +162,19 @@
             await asyncio.sleep(_SOUND_S)
 
     async def _send_sound_once(self, number: int) -> None:
-        gateway = self._gateways[number % len(self._gateways)]
+        gateway = gateways_lib.choose(self._gateways, number)
         request_id = f"50{number:014x}"
+        thing = self._random.randrange(_THINGS)
+        prompt = (
+            f"5c1e{thing:04x}:{_SHARED_TOKENS},bb{number:06x}:{_OWN_TOKENS}"
+        )
         self._record(f"sent {request_id} to {gateway.name}")
         answer = await http.send(
             gateway.front,
             "POST",
-            f"/xapu221/{number}",
-            manifests.make_headers(
-                request_id, f"aa{number:06x}:300,bb{number:06x}:90", 3000
-            ),
-            timeout_s=3.5,
+            f"/lepu270/{number}",
+            manifests.make_headers(request_id, prompt, 6000),
+            timeout_s=6.5,
         )
         is_whole = answer.status == 200 and answer.is_complete
         note = "whole" if is_whole else "not whole"
@@ -263,6 +183,8 @@
 
     def _judge(self) -> int:
         """Counts the ends of processes and writes the record."""
+        if not self._with_trouble and not self._sound["whole"]:
+            return 2
         machines = sum(ends >= _ENDS for ends in self._ends.values())
         is_broken = machines >= _MACHINES
         answers, spoiled = self._cache.answers
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -43,7 +43,7 @@
 
     def __init__(self, folder: pathlib.Path, with_trouble: bool):
         self._with_trouble = with_trouble
-        self._host = f"127.0.{os.getpid() % 200 + 20}"
+        self._host = gateways_lib.choose_network()
         self._store = store_lib.Store()
         self._engines = [
             engines_lib.Engine(
@@ -104,6 +104,8 @@
             asyncio.ensure_future(self._send_bad()),
             asyncio.ensure_future(self._send_sound()),
         ]
+        for gateway in self._gateways:
+            jobs.append(asyncio.ensure_future(gateway.check_readiness()))
         if self._with_trouble:
             jobs.append(asyncio.ensure_future(self._restart_all()))
         await asyncio.sleep(_END_AT_S)
@@ -130,7 +132,7 @@
             await asyncio.sleep(_REPEAT_S)
 
     async def _send_bad_once(self, number: int) -> None:
-        gateway = self._gateways[number % len(self._gateways)]
+        gateway = gateways_lib.choose(self._gateways, number)
         request_id = f"bad{number:013x}"
         self._sender[request_id] = gateway
         self._sent_at[request_id] = time.monotonic()
@@ -152,7 +154,7 @@
             await asyncio.sleep(_SOUND_S)
 
     async def _send_sound_once(self, number: int) -> None:
-        gateway = self._gateways[number % len(self._gateways)]
+        gateway = gateways_lib.choose(self._gateways, number)
         request_id = f"50{number:014x}"
         self._record(f"sent {request_id} to {gateway.name}")
         answer = await http.send(
@@ -171,6 +173,8 @@
 
     def _judge(self) -> int:
         """Counts the retries and writes the record."""
+        if not self._sound["whole"]:
+            return 2
         crashes = sorted(at for e in self._engines for at in e.crashes)
         arrivals = sorted(
             (at, request_id, engine.address)
--- a/review/stage/engines.py
+++ b/review/stage/engines.py
@@ -6,6 +6,7 @@
 import json
 import time
 
+from stage import caches
 from stage import http
 from stage import store as store_lib
 
@@ -15,7 +16,10 @@
 _EVENT_INTERVAL_S = 0.05
 _FIRST_EVENT_S = 0.1
 _SLOTS = 24
+_VERSION = 1
 _ids = itertools.count(1)
+# All model servers by address, for fetching KV cache from each other.
+_engines: dict[str, "Engine"] = {}
 
 
 class Engine:
@@ -28,6 +32,7 @@
         zone: Its zone.
         crash_path: Path of the requests that crash it as it begins to run
             them; empty for none.
+        cache_store: The store of kept KV cache, if there is one.
 
     Attributes:
         address: ``IP:PORT`` that it listens on.
@@ -35,7 +40,8 @@
         arrivals: Time, id and path of each request that reached it.
         crashes: Times of its crashes.
         uses: Each use of a cached part that another tenant's request made:
-            time, part, the tenant that made it and the one that used it.
+            time, request id, part, the tenant that made it and the one that
+            used it.
     """
 
     def __init__(
@@ -45,7 +51,9 @@
         model: str,
         zone: str,
         crash_path: str = "",
+        cache_store: caches.CacheStore | None = None,
     ):
+        self._cache_store = cache_store
         self._store = store
         self._service = service
         self._model = model
@@ -60,7 +68,7 @@
         self.id = ""
         self.arrivals: list[tuple[float, str, str]] = []
         self.crashes: list[float] = []
-        self.uses: list[tuple[float, str, str, str]] = []
+        self.uses: list[tuple[float, str, str, str, str]] = []
         # The tenant that made each cached part, by salt and the parts before.
         self._makers: dict[tuple[str, ...], str] = {}
 
@@ -69,6 +77,7 @@
         if not self._port:
             self._host, self._port = host, http.find_port(host)
             self.address = f"{host}:{self._port}"
+            _engines[self.address] = self
         self.id = f"i-{next(_ids):08x}"
         self._running = 0
         self._makers.clear()
@@ -109,35 +118,27 @@
 
     @property
     def _models(self) -> list[dict[str, object]]:
-        return [{"name": self._model, "version": 1, "adapters": []}]
+        return [{"name": self._model, "version": _VERSION, "adapters": []}]
 
     async def _handle(
         self, request: http.Request, writer: asyncio.StreamWriter
     ) -> None:
-        if request.target == "/-/report":
-            report = {
-                "stage": "combined",
-                "models": self._models,
-                "busy": False,
-                "sequence": 0,
-                "waiting": 0,
-                "running": self._running,
-                "kv_used": 0,
-                "kv_total": 130_072,
-                "handles": 0,
-            }
-            http.reply(writer, 200, json.dumps(report).encode())
-            return
         request_id = request.headers.get("x-sardinewharf-request-id", "")
-        expected = request.headers.get("x-sardinewharf-expect-instance")
-        if expected not in (None, self.id):
+        if request.target == "/health":
+            http.reply(writer, 200, x_sardinewharf_instance_id=self.id)
+            return
+        if not self._is_expected(request):
             http.reply(
                 writer,
                 421,
                 x_sardinewharf_instance_id=self.id,
                 x_sardinewharf_request_id=request_id,
+                x_sardinewharf_weight_versions=str(_VERSION),
             )
             return
+        if request.target.startswith("/-/"):
+            self._handle_control(request, writer)
+            return
         now = time.monotonic()
         self.arrivals.append((now, request_id, request.target))
         self._running += 1
@@ -146,19 +147,63 @@
         finally:
             self._running -= 1
 
-    def _read_prompt(self, request: http.Request) -> None:
-        """Finds the prompt's parts in the cache, and caches the others."""
-        tenant = request.headers.get("x-sardinewharf-tenant", "")
-        salt = request.headers.get("x-sardinewharf-cache-salt", "")
-        listed = request.headers.get("x-sardinewharf-prompt-prefix", "")
+    def _is_expected(self, request: http.Request) -> bool:
+        """Returns whether a request is for this server and its weights."""
+        headers = request.headers
+        instance = headers.get("x-sardinewharf-expect-instance", self.id)
+        version = headers.get("x-sardinewharf-expect-version", str(_VERSION))
+        return instance == self.id and version == str(_VERSION)
+
+    def _handle_control(
+        self, request: http.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a call for its report or an order; there are no others."""
+        if request.target == "/-/report":
+            report = {
+                "stage": "combined",
+                "models": self._models,
+                "busy": False,
+                "sequence": 0,
+                "waiting": 0,
+                "running": self._running,
+                "kv_used": 0,
+                "kv_total": 130_072,
+                "handles": 0,
+            }
+            http.reply(writer, 200, json.dumps(report).encode())
+        elif request.target == "/-/order":
+            order = json.loads(request.body)
+            holds = order.get("version") == _VERSION
+            http.reply(writer, 200 if holds else 400)
+        else:
+            http.reply(writer, 404)
+
+    def _read_prompt(self, request: http.Request, request_id: str) -> None:
+        """Finds the prompt's parts in the cache, and caches the others.
+
+        First it fetches what the server or store has that the request names.
+        """
+        headers = request.headers
+        tenant = headers.get("x-sardinewharf-tenant", "")
+        salt = headers.get("x-sardinewharf-cache-salt", "")
+        listed = headers.get("x-sardinewharf-prompt-prefix", "")
+        source = _engines.get(headers.get("x-sardinewharf-kv-fetch", ""))
         key = (salt,)
+        parts = []
         for entry in listed.split(","):
-            part = entry.partition(":")[0].strip()
+            part, _, tokens = entry.strip().partition(":")
+            parts.append((part, int(tokens)))
             key = (*key, part)
+            if source is not None and key in source._makers:
+                self._makers.setdefault(key, source._makers[key])
             maker = self._makers.setdefault(key, tenant)
             if maker != tenant:
-                use = (time.monotonic(), part, maker, tenant)
+                use = (time.monotonic(), request_id, part, maker, tenant)
                 self.uses.append(use)
+        store = self._cache_store
+        saves_to = headers.get("x-sardinewharf-kv-save")
+        if store is not None and saves_to == store.address:
+            store.save(salt, parts)
 
     async def _run(
         self,
@@ -170,7 +215,7 @@
         if request.target == self._crash_path:
             self._crash()
             return
-        self._read_prompt(request)
+        self._read_prompt(request, request_id)
         writer.write(
             http.make_head(
                 200,
--- a/review/stage/gateways.py
+++ b/review/stage/gateways.py
@@ -58,6 +58,7 @@
         name: Name of its machine.
         front: ``IP:PORT`` for consumers.
         started_at: When its process was started last.
+        is_in_rotation: Whether the platform gives it new channels.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0
+        self.is_in_rotation = True
         settings = {
             "node": name,
             "role": "gateway",
@@ -166,6 +168,29 @@
             await asyncio.sleep(0.05)
         return False
 
+    async def check_readiness(self) -> None:
+        """Asks once a second whether it is ready, as the platform does."""
+        misses = 0
+        while True:
+            await asyncio.sleep(1.0)
+            answer = await http.send(
+                self._ready, "GET", "/-/ready", {"host": "ready"}, timeout_s=1
+            )
+            misses = 0 if answer.status == 200 else misses + 1
+            self.is_in_rotation = misses < 2
+
+
+def choose(gateways: list[Gateway], number: int) -> Gateway:
+    """Returns a gateway that gets new channels; any if none does."""
+    usable = [g for g in gateways if g.is_in_rotation] or gateways
+    return usable[number % len(usable)]
+
+
+def choose_network() -> str:
+    """Returns the start of loopback addresses that no other script uses."""
+    pid = os.getpid()
+    return f"127.{pid // 200 % 200 + 20}.{pid % 200 + 20}"
+
 
 def kill_all(gateways: list[Gateway]) -> None:
     """Kills several processes at the same moment."""
--- a/review/stage/store.py
+++ b/review/stage/store.py
@@ -174,10 +174,12 @@
                 continue
 
     def _commit(self, txn: dict[str, list]) -> tuple[int, dict[str, object]]:
-        for row in txn.get("expected", []):
-            current = self.items.get(row["key"], {"rev": 0})
-            if current["rev"] != row["rev"]:
-                return 412, {"items": []}
+        rows = [(row["key"], row["rev"]) for row in txn.get("expected", [])]
+        if any(
+            self.items.get(key, {"rev": 0})["rev"] != rev for key, rev in rows
+        ):
+            found = [self.items[key] for key, _ in rows if key in self.items]
+            return 412, {"items": found}
         puts, removed = txn.get("put", []), txn.get("remove", [])
         keys = [row["key"] for row in puts] + removed
         if any(key.startswith(_OPERATOR_KEYS) for key in keys):
