Share no cached prompts once an isolation may be unknown

Callers of an isolated organisation could have had their cached prompts used by others at a gateway that had lost contact with the store: it shared by the set of isolated organisations that it knew last, until its keys expired (4.2 s), while a change is to be in force after 2 s.

Cause: the cache scope names the set of the configuration in force, however old the confirmation of that configuration is.

Change: from the age on at which a route or key may be unknown to it, the gateway gives each organisation the scope that it has while isolated.

--- a/sardinewharf/gateway/cache_scopes.py
+++ b/sardinewharf/gateway/cache_scopes.py
@@ -16,6 +16,7 @@
     organisation: catalog.Organisation | None,
     model: str,
     weights: int,
+    is_current: bool = True,
 ) -> str:
     """Returns the scope within which a request may share cached prompts.
 
@@ -28,6 +29,7 @@
             been isolated since, or be gone. None on a public route.
         model: The model.
         weights: Version of its weights.
+        is_current: Whether a change of the configuration would be known.
 
     Examples:
         >>> shared = catalog.Organisation("a", ())
@@ -40,7 +42,12 @@
         'm/3/b'
         >>> make_cache_scope(after, shared, "m", 3).startswith("m/3+")
         True
+        >>> make_cache_scope(before, shared, "m", 3, is_current=False)
+        'm/3/a'
     """
+    if not is_current:
+        name = organisation.name if organisation else ""
+        return f"{model}/{weights}/{name}"
     if organisation is not None and (
         organisation.is_isolated or configuration.is_isolated(organisation.name)
     ):
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -14,6 +14,7 @@
 from sardinewharf.gateway import availability as availability_lib
 from sardinewharf.gateway import cache_scopes
 from sardinewharf.gateway import drains as drains_lib
+from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -69,6 +70,10 @@
         self._availability = availability
         self._prompts = prompts
         self._estimators = estimators
+        # A cached prompt is shared only while an isolation would be known.
+        self._max_sharing_age_s = freshness.split_guarantees(
+            settings.guarantees
+        ).max_unknown_age_s
 
     def choose_service(self, route: catalog.Route) -> str:
         """Returns a service of a route at random, by the splits' weights.
@@ -160,7 +165,11 @@
         estimates = estimator.read()
         usable = self._list_with_current_weights(endpoints, prompt.model, now)
         cache_keys = _CacheKeys(
-            self._replica.configuration, call, prompt, self._prompts
+            self._replica.configuration,
+            call,
+            prompt,
+            self._prompts,
+            is_current=self._replica.count_age() <= self._max_sharing_age_s,
         )
         incarnations = [e.incarnation for e in usable]
         candidates = [
@@ -384,7 +393,9 @@
         call: requests.Call,
         prompt: messages.Prompt,
         prompts: prompts_lib.PromptTable,
+        is_current: bool,
     ):
+        self._is_current = is_current
         self._configuration = configuration
         self._call = call
         self._prompt = prompt
@@ -401,6 +412,7 @@
                 self._call.admitted.organisation,
                 prompt.model,
                 weights,
+                self._is_current,
             )
             key = prompts_lib.make_key(scope, prompt)
             is_stored = self._prompts.is_stored(key, scope, prompt)
--- a/sardinewharf/gateway/tests/test_isolation.py
+++ b/sardinewharf/gateway/tests/test_isolation.py
@@ -6,6 +6,8 @@
 
 from sardinewharf import catalog
 from sardinewharf.gateway import cache_scopes
+from sardinewharf.gateway import freshness
+from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.testbed import gateway_harness
 
 _NAMES = ("a", "b", "ab", "c")
@@ -139,3 +141,32 @@
     assert len({own} | after | shared) == 3
     await isolate(harness, 4)
     assert {await send(harness, n) for n in (1, 2, 3)} == shared
+
+
+async def test_nothing_is_shared_once_an_isolation_may_be_unknown():
+    """Guards against a gateway that shares prompts by an outdated set.
+
+    A gateway without contact with the store served an organisation in the
+    shared scope for as long as keys were valid, though it had been isolated.
+    """
+    # Keys stay valid long after that, however slow the test runs.
+    guarantees = settings_lib.Guarantees(revoke_ms=60_000)
+    max_age_s = freshness.split_guarantees(guarantees).max_unknown_age_s
+    harness = gateway_harness.GatewayHarness(guarantees)
+    await harness.start()
+    try:
+        await isolate(harness, 2)
+        shared = {await send(harness, 1), await send(harness, 2)}
+        assert len(shared) == 1
+        harness.store.faults.is_silent = True
+        replica = harness.gateways[0]._replica
+
+        async def may_be_outdated():
+            return replica.count_age() > max_age_s
+
+        await gateway_harness.wait_for(may_be_outdated)
+        scopes = [await send(harness, number) for number in (1, 2, 3)]
+        assert len(set(scopes)) == 3
+        assert not set(scopes) & shared
+    finally:
+        await harness.close()
