Do not halt weights because of crashes that hit all engines

Cause: each engine that ended after an order counted as ended by the weights, whatever else ended at the same moment; and the interval between two trials of a halted version did not follow from the time that a rollout may take.

Change: when an engine ends while it loads, engines that load nothing are asked for a report, and the end is recorded only if one of them answers. The interval is half of the rollout's limit, at most 15 s as before.

--- a/sardinewharf/balancing/load_failures.py
+++ b/sardinewharf/balancing/load_failures.py
@@ -4,13 +4,17 @@
 comes back as another engine, of which no failure is known, and is ordered
 again.
 
+Engines that end for another reason while they load must not be taken for a sign
+of bad weights. So a halted version is tried again while there is still time to
+roll it out.
+
 Examples:
-    >>> failures = LoadFailures()
+    >>> failures = LoadFailures(rollout_limit_s=20.0)
     >>> for engine in ("e1", "e2", "e3"):
     ...     failures.record("m", 2, engine, now=0.0)
     >>> failures.may_order("m", 2, now=1.0), failures.may_order("m", 3, now=1.0)
     (False, True)
-    >>> failures.may_order("m", 2, now=20.0)
+    >>> failures.may_order("m", 2, now=10.0)
     True
     >>> failures.clear("m", 2)
     >>> failures.may_order("m", 2, now=1.0)
@@ -24,8 +28,10 @@
 
 # Engines that a version may end, before any has loaded it, until it is halted.
 _MAX_FAILURES = 3
-# Time between two trials of a version that is halted, in seconds.
-_TRIAL_INTERVAL_S = 15.0
+# Longest time between two trials of a version that is halted, in seconds.
+_MAX_TRIAL_INTERVAL_S = 15.0
+# The same as a share of the time in which a version must be loaded everywhere.
+_TRIAL_INTERVAL_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,9 +48,17 @@
 
 
 class LoadFailures:
-    """Engines that ended when they loaded weights, by model and version."""
+    """Engines that ended when they loaded weights, by model and version.
+
+    Args:
+        rollout_limit_s: Time in which a version must be loaded everywhere, in
+            seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, rollout_limit_s: float):
+        self._trial_interval_s = min(
+            _MAX_TRIAL_INTERVAL_S, _TRIAL_INTERVAL_SHARE * rollout_limit_s
+        )
         self._failures: dict[tuple[str, int], _Failures] = {}
 
     def record(
@@ -75,7 +89,7 @@
         if not self.is_halted(model, version):
             return True
         last_at = self._failures[model, version].last_at
-        return now >= last_at + _TRIAL_INTERVAL_S
+        return now >= last_at + self._trial_interval_s
 
     def record_trial(self, model: str, version: int, now: float) -> None:
         """Records that a version that is halted is tried."""
--- a/sardinewharf/gateway/rollout.py
+++ b/sardinewharf/gateway/rollout.py
@@ -59,6 +59,10 @@
 _UPDATE_SMOOTHING = 0.3
 
 
+# Engines that are asked for a report when one ends while it loads weights.
+_MAX_COMPARED_ENGINES = 3
+
+
 class RolloutController:
     """Orders engines to load weights while this gateway is the leader.
 
@@ -113,7 +117,7 @@
         # Engines that are probed, and those whose last update failed.
         self._probing: set[ids.EndpointId] = set()
         self._backoffs: dict[ids.EndpointId, clocks.Deadline] = {}
-        self._load_failures = balancing.LoadFailures()
+        self._load_failures = balancing.LoadFailures(self._rollout_limit_s)
         # Moving average of the time that updates take.
         self._update_s = _INITIAL_UPDATE_S
         self._was_leader = False
@@ -347,18 +351,52 @@
         while not load_deadline.is_past():
             report = await self._read_report(endpoint)
             if report is None:
-                self._load_failures.record(
-                    model,
-                    target,
-                    endpoint.incarnation,
-                    clocks.read_monotonic(),
-                )
+                await self._record_load_failure(endpoint, model, target)
                 return False
             if self._record_report(endpoint, model, report, target):
                 return True
             await asyncio.sleep(_POLL_INTERVAL_S)
         return False
 
+    async def _record_load_failure(
+        self, endpoint: fleet.Endpoint, model: str, target: int
+    ) -> None:
+        """Records an engine that ended while it loaded weights.
+
+        It is not recorded if engines that load nothing cannot be reached
+        either: then the weights are not the cause.
+        """
+        others = self._choose_idle_engines(endpoint)
+        reports = await asyncio.gather(*map(self._read_report, others))
+        if others and not any(reports):
+            return
+        self._load_failures.record(
+            model, target, endpoint.incarnation, clocks.read_monotonic()
+        )
+
+    def _choose_idle_engines(
+        self, endpoint: fleet.Endpoint
+    ) -> list[fleet.Endpoint]:
+        """Returns the engines of its service heard last that load nothing.
+
+        Those whose last update failed are left out: weights may have ended
+        them.
+        """
+        others = [
+            other
+            for other in self._replica.registry.list_ready(endpoint.service)
+            if other.id not in self._updating
+            and other.id not in self._backoffs
+            and other.id != endpoint.id
+        ]
+        others.sort(
+            key=lambda other: self._health.read_last_response_at(
+                other.incarnation
+            ),
+            reverse=True,
+        )
+        return others[:_MAX_COMPARED_ENGINES]
+
     async def _order_with_retries(
         self, endpoint: fleet.Endpoint, model: str, target: int
     ) -> control_lib.OrderResult | None:
--- a/sardinewharf/gateway/tests/test_weights.py
+++ b/sardinewharf/gateway/tests/test_weights.py
@@ -537,6 +537,39 @@
     await gateway_harness.wait_for(has_loaded, 10.0)
 
 
+async def test_engines_that_crash_together_do_not_halt_a_version(harness):
+    """Guards against sound weights that are halted by unrelated crashes.
+
+    All engines crashed twice while some of them loaded a version. Their ends
+    counted as those of the weights, which were halted for 15 s, longer than a
+    version may take.
+    """
+    controller = harness.gateways[0]._rollout_controller
+    endpoints = [
+        harness.gateways[0]._replica.registry.find(engine.id)
+        for engine in harness.engines
+    ]
+    await asyncio.gather(*(engine.stop() for engine in harness.engines))
+    for endpoint in endpoints:
+        controller._updating = {endpoint.id}
+        await controller._record_load_failure(endpoint, "m1", 2)
+    assert not controller._load_failures.is_halted("m1", 2)
+
+
+async def test_engines_that_crash_alone_halt_a_version(harness):
+    """Guards against bad weights that are taken for an outage."""
+    controller = harness.gateways[0]._rollout_controller
+    registry = harness.gateways[0]._replica.registry
+    for engine in harness.engines:
+        endpoint = registry.find(engine.id)
+        port = int(engine.address.rpartition(":")[2])
+        controller._updating = {endpoint.id}
+        await engine.stop()
+        await controller._record_load_failure(endpoint, "m1", 2)
+        await engine.start(port)
+    assert controller._load_failures.is_halted("m1", 2)
+
+
 async def wait_for_order(harness, version, seconds):
     """Waits until an engine was ordered to load a version."""
 
