--- a/sardinewharf/bench/memory.py
+++ b/sardinewharf/bench/memory.py
@@ -11,6 +11,7 @@
 
 import argparse
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -60,22 +61,35 @@
     Args:
         harness: Test doubles of the store and the servers.
         front: ``IP:PORT`` of the gateway.
-        pid: Process id of the gateway.
+        ready: ``IP:PORT`` of its readiness probe.
+        process: The gateway's process.
     """
 
-    def __init__(self, harness: _Harness, front: str, pid: int):
+    def __init__(
+        self,
+        harness: _Harness,
+        front: str,
+        ready: str,
+        process: asyncio.subprocess.Process,
+    ):
         self.harness = harness
         self.front = front
-        self._pid = pid
+        self.ready = ready
+        self.process = process
         self.latencies: list[float] = []
         self.failures = 0
         self.outcomes: dict[int, int] = {}
         self.peak_bytes = 0
+        self.peak_descriptors = 0
 
     async def sample_memory(self) -> None:
-        """Keeps the most resident memory that was seen."""
-        while True:
-            self.peak_bytes = max(self.peak_bytes, _read_memory(self._pid))
+        """Keeps the most memory and descriptors that were seen."""
+        while self.process.returncode is None:
+            pid = self.process.pid
+            self.peak_bytes = max(self.peak_bytes, _read_memory(pid))
+            self.peak_descriptors = max(
+                self.peak_descriptors, _count_descriptors(pid)
+            )
             await asyncio.sleep(_SAMPLE_INTERVAL_S)
 
     async def send_sound(self) -> None:
@@ -122,6 +136,11 @@
     return int(pages) * _PAGE_BYTES
 
 
+def _count_descriptors(pid: int) -> int:
+    """Returns the number of open descriptors of a process."""
+    return sum(1 for _ in pathlib.Path(f"/proc/{pid}/fd").iterdir())
+
+
 async def _repeat(bench: Bench, path: str) -> None:
     while True:
         bench.count((await bench.send(path)).status)
@@ -225,14 +244,31 @@
 
 async def measure(row: Row, memory_mb: float, folder: pathlib.Path) -> Bench:
     """Plays one row against a gateway process with so much memory."""
-    harness = _Harness()
-    await harness.start(gateways=0)
     limits = {
         "max_header_bytes": 16_384,
         "max_body_bytes": _UPLOAD_BYTES,
         "header_timeout_ms": 5_000,
         "idle_timeout_ms": 10_000,
     }
+    async with run_gateway(memory_mb, limits, folder) as bench:
+        await asyncio.sleep(_SETTLE_S)
+        await _play(bench, row)
+    return bench
+
+
+@contextlib.asynccontextmanager
+async def run_gateway(
+    memory_mb: float, limits: dict[str, int], folder: pathlib.Path
+) -> AsyncIterator[Bench]:
+    """Runs a gateway process with test doubles until the context ends.
+
+    Args:
+        memory_mb: Memory that the gateway is told to have.
+        limits: The manifest's limits on callers.
+        folder: Where its settings are written.
+    """
+    harness = _Harness()
+    await harness.start(gateways=0)
     await harness.store.put(
         "op/config", gateway_harness.make_manifest(version=2, limits=limits)
     )
@@ -246,18 +282,16 @@
         env=os.environ | {"SARDINEWHARF_CONFIG": str(path)},
         stdout=asyncio.subprocess.DEVNULL,
     )
-    bench = Bench(harness, front, process.pid)
     harness.urls.append(f"http://{front}")
     harness.ready_urls.append(f"http://{ready}/-/ready")
     try:
         await harness.wait_until_ready()
-        await asyncio.sleep(_SETTLE_S)
-        await _play(bench, row)
+        yield Bench(harness, front, ready, process)
     finally:
-        process.kill()
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
         await process.wait()
         await harness.close()
-    return bench
 
 
 async def _play(bench: Bench, row: Row) -> None:
