Move the limits and parsers of connections out of the protocol

The limits, the reasons of closes and their responses are now in http1/closes.py, the parser behind a request to upgrade in http1/parsers.py.

--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -12,31 +12,15 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import enum
 
 import httptools
 from uvicorn.protocols.http import httptools_impl
 
 from sardinewharf import memory
 from sardinewharf.http1 import client
+from sardinewharf.http1 import closes
+from sardinewharf.http1 import parsers
 
-_HEADERS_TOO_LARGE_RESPONSE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_TIMEOUT_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_MALFORMED_RESPONSE = (
-    b"HTTP/1.1 400 Bad Request\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_OUT_OF_MEMORY_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # The idle time that callers are told is shorter than the real one by this, in
 # seconds: a request on its way must not meet the close.
 _IDLE_MARGIN_S = 0.5
@@ -45,67 +29,6 @@
 _MAX_QUEUED_REQUESTS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits of a connection.
-
-    Attributes:
-        header_bytes: Maximum size of all headers of a request.
-        header_s: Time in which the headers must arrive, in seconds.
-        idle_s: Time for which a connection may stay idle, in seconds.
-    """
-
-    header_bytes: int
-    header_s: float
-    idle_s: float
-
-
-class CloseReason(enum.Enum):
-    """Reason why the server closed a connection with a request on it.
-
-    Attributes:
-        SLOW_HEAD: The head did not arrive in time.
-        HEAD_TOO_LARGE: The head exceeds its limit.
-        MALFORMED: The request cannot be parsed.
-        EARLIER_RESPONSE: An earlier response closed the connection.
-        OUT_OF_MEMORY: The memory for what callers send is used up.
-    """
-
-    SLOW_HEAD = "slow_head"
-    HEAD_TOO_LARGE = "head_too_large"
-    MALFORMED = "malformed"
-    EARLIER_RESPONSE = "earlier_response"
-    OUT_OF_MEMORY = "out_of_memory"
-
-
-_REJECTIONS = {
-    CloseReason.SLOW_HEAD: _TIMEOUT_RESPONSE,
-    CloseReason.HEAD_TOO_LARGE: _HEADERS_TOO_LARGE_RESPONSE,
-    CloseReason.MALFORMED: _MALFORMED_RESPONSE,
-    CloseReason.OUT_OF_MEMORY: _OUT_OF_MEMORY_RESPONSE,
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseReport:
-    """Describes a connection that the server closed with a request on it.
-
-    Attributes:
-        reason: Why it was closed.
-        headers: The headers of the first such request, as far as they were
-            read.
-        head_bytes: What was read of the head of the last one.
-        queued: Number of requests that were read whole and not begun.
-        has_responded: Whether a response was begun on the connection before.
-    """
-
-    reason: CloseReason
-    headers: client.Headers
-    head_bytes: int
-    queued: int
-    has_responded: bool
-
-
 @dataclasses.dataclass(slots=True)
 class CallerSide:
     """What is known of the caller's side of a connection.
@@ -151,9 +74,9 @@
     """
 
     account: memory.MemoryAccount
-    read_limits: Callable[[], ServerLimits]
+    read_limits: Callable[[], closes.ServerLimits]
     closed: asyncio.Event
-    report_close: Callable[[CloseReport], None]
+    report_close: Callable[[closes.CloseReport], None]
 
     # Called by asyncio.
 
@@ -185,7 +108,7 @@
         self._has_caller_ended = False
         # Why a request is rejected once no response is outstanding; nothing is
         # read any more.
-        self._rejection: CloseReason | None = None
+        self._rejection: closes.CloseReason | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._start_head_timer()
 
@@ -363,7 +286,7 @@
         self.flow.pause_reading()
         self.pipeline.clear()
         self._caller.queued_requests = 0
-        self._reject(CloseReason.OUT_OF_MEMORY)
+        self._reject(closes.CloseReason.OUT_OF_MEMORY)
 
     def _drop_partial_request(self) -> None:
         """Forgets a request behind others whose rest will not come."""
@@ -391,21 +314,10 @@
                 return
 
     def _parse_on_in_http(self) -> None:
-        """Replaces the parser by one that is behind the same head.
-
-        A parser takes all that follows a request to change the protocol for
-        that protocol, though the request's body comes first and the protocol
-        need not be changed (RFC 9110, section 7.8).
-        """
+        """Replaces the parser by one that is behind the same head."""
         version = self.parser.get_http_version().encode()
-        lines = [b"POST / HTTP/" + version]
-        lines += [
-            name + b": " + value
-            for name, value in self.headers
-            if name in _FRAMING_HEADERS
-        ]
-        self.parser = _make_parser(_BehindHead(self))
-        self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+        self.parser = parsers.make_parser_behind_head(self)
+        self.parser.feed_data(parsers.encode_framing(version, self.headers))
 
     def _check_head_size(self, segment_bytes: int) -> None:
         """Rejects a head that is too large, though it is not complete."""
@@ -416,32 +328,34 @@
                 else _count_head_bytes(self.url, self.headers)
             )
         if self._head_bytes > type(self).read_limits().header_bytes:
-            self._reject(CloseReason.HEAD_TOO_LARGE)
+            self._reject(closes.CloseReason.HEAD_TOO_LARGE)
 
     def _reject_malformed(self) -> None:
         """Rejects what cannot be parsed, unless it was answered already."""
         cycle = self.cycle
         is_in_body = self._is_in_message and not self._is_in_head
         if not is_in_body:
-            self._reject(CloseReason.MALFORMED)
+            self._reject(closes.CloseReason.MALFORMED)
         elif cycle is not self._current_cycle:
             self._drop_last_queued()
-            self._reject(CloseReason.MALFORMED)
+            self._reject(closes.CloseReason.MALFORMED)
         elif cycle.response_started:
             self.transport.close()
         else:
             _disconnect(cycle)
-            self._rejection = CloseReason.MALFORMED
-            self.transport.write(_MALFORMED_RESPONSE)
+            self._rejection = closes.CloseReason.MALFORMED
+            self.transport.write(
+                closes.REJECTIONS[closes.CloseReason.MALFORMED]
+            )
             self.transport.close()
 
-    def _reject(self, reason: CloseReason) -> None:
+    def _reject(self, reason: closes.CloseReason) -> None:
         """Sends a rejection and closes, once no response is outstanding."""
         self._stop_head_timer()
         self._rejection = reason
         if self._has_outstanding_response() or self.transport.is_closing():
             return
-        self.transport.write(_REJECTIONS[reason])
+        self.transport.write(closes.REJECTIONS[reason])
         self.transport.close()
 
     def _report_close(self) -> None:
@@ -452,8 +366,8 @@
         first = self.pipeline[-1][0].scope if self.pipeline else self.scope
         cycle = self._current_cycle
         type(self).report_close(
-            CloseReport(
-                reason=self._rejection or CloseReason.EARLIER_RESPONSE,
+            closes.CloseReport(
+                reason=self._rejection or closes.CloseReason.EARLIER_RESPONSE,
                 headers=first["headers"] if first else [],
                 head_bytes=self._head_bytes,
                 queued=len(self.pipeline),
@@ -476,7 +390,7 @@
         # A connection on which no request begins is idle, not slow, and gets
         # no response.
         if self._is_in_head:
-            self._reject(CloseReason.SLOW_HEAD)
+            self._reject(closes.CloseReason.SLOW_HEAD)
         else:
             self.transport.close()
 
@@ -487,40 +401,6 @@
         )
 
 
-class _BehindHead:
-    """Passes on what a parser finds behind its first head."""
-
-    def __init__(self, protocol: LimitedProtocol):
-        self._protocol = protocol
-        self._is_behind_head = False
-        self.on_body = protocol.on_body
-        self.on_message_complete = protocol.on_message_complete
-
-    def on_message_begin(self) -> None:
-        if self._is_behind_head:
-            self._protocol.on_message_begin()
-
-    def on_url(self, url: bytes) -> None:
-        if self._is_behind_head:
-            self._protocol.on_url(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._is_behind_head:
-            self._protocol.on_header(name, value)
-
-    def on_headers_complete(self) -> None:
-        if self._is_behind_head:
-            self._protocol.on_headers_complete()
-        self._is_behind_head = True
-
-
-def _make_parser(callbacks: object) -> httptools.HttpRequestParser:
-    parser = httptools.HttpRequestParser(callbacks)
-    # The request before a "connection: close" is answered in any case.
-    parser.set_dangerous_leniencies(lenient_data_after_close=True)
-    return parser
-
-
 def _disconnect(cycle: httptools_impl.RequestResponseCycle) -> None:
     """Tells the application that the request's caller is gone."""
     cycle.disconnected = True
--- a/sardinewharf/http1/server.py
+++ b/sardinewharf/http1/server.py
@@ -9,10 +9,11 @@
 
 from sardinewharf import clocks
 from sardinewharf import memory
+from sardinewharf.http1 import closes
 from sardinewharf.http1 import protocol
 
-CloseReport = protocol.CloseReport
-ServerLimits = protocol.ServerLimits
+CloseReport = closes.CloseReport
+ServerLimits = closes.ServerLimits
 
 _BACKLOG = 1024
 
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -404,7 +404,7 @@
 class ConnectionEnded(Record, tag="connection_ended"):
     """The gateway closed a connection while a request was read or queued.
 
-    ``reason`` is a value of ``http1.protocol.CloseReason``. ``request`` is the
+    ``reason`` is a value of ``http1.closes.CloseReason``. ``request`` is the
     id of that request, empty if it was not read yet; ``head_bytes`` is what was
     read of its head, and ``queued`` the number of requests that were read whole
     and not begun. ``has_responded`` states whether a response was begun on the
