Count trailers and chunk framing against the header limit

The server kept every trailer of a chunked body as a header of its request, without a limit and uncounted, and the parser collected a trailer or chunk extension that did not end. Trailers are now dropped. Together with the head they may take max_header_bytes, and so may the bytes between two pieces of data. The caller gets 431, and the reason is trailers_too_large.

Closed connections of all three ports leave connection_ended, which names the port, and are counted in _closes_total{listener,reason}.

--- a/sardinewharf/gateway/metrics.py
+++ b/sardinewharf/gateway/metrics.py
@@ -19,6 +19,7 @@
     "cache_fetches": ("service", "kind"),
     "failed_attempts": ("service", "outcome"),
     "task_failures": ("task", "effect"),
+    "closes": ("listener", "reason"),
 }
 
 
@@ -86,6 +87,10 @@
         """Counts a failure of background work."""
         self._counts["task_failures", task, effect.value] += 1
 
+    def count_close(self, listener: str, reason: str) -> None:
+        """Counts a connection that was closed with a request on it."""
+        self._counts["closes", listener, reason] += 1
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets the current value of a gauge."""
         if name not in self._gauges:
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
+import functools
 
 from sardinewharf import clocks
 from sardinewharf import fleet
@@ -243,17 +244,22 @@
         )
         self._rollout_controller = self._make_rollout_controller()
         self._server = http_server.HttpServer(
-            self._app, self._read_limits, platform.account, self._log_close
+            self._app,
+            self._read_limits,
+            platform.account,
+            functools.partial(self._log_close, "front"),
         )
         self._ready_server = http_server.HttpServer(
             _make_probe_app(self._is_ready),
             self._read_limits,
             platform.account,
+            functools.partial(self._log_close, "ready"),
         )
         self._metrics_server = http_server.HttpServer(
             _make_text_app(self._render_metrics),
             self._read_limits,
             platform.account,
+            functools.partial(self._log_close, "metrics"),
         )
 
     def reload(self) -> None:
@@ -396,8 +402,11 @@
             configured.idle_ms / 1000,
         )
 
-    def _log_close(self, report: http_server.CloseReport) -> None:
-        """Logs a connection that was closed with a request on it."""
+    def _log_close(
+        self, listener: str, report: http_server.CloseReport
+    ) -> None:
+        """Logs and counts a connection that was closed with a request on it."""
+        self._metrics.count_close(listener, report.reason.value)
         try:
             request_id = self._platform.header_codec.read_request(
                 report.headers, clocks.read_monotonic()
@@ -412,6 +421,7 @@
                 head_bytes=report.head_bytes,
                 queued=report.queued,
                 has_responded=report.has_responded,
+                listener=listener,
             )
         )
 
--- a/sardinewharf/http1/closes.py
+++ b/sardinewharf/http1/closes.py
@@ -28,7 +28,8 @@
     """Limits of a connection.
 
     Attributes:
-        header_bytes: Maximum size of all headers of a request.
+        header_bytes: Maximum size of all headers of a request, and of its head
+            and its trailers together.
         header_s: Time in which the headers must arrive, in seconds.
         idle_s: Time for which a connection may stay idle, in seconds.
     """
@@ -44,6 +45,8 @@
     Attributes:
         SLOW_HEAD: The head did not arrive in time.
         HEAD_TOO_LARGE: The head exceeds its limit.
+        TRAILERS_TOO_LARGE: The head and the trailers exceed its limit, or so
+            many bytes came in a chunked body without any data.
         MALFORMED: The request cannot be parsed.
         EARLIER_RESPONSE: An earlier response closed the connection.
         OUT_OF_MEMORY: The memory for what callers send is used up.
@@ -51,6 +54,7 @@
 
     SLOW_HEAD = "slow_head"
     HEAD_TOO_LARGE = "head_too_large"
+    TRAILERS_TOO_LARGE = "trailers_too_large"
     MALFORMED = "malformed"
     EARLIER_RESPONSE = "earlier_response"
     OUT_OF_MEMORY = "out_of_memory"
@@ -60,6 +64,7 @@
 REJECTIONS = {
     CloseReason.SLOW_HEAD: _TIMEOUT_RESPONSE,
     CloseReason.HEAD_TOO_LARGE: _HEADERS_TOO_LARGE_RESPONSE,
+    CloseReason.TRAILERS_TOO_LARGE: _HEADERS_TOO_LARGE_RESPONSE,
     CloseReason.MALFORMED: _MALFORMED_RESPONSE,
     CloseReason.OUT_OF_MEMORY: _OUT_OF_MEMORY_RESPONSE,
 }
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -62,6 +62,10 @@
     The size of a head that begins behind another request in one segment is
     counted without a header that is not complete.
 
+    Trailers are dropped. Together with the head they are within its limit, and
+    so are the bytes of a chunked body between two pieces of data, such as those
+    of an endless chunk extension.
+
     A caller may close its sending side and wait for the responses to the whole
     requests that it sent; the application decides on each what it gets.
 
@@ -98,6 +102,10 @@
         self._is_in_head = False
         self._is_in_message = False
         self._head_bytes = 0
+        # Size of the whole fields of a request's head and trailers.
+        self._field_bytes = 0
+        # Received of a chunked body since its latest data.
+        self._framing_bytes = 0
         # Messages of which a part lies in the latest received segment.
         self._messages_in_segment = 0
         # Whole seconds of Keep-Alive that were told last; 0 for none.
@@ -137,9 +145,12 @@
         if self._is_in_head:
             self._head_bytes += len(data)
         self._messages_in_segment = int(self._is_in_message)
+        self._framing_bytes += len(data)
         self._feed(data)
         if self._is_in_head:
             self._check_head_size(len(data))
+        elif self._is_in_message and self._is_framing_too_large():
+            self._reject_message(closes.CloseReason.TRAILERS_TOO_LARGE)
         elif self._is_in_message and self.timeout_keep_alive_task is not None:
             # The body of a request that was refused before its end.
             self._restart_idle_timer()
@@ -187,6 +198,24 @@
         if self._head_timer is None and not self._has_outstanding_response():
             self._start_head_timer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header, or counts a trailer.
+
+        Raises:
+            _TrailersTooLargeError: If the trailers exceed their limit.
+        """
+        if self._is_in_head:
+            super().on_header(name, value)
+            return
+        self._field_bytes += len(name) + len(value) + 4
+        if self._field_bytes > type(self).read_limits().header_bytes:
+            raise _TrailersTooLargeError
+
+    def on_body(self, body: bytes) -> None:
+        """Passes on data of a body."""
+        self._framing_bytes = 0
+        super().on_body(body)
+
     def on_headers_complete(self) -> None:
         """Stops the timer and stores the time at which the headers arrived."""
         self._stop_head_timer()
@@ -194,6 +223,8 @@
         self.scope["state"]["caller"] = self._caller
         super().on_headers_complete()
         self._is_in_head = False
+        self._field_bytes = _count_head_bytes(self.url, self.headers)
+        self._framing_bytes = 0
         self._caller.queued_requests = len(self.pipeline)
         if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
             # Else it would not be noticed that the caller leaves.
@@ -309,8 +340,12 @@
             except httptools.HttpParserUpgrade as error:
                 data = data[error.args[0] :]
                 self._parse_on_in_http()
-            except httptools.HttpParserError:
-                self._reject_malformed()
+            except httptools.HttpParserError as error:
+                self._reject_message(
+                    closes.CloseReason.TRAILERS_TOO_LARGE
+                    if isinstance(error.__context__, _TrailersTooLargeError)
+                    else closes.CloseReason.MALFORMED
+                )
                 return
 
     def _parse_on_in_http(self) -> None:
@@ -330,23 +365,25 @@
         if self._head_bytes > type(self).read_limits().header_bytes:
             self._reject(closes.CloseReason.HEAD_TOO_LARGE)
 
-    def _reject_malformed(self) -> None:
-        """Rejects what cannot be parsed, unless it was answered already."""
+    def _is_framing_too_large(self) -> bool:
+        return self._framing_bytes > type(self).read_limits().header_bytes
+
+    def _reject_message(self, reason: closes.CloseReason) -> None:
+        """Rejects what is being read, unless it was answered already."""
         cycle = self.cycle
         is_in_body = self._is_in_message and not self._is_in_head
         if not is_in_body:
-            self._reject(closes.CloseReason.MALFORMED)
+            self._reject(reason)
         elif cycle is not self._current_cycle:
             self._drop_last_queued()
-            self._reject(closes.CloseReason.MALFORMED)
+            self._reject(reason)
         elif cycle.response_started:
+            self._rejection = reason
             self.transport.close()
         else:
             _disconnect(cycle)
-            self._rejection = closes.CloseReason.MALFORMED
-            self.transport.write(
-                closes.REJECTIONS[closes.CloseReason.MALFORMED]
-            )
+            self._rejection = reason
+            self.transport.write(closes.REJECTIONS[reason])
             self.transport.close()
 
     def _reject(self, reason: closes.CloseReason) -> None:
@@ -401,6 +438,10 @@
         )
 
 
+class _TrailersTooLargeError(Exception):
+    """The trailers of a request exceed their limit."""
+
+
 def _disconnect(cycle: httptools_impl.RequestResponseCycle) -> None:
     """Tells the application that the request's caller is gone."""
     cycle.disconnected = True
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -408,7 +408,7 @@
     id of that request, empty if it was not read yet; ``head_bytes`` is what was
     read of its head, and ``queued`` the number of requests that were read whole
     and not begun. ``has_responded`` states whether a response was begun on the
-    connection before.
+    connection before. ``listener`` is the port: front, ready or metrics.
     """
 
     request: str
@@ -416,6 +416,7 @@
     head_bytes: int
     queued: int
     has_responded: bool
+    listener: str = "front"
 
 
 class GatewayFault(Record, tag="gateway_fault"):
