Begin no pipelined request before the response ahead of it is taken

A segment of 64 KB holds 3,600 small requests. The server parsed all of them and queued them, uncounted, and it went on reading whenever a request was received from; so a caller that pipelined without end filled the memory, on the callers' port as on that of /-/ready, and its responses piled up unread beside.

What comes behind a request is now kept as bytes and counted in the memory account. One piece, up to the end of a head, is parsed at a time, and none while a request is queued or while the socket has not taken all of an earlier response. A connection on which 65,536 bytes wait is not read; _held_connections counts these. The end of the connection is noticed up to that size, as before behind four queued requests. As each request is a task of its own, the other connections are served between them.

--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -386,6 +386,10 @@
             "quarantined_requests", self._suspects.count_quarantined()
         )
         self._metrics.set_gauge("store_calls", self._platform.store.calls)
+        servers = (self._server, self._ready_server, self._metrics_server)
+        self._metrics.set_gauge(
+            "held_connections", sum(s.held_connections for s in servers)
+        )
         account = self._platform.account
         self._metrics.set_gauge("buffered_bytes", account.held_bytes)
         for use in memory.Use:
--- /dev/null
+++ b/sardinewharf/http1/pipelines.py
@@ -0,0 +1,93 @@
+r"""What a connection has received behind the request that is being answered.
+
+A segment holds thousands of small requests, and each takes far more memory once
+it is parsed. So they are kept as bytes, of which one piece at a time is parsed,
+and while there are many the connection is not read.
+
+Examples:
+    >>> backlog = Backlog()
+    >>> backlog.add(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n")
+    >>> backlog.take()
+    b'GET /1 HTTP/1.1\r\n\r\n'
+    >>> backlog.take()
+    b'GET /2 HTTP/1.1\r\n'
+    >>> bool(backlog)
+    False
+"""
+
+from uvicorn.protocols.http import flow_control
+
+# The connection is not read while so many bytes wait. It is the size of one
+# segment: the end of the connection is noticed behind fewer.
+MAX_BACKLOG_BYTES = 65_536
+_HEAD_END = b"\r\n\r\n"
+
+
+class Backlog:
+    """Bytes that were received and not parsed.
+
+    Attributes:
+        size: Number of bytes.
+    """
+
+    __slots__ = ("_begin", "_data", "size")
+
+    def __init__(self) -> None:
+        self._data = b""
+        self._begin = 0
+        self.size = 0
+
+    def __bool__(self) -> bool:
+        return self.size > 0
+
+    def add(self, data: bytes) -> None:
+        """Keeps further bytes."""
+        self._data = self._data[self._begin :] + data if self.size else data
+        self._begin = 0
+        self.size = len(self._data)
+
+    def take(self) -> bytes:
+        """Removes and returns the next bytes, at most to the end of a head.
+
+        A head and a chunked body end with the same four bytes. So of all
+        requests in the piece, only the last ones are begun by it: one, or two
+        if the end of the first one's head was cut.
+        """
+        end = self._data.find(_HEAD_END, self._begin) + len(_HEAD_END)
+        if end < len(_HEAD_END) or end >= len(self._data):
+            piece = self._data[self._begin :]
+            self.clear()
+            return piece
+        piece = self._data[self._begin : end]
+        self._begin = end
+        self.size = len(self._data) - end
+        return piece
+
+    def clear(self) -> None:
+        """Drops all bytes."""
+        self._data = b""
+        self._begin = self.size = 0
+
+
+class ReadControl(flow_control.FlowControl):
+    """Flow control whose reading can be held whatever a request asks for.
+
+    Attributes:
+        is_held: Whether nothing is read.
+    """
+
+    is_held = False
+
+    def hold_reading(self, is_held: bool) -> None:
+        """Sets whether nothing is read; reading goes on if it was held."""
+        if is_held != self.is_held:
+            self.is_held = is_held
+            if is_held:
+                self.pause_reading()
+            else:
+                self.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Reads on, unless it is held."""
+        if not self.is_held:
+            super().resume_reading()
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -20,13 +20,11 @@
 from sardinewharf.http1 import client
 from sardinewharf.http1 import closes
 from sardinewharf.http1 import parsers
+from sardinewharf.http1 import pipelines
 
 # The idle time that callers are told is shorter than the real one by this, in
 # seconds: a request on its way must not meet the close.
 _IDLE_MARGIN_S = 0.5
-# While more requests are queued behind the one that is being answered, nothing
-# is read.
-_MAX_QUEUED_REQUESTS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,8 +36,8 @@
     Attributes:
         is_half_closed: Whether the caller has closed its sending side. The
             application is woken up to see it.
-        queued_requests: Number of requests that were read behind the one that
-            is being answered; a response that closes the connection would
+        queued_requests: Number of requests that were parsed behind the one
+            that is being answered; a response that closes the connection would
             leave them unanswered.
     """
 
@@ -59,7 +57,11 @@
     is a second or more. A limit that is lowered later does not close it
     earlier, until a response tells another time.
 
-    The size of a head that begins behind another request in one segment is
+    What comes behind a request is parsed until another request is queued; the
+    rest waits as bytes. No request begins, and nothing is parsed, before all of
+    an earlier response was taken by the transport's socket.
+
+    The size of a head that begins behind another request in one piece is
     counted without a header that is not complete.
 
     Trailers are dropped. Together with the head they are within its limit, and
@@ -87,6 +89,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the timer of the first head."""
         super().connection_made(transport)
+        self.flow = pipelines.ReadControl(transport)
         client.set_tcp_options(transport.get_extra_info("socket"))
         transport.max_size = client.SEGMENT_BYTES
         # What cannot be written at once is counted, see ``pause_writing``.
@@ -99,6 +102,10 @@
         # The request whose response is due next, or was sent last.
         self._current_cycle: httptools_impl.RequestResponseCycle | None = None
         self._caller = CallerSide()
+        self._backlog = pipelines.Backlog()
+        # Whether all of a response was sent by the application, and not all of
+        # it was taken by the socket.
+        self._is_delivering = False
         self._is_in_head = False
         self._is_in_message = False
         self._head_bytes = 0
@@ -106,8 +113,8 @@
         self._field_bytes = 0
         # Received of a chunked body since its latest data.
         self._framing_bytes = 0
-        # Messages of which a part lies in the latest received segment.
-        self._messages_in_segment = 0
+        # Messages of which a part lies in the latest parsed piece.
+        self._messages_in_piece = 0
         # Whole seconds of Keep-Alive that were told last; 0 for none.
         self._told_idle_s = 0
         # Whether it is closed as soon as no request is being read or answered.
@@ -130,6 +137,7 @@
         if self._has_outstanding_response():
             _disconnect(self._current_cycle)
         self.pipeline.clear()
+        self._backlog.clear()
         if self.cycle is not None:
             self.cycle.body.clear()
         super().connection_lost(exc)
@@ -139,21 +147,11 @@
         type(self).closed.set()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and checks the size of the head."""
+        """Keeps received bytes, and parses what may be parsed now."""
         if self._rejection is not None or self.transport.is_closing():
             return
-        if self._is_in_head:
-            self._head_bytes += len(data)
-        self._messages_in_segment = int(self._is_in_message)
-        self._framing_bytes += len(data)
-        self._feed(data)
-        if self._is_in_head:
-            self._check_head_size(len(data))
-        elif self._is_in_message and self._is_framing_too_large():
-            self._reject_message(closes.CloseReason.TRAILERS_TOO_LARGE)
-        elif self._is_in_message and self.timeout_keep_alive_task is not None:
-            # The body of a request that was refused before its end.
-            self._restart_idle_timer()
+        self._backlog.add(data)
+        self._parse_backlog()
         self._count_unread()
 
     def pause_writing(self) -> None:
@@ -165,6 +163,9 @@
         """Ends the count; called by the transport."""
         super().resume_writing()
         self._unsent.resize(0)
+        if self._is_delivering:
+            self._is_delivering = False
+            self._go_on()
 
     def eof_received(self) -> bool:
         """Drops a request that is not whole, and tells the application.
@@ -173,6 +174,18 @@
             Whether the connection stays open, since a response is outstanding.
         """
         self._has_caller_ended = True
+        if self._backlog:
+            self._caller.is_half_closed = True
+            self._current_cycle.message_event.set()
+            return True
+        return self._end_input()
+
+    def _end_input(self) -> bool:
+        """Drops a request that is not whole, as nothing follows.
+
+        Returns:
+            Whether a response is outstanding.
+        """
         is_in_body = self._is_in_message and not self._is_in_head
         if is_in_body and self.cycle is self._current_cycle:
             return False
@@ -180,8 +193,7 @@
         if not self._has_outstanding_response():
             return False
         self._caller.is_half_closed = True
-        last = self.pipeline[0][0] if self.pipeline else self._current_cycle
-        last.keep_alive = False
+        self._mark_last_request()
         self._current_cycle.message_event.set()
         return True
 
@@ -194,7 +206,7 @@
         self._is_in_message = True
         self._is_in_head = True
         self._head_bytes = 0
-        self._messages_in_segment += 1
+        self._messages_in_piece += 1
         if self._head_timer is None and not self._has_outstanding_response():
             self._start_head_timer()
 
@@ -226,7 +238,7 @@
         self._field_bytes = _count_head_bytes(self.url, self.headers)
         self._framing_bytes = 0
         self._caller.queued_requests = len(self.pipeline)
-        if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
+        if self.pipeline:
             # Else it would not be noticed that the caller leaves.
             self.flow.resume_reading()
 
@@ -241,6 +253,13 @@
     # Called by uvicorn.
 
     def on_response_complete(self) -> None:
+        """Goes on with what came behind the request, once it is delivered."""
+        if self.flow.write_paused and not self.transport.is_closing():
+            self._is_delivering = True
+        else:
+            self._go_on()
+
+    def _go_on(self) -> None:
         """Goes on with what came behind the request.
 
         If that is nothing, the idle timeout in force applies, or the one told
@@ -252,6 +271,8 @@
                 self.timeout_keep_alive, self._told_idle_s + _IDLE_MARGIN_S
             )
         super().on_response_complete()
+        if not self.transport.is_closing():
+            self._parse_backlog()
         self._count_unread()
         if self.transport.is_closing() or self._has_outstanding_response():
             return
@@ -259,8 +280,9 @@
             self._reject(self._rejection)
         elif self._is_in_head:
             self._unset_keepalive_if_required()
-            self._start_head_timer()
-        elif self._is_shutting_down:
+            if self._head_timer is None:
+                self._start_head_timer()
+        elif self._is_shutting_down or self._has_caller_ended:
             self.transport.close()
 
     def shutdown(self) -> None:
@@ -270,9 +292,10 @@
         first head limits that.
         """
         self._is_shutting_down = True
+        if self._backlog:
+            return
         if self._has_outstanding_response():
-            last = self.pipeline[0][0] if self.pipeline else self._current_cycle
-            last.keep_alive = False
+            self._mark_last_request()
         elif self._head_timer is None:
             self.transport.close()
 
@@ -298,16 +321,67 @@
         told = (b"keep-alive", b"timeout=%d" % idle_s)
         cycle.default_headers = [*cycle.default_headers, told]
 
+    def _mark_last_request(self) -> None:
+        """Makes the response to the newest request close the connection."""
+        last = self.pipeline[0][0] if self.pipeline else self._current_cycle
+        last.keep_alive = False
+
     def _has_outstanding_response(self) -> bool:
         cycle = self._current_cycle
-        return cycle is not None and not cycle.response_complete
+        return self._is_delivering or (
+            cycle is not None and not cycle.response_complete
+        )
+
+    def _parse_backlog(self) -> None:
+        """Parses what was received, until another request is queued."""
+        had_backlog = bool(self._backlog)
+        while self._may_parse():
+            self._parse(self._backlog.take())
+        is_too_large = self._backlog.size >= pipelines.MAX_BACKLOG_BYTES
+        is_last = self._is_shutting_down and bool(self._backlog)
+        self.flow.hold_reading(is_too_large or is_last)
+        if had_backlog and not self._backlog and not self._is_rejected():
+            self._end_backlog()
+
+    def _may_parse(self) -> bool:
+        is_blocked = self._is_delivering or bool(self.pipeline)
+        return (
+            bool(self._backlog) and not is_blocked and not self._is_rejected()
+        )
+
+    def _is_rejected(self) -> bool:
+        return self._rejection is not None or self.transport.is_closing()
+
+    def _end_backlog(self) -> None:
+        """Does what waited for the last received byte to be parsed."""
+        if self._has_caller_ended:
+            if not self._end_input():
+                self.transport.close()
+        elif self._is_shutting_down and self._has_outstanding_response():
+            self._mark_last_request()
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes, and checks the sizes of heads and trailers."""
+        if self._is_in_head:
+            self._head_bytes += len(data)
+        self._messages_in_piece = int(self._is_in_message)
+        self._framing_bytes += len(data)
+        self._feed(data)
+        if self._is_in_head:
+            self._check_head_size(len(data))
+        elif self._is_in_message and self._is_framing_too_large():
+            self._reject_message(closes.CloseReason.TRAILERS_TOO_LARGE)
+        elif self._is_in_message and self.timeout_keep_alive_task is not None:
+            # The body of a request that was refused before its end.
+            self._restart_idle_timer()
 
     def _count_unread(self) -> None:
         """Counts what waits to be passed on to the application.
 
         That reads the body of the current request at once.
         """
-        size = self._head_bytes if self._is_in_head else 0
+        size = self._backlog.size
+        size += self._head_bytes if self._is_in_head else 0
         size += sum(len(cycle.body) for cycle, _ in self.pipeline)
         if size != self._unread.size:
             self._unread.resize(size)
@@ -316,6 +390,7 @@
         """Drops what waits behind the current request, and reads no more."""
         self.flow.pause_reading()
         self.pipeline.clear()
+        self._backlog.clear()
         self._caller.queued_requests = 0
         self._reject(closes.CloseReason.OUT_OF_MEMORY)
 
@@ -354,12 +429,12 @@
         self.parser = parsers.make_parser_behind_head(self)
         self.parser.feed_data(parsers.encode_framing(version, self.headers))
 
-    def _check_head_size(self, segment_bytes: int) -> None:
+    def _check_head_size(self, piece_bytes: int) -> None:
         """Rejects a head that is too large, though it is not complete."""
         if not self._head_bytes:
             self._head_bytes = (
-                segment_bytes
-                if self._messages_in_segment == 1
+                piece_bytes
+                if self._messages_in_piece == 1
                 else _count_head_bytes(self.url, self.headers)
             )
         if self._head_bytes > type(self).read_limits().header_bytes:
--- a/sardinewharf/http1/server.py
+++ b/sardinewharf/http1/server.py
@@ -66,6 +66,11 @@
         """Number of open connections."""
         return len(self._state.connections)
 
+    @property
+    def held_connections(self) -> int:
+        """Number of connections that are not read, as much waits on them."""
+        return sum(c.flow.is_held for c in self._state.connections)
+
     async def start(self, address: str) -> None:
         """Listens on ``IP:PORT``.
 
