Search no body of a stated length for the ends of heads

Searching each segment for the end of a head cost 1.1 ms of CPU a MB of a request's body. The part of a body whose length was stated is now parsed without a search.

--- a/sardinewharf/http1/pipelines.py
+++ b/sardinewharf/http1/pipelines.py
@@ -46,21 +46,28 @@
         self._begin = 0
         self.size = len(self._data)
 
-    def take(self) -> bytes:
+    def take(self, body_bytes: int = 0) -> bytes:
         """Removes and returns the next bytes, at most to the end of a head.
 
         A head and a chunked body end with the same four bytes. So of all
         requests in the piece, only the last ones are begun by it: one, or two
         if the end of the first one's head was cut.
+
+        Args:
+            body_bytes: So many bytes of a body come first, which are returned
+                alone: searching them takes longer than parsing them.
         """
-        end = self._data.find(_HEAD_END, self._begin) + len(_HEAD_END)
-        if end < len(_HEAD_END) or end >= len(self._data):
-            piece = self._data[self._begin :]
-            self.clear()
-            return piece
+        if body_bytes:
+            end = self._begin + body_bytes
+        else:
+            found = self._data.find(_HEAD_END, self._begin)
+            end = len(self._data) if found < 0 else found + len(_HEAD_END)
         piece = self._data[self._begin : end]
-        self._begin = end
-        self.size = len(self._data) - end
+        if end >= len(self._data):
+            self.clear()
+        else:
+            self._begin = end
+            self.size = len(self._data) - end
         return piece
 
     def clear(self) -> None:
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -111,6 +111,8 @@
         self._head_bytes = 0
         # Size of the whole fields of a request's head and trailers.
         self._field_bytes = 0
+        # What is still to come of a body whose length was stated.
+        self._body_bytes_left = 0
         # Received of a chunked body since its latest data.
         self._framing_bytes = 0
         # Messages of which a part lies in the latest parsed piece.
@@ -226,6 +228,8 @@
     def on_body(self, body: bytes) -> None:
         """Passes on data of a body."""
         self._framing_bytes = 0
+        if self._body_bytes_left:
+            self._body_bytes_left -= len(body)
         super().on_body(body)
 
     def on_headers_complete(self) -> None:
@@ -237,6 +241,7 @@
         self._is_in_head = False
         self._field_bytes = _count_head_bytes(self.url, self.headers)
         self._framing_bytes = 0
+        self._body_bytes_left = _find_body_length(self.headers)
         self._caller.queued_requests = len(self.pipeline)
         if self.pipeline:
             # Else it would not be noticed that the caller leaves.
@@ -248,6 +253,7 @@
             # Only the head is complete.
             return
         self._is_in_message = False
+        self._body_bytes_left = 0
         super().on_message_complete()
 
     # Called by uvicorn.
@@ -336,7 +342,7 @@
         """Parses what was received, until another request is queued."""
         had_backlog = bool(self._backlog)
         while self._may_parse():
-            self._parse(self._backlog.take())
+            self._parse(self._backlog.take(self._body_bytes_left))
         is_too_large = self._backlog.size >= pipelines.MAX_BACKLOG_BYTES
         is_last = self._is_shutting_down and bool(self._backlog)
         self.flow.hold_reading(is_too_large or is_last)
@@ -523,6 +529,14 @@
     cycle.message_event.set()
 
 
+def _find_body_length(headers: client.Headers) -> int:
+    """Returns the stated length of a body; the parser has checked it."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def _count_head_bytes(url: bytes, headers: client.Headers) -> int:
     r"""Returns the size of an incomplete head, as far as it was parsed.
 
