--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -12,98 +12,19 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import enum
 
 import httptools
 from uvicorn.protocols.http import httptools_impl
 
 from sardinewharf import memory
 from sardinewharf.http1 import client
+from sardinewharf.http1 import closes
+from sardinewharf.http1 import parsers
+from sardinewharf.http1 import pipelines
 
-_HEADERS_TOO_LARGE_RESPONSE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_TIMEOUT_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_MALFORMED_RESPONSE = (
-    b"HTTP/1.1 400 Bad Request\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_OUT_OF_MEMORY_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # The idle time that callers are told is shorter than the real one by this, in
 # seconds: a request on its way must not meet the close.
 _IDLE_MARGIN_S = 0.5
-# While more requests are queued behind the one that is being answered, nothing
-# is read.
-_MAX_QUEUED_REQUESTS = 4
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits of a connection.
-
-    Attributes:
-        header_bytes: Maximum size of all headers of a request.
-        header_s: Time in which the headers must arrive, in seconds.
-        idle_s: Time for which a connection may stay idle, in seconds.
-    """
-
-    header_bytes: int
-    header_s: float
-    idle_s: float
-
-
-class CloseReason(enum.Enum):
-    """Reason why the server closed a connection with a request on it.
-
-    Attributes:
-        SLOW_HEAD: The head did not arrive in time.
-        HEAD_TOO_LARGE: The head exceeds its limit.
-        MALFORMED: The request cannot be parsed.
-        EARLIER_RESPONSE: An earlier response closed the connection.
-        OUT_OF_MEMORY: The memory for what callers send is used up.
-    """
-
-    SLOW_HEAD = "slow_head"
-    HEAD_TOO_LARGE = "head_too_large"
-    MALFORMED = "malformed"
-    EARLIER_RESPONSE = "earlier_response"
-    OUT_OF_MEMORY = "out_of_memory"
-
-
-_REJECTIONS = {
-    CloseReason.SLOW_HEAD: _TIMEOUT_RESPONSE,
-    CloseReason.HEAD_TOO_LARGE: _HEADERS_TOO_LARGE_RESPONSE,
-    CloseReason.MALFORMED: _MALFORMED_RESPONSE,
-    CloseReason.OUT_OF_MEMORY: _OUT_OF_MEMORY_RESPONSE,
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseReport:
-    """Describes a connection that the server closed with a request on it.
-
-    Attributes:
-        reason: Why it was closed.
-        headers: The headers of the first such request, as far as they were
-            read.
-        head_bytes: What was read of the head of the last one.
-        queued: Number of requests that were read whole and not begun.
-        has_responded: Whether a response was begun on the connection before.
-    """
-
-    reason: CloseReason
-    headers: client.Headers
-    head_bytes: int
-    queued: int
-    has_responded: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,8 +36,8 @@
     Attributes:
         is_half_closed: Whether the caller has closed its sending side. The
             application is woken up to see it.
-        queued_requests: Number of requests that were read behind the one that
-            is being answered; a response that closes the connection would
+        queued_requests: Number of requests that were parsed behind the one
+            that is being answered; a response that closes the connection would
             leave them unanswered.
     """
 
@@ -136,9 +57,17 @@
     is a second or more. A limit that is lowered later does not close it
     earlier, until a response tells another time.
 
-    The size of a head that begins behind another request in one segment is
+    What comes behind a request is parsed until another request is queued; the
+    rest waits as bytes. No request begins, and nothing is parsed, before all of
+    an earlier response was taken by the transport's socket.
+
+    The size of a head that begins behind another request in one piece is
     counted without a header that is not complete.
 
+    Trailers are dropped. Together with the head they are within its limit, and
+    so are the bytes of a chunked body between two pieces of data, such as those
+    of an endless chunk extension.
+
     A caller may close its sending side and wait for the responses to the whole
     requests that it sent; the application decides on each what it gets.
 
@@ -151,15 +80,16 @@
     """
 
     account: memory.MemoryAccount
-    read_limits: Callable[[], ServerLimits]
+    read_limits: Callable[[], closes.ServerLimits]
     closed: asyncio.Event
-    report_close: Callable[[CloseReport], None]
+    report_close: Callable[[closes.CloseReport], None]
 
     # Called by asyncio.
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the timer of the first head."""
         super().connection_made(transport)
+        self.flow = pipelines.ReadControl(transport)
         client.set_tcp_options(transport.get_extra_info("socket"))
         transport.max_size = client.SEGMENT_BYTES
         # What cannot be written at once is counted, see ``pause_writing``.
@@ -172,11 +102,21 @@
         # The request whose response is due next, or was sent last.
         self._current_cycle: httptools_impl.RequestResponseCycle | None = None
         self._caller = CallerSide()
+        self._backlog = pipelines.Backlog()
+        # Whether all of a response was sent by the application, and not all of
+        # it was taken by the socket.
+        self._is_delivering = False
         self._is_in_head = False
         self._is_in_message = False
         self._head_bytes = 0
-        # Messages of which a part lies in the latest received segment.
-        self._messages_in_segment = 0
+        # Size of the whole fields of a request's head and trailers.
+        self._field_bytes = 0
+        # What is still to come of a body whose length was stated.
+        self._body_bytes_left = 0
+        # Received of a chunked body since its latest data.
+        self._framing_bytes = 0
+        # Messages of which a part lies in the latest parsed piece.
+        self._messages_in_piece = 0
         # Whole seconds of Keep-Alive that were told last; 0 for none.
         self._told_idle_s = 0
         # Whether it is closed as soon as no request is being read or answered.
@@ -185,7 +125,7 @@
         self._has_caller_ended = False
         # Why a request is rejected once no response is outstanding; nothing is
         # read any more.
-        self._rejection: CloseReason | None = None
+        self._rejection: closes.CloseReason | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._start_head_timer()
 
@@ -199,6 +139,7 @@
         if self._has_outstanding_response():
             _disconnect(self._current_cycle)
         self.pipeline.clear()
+        self._backlog.clear()
         if self.cycle is not None:
             self.cycle.body.clear()
         super().connection_lost(exc)
@@ -208,18 +149,11 @@
         type(self).closed.set()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and checks the size of the head."""
+        """Keeps received bytes, and parses what may be parsed now."""
         if self._rejection is not None or self.transport.is_closing():
             return
-        if self._is_in_head:
-            self._head_bytes += len(data)
-        self._messages_in_segment = int(self._is_in_message)
-        self._feed(data)
-        if self._is_in_head:
-            self._check_head_size(len(data))
-        elif self._is_in_message and self.timeout_keep_alive_task is not None:
-            # The body of a request that was refused before its end.
-            self._restart_idle_timer()
+        self._backlog.add(data)
+        self._parse_backlog()
         self._count_unread()
 
     def pause_writing(self) -> None:
@@ -231,6 +165,9 @@
         """Ends the count; called by the transport."""
         super().resume_writing()
         self._unsent.resize(0)
+        if self._is_delivering:
+            self._is_delivering = False
+            self._go_on()
 
     def eof_received(self) -> bool:
         """Drops a request that is not whole, and tells the application.
@@ -239,6 +176,18 @@
             Whether the connection stays open, since a response is outstanding.
         """
         self._has_caller_ended = True
+        if self._backlog:
+            self._caller.is_half_closed = True
+            self._current_cycle.message_event.set()
+            return True
+        return self._end_input()
+
+    def _end_input(self) -> bool:
+        """Drops a request that is not whole, as nothing follows.
+
+        Returns:
+            Whether a response is outstanding.
+        """
         is_in_body = self._is_in_message and not self._is_in_head
         if is_in_body and self.cycle is self._current_cycle:
             return False
@@ -246,8 +195,7 @@
         if not self._has_outstanding_response():
             return False
         self._caller.is_half_closed = True
-        last = self.pipeline[0][0] if self.pipeline else self._current_cycle
-        last.keep_alive = False
+        self._mark_last_request()
         self._current_cycle.message_event.set()
         return True
 
@@ -260,10 +208,30 @@
         self._is_in_message = True
         self._is_in_head = True
         self._head_bytes = 0
-        self._messages_in_segment += 1
+        self._messages_in_piece += 1
         if self._head_timer is None and not self._has_outstanding_response():
             self._start_head_timer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header, or counts a trailer.
+
+        Raises:
+            _TrailersTooLargeError: If the trailers exceed their limit.
+        """
+        if self._is_in_head:
+            super().on_header(name, value)
+            return
+        self._field_bytes += len(name) + len(value) + 4
+        if self._field_bytes > type(self).read_limits().header_bytes:
+            raise _TrailersTooLargeError
+
+    def on_body(self, body: bytes) -> None:
+        """Passes on data of a body."""
+        self._framing_bytes = 0
+        if self._body_bytes_left:
+            self._body_bytes_left -= len(body)
+        super().on_body(body)
+
     def on_headers_complete(self) -> None:
         """Stops the timer and stores the time at which the headers arrived."""
         self._stop_head_timer()
@@ -271,8 +239,11 @@
         self.scope["state"]["caller"] = self._caller
         super().on_headers_complete()
         self._is_in_head = False
+        self._field_bytes = _count_head_bytes(self.url, self.headers)
+        self._framing_bytes = 0
+        self._body_bytes_left = _find_body_length(self.headers)
         self._caller.queued_requests = len(self.pipeline)
-        if 0 < len(self.pipeline) <= _MAX_QUEUED_REQUESTS:
+        if self.pipeline:
             # Else it would not be noticed that the caller leaves.
             self.flow.resume_reading()
 
@@ -282,11 +253,19 @@
             # Only the head is complete.
             return
         self._is_in_message = False
+        self._body_bytes_left = 0
         super().on_message_complete()
 
     # Called by uvicorn.
 
     def on_response_complete(self) -> None:
+        """Goes on with what came behind the request, once it is delivered."""
+        if self.flow.write_paused and not self.transport.is_closing():
+            self._is_delivering = True
+        else:
+            self._go_on()
+
+    def _go_on(self) -> None:
         """Goes on with what came behind the request.
 
         If that is nothing, the idle timeout in force applies, or the one told
@@ -298,6 +277,8 @@
                 self.timeout_keep_alive, self._told_idle_s + _IDLE_MARGIN_S
             )
         super().on_response_complete()
+        if not self.transport.is_closing():
+            self._parse_backlog()
         self._count_unread()
         if self.transport.is_closing() or self._has_outstanding_response():
             return
@@ -305,8 +286,9 @@
             self._reject(self._rejection)
         elif self._is_in_head:
             self._unset_keepalive_if_required()
-            self._start_head_timer()
-        elif self._is_shutting_down:
+            if self._head_timer is None:
+                self._start_head_timer()
+        elif self._is_shutting_down or self._has_caller_ended:
             self.transport.close()
 
     def shutdown(self) -> None:
@@ -316,9 +298,10 @@
         first head limits that.
         """
         self._is_shutting_down = True
+        if self._backlog:
+            return
         if self._has_outstanding_response():
-            last = self.pipeline[0][0] if self.pipeline else self._current_cycle
-            last.keep_alive = False
+            self._mark_last_request()
         elif self._head_timer is None:
             self.transport.close()
 
@@ -344,16 +327,67 @@
         told = (b"keep-alive", b"timeout=%d" % idle_s)
         cycle.default_headers = [*cycle.default_headers, told]
 
+    def _mark_last_request(self) -> None:
+        """Makes the response to the newest request close the connection."""
+        last = self.pipeline[0][0] if self.pipeline else self._current_cycle
+        last.keep_alive = False
+
     def _has_outstanding_response(self) -> bool:
         cycle = self._current_cycle
-        return cycle is not None and not cycle.response_complete
+        return self._is_delivering or (
+            cycle is not None and not cycle.response_complete
+        )
+
+    def _parse_backlog(self) -> None:
+        """Parses what was received, until another request is queued."""
+        had_backlog = bool(self._backlog)
+        while self._may_parse():
+            self._parse(self._backlog.take(self._body_bytes_left))
+        is_too_large = self._backlog.size >= pipelines.MAX_BACKLOG_BYTES
+        is_last = self._is_shutting_down and bool(self._backlog)
+        self.flow.hold_reading(is_too_large or is_last)
+        if had_backlog and not self._backlog and not self._is_rejected():
+            self._end_backlog()
+
+    def _may_parse(self) -> bool:
+        is_blocked = self._is_delivering or bool(self.pipeline)
+        return (
+            bool(self._backlog) and not is_blocked and not self._is_rejected()
+        )
+
+    def _is_rejected(self) -> bool:
+        return self._rejection is not None or self.transport.is_closing()
+
+    def _end_backlog(self) -> None:
+        """Does what waited for the last received byte to be parsed."""
+        if self._has_caller_ended:
+            if not self._end_input():
+                self.transport.close()
+        elif self._is_shutting_down and self._has_outstanding_response():
+            self._mark_last_request()
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes, and checks the sizes of heads and trailers."""
+        if self._is_in_head:
+            self._head_bytes += len(data)
+        self._messages_in_piece = int(self._is_in_message)
+        self._framing_bytes += len(data)
+        self._feed(data)
+        if self._is_in_head:
+            self._check_head_size(len(data))
+        elif self._is_in_message and self._is_framing_too_large():
+            self._reject_message(closes.CloseReason.TRAILERS_TOO_LARGE)
+        elif self._is_in_message and self.timeout_keep_alive_task is not None:
+            # The body of a request that was refused before its end.
+            self._restart_idle_timer()
 
     def _count_unread(self) -> None:
         """Counts what waits to be passed on to the application.
 
         That reads the body of the current request at once.
         """
-        size = self._head_bytes if self._is_in_head else 0
+        size = self._backlog.size
+        size += self._head_bytes if self._is_in_head else 0
         size += sum(len(cycle.body) for cycle, _ in self.pipeline)
         if size != self._unread.size:
             self._unread.resize(size)
@@ -362,8 +396,9 @@
         """Drops what waits behind the current request, and reads no more."""
         self.flow.pause_reading()
         self.pipeline.clear()
+        self._backlog.clear()
         self._caller.queued_requests = 0
-        self._reject(CloseReason.OUT_OF_MEMORY)
+        self._reject(closes.CloseReason.OUT_OF_MEMORY)
 
     def _drop_partial_request(self) -> None:
         """Forgets a request behind others whose rest will not come."""
@@ -386,62 +421,59 @@
             except httptools.HttpParserUpgrade as error:
                 data = data[error.args[0] :]
                 self._parse_on_in_http()
-            except httptools.HttpParserError:
-                self._reject_malformed()
+            except httptools.HttpParserError as error:
+                self._reject_message(
+                    closes.CloseReason.TRAILERS_TOO_LARGE
+                    if isinstance(error.__context__, _TrailersTooLargeError)
+                    else closes.CloseReason.MALFORMED
+                )
                 return
 
     def _parse_on_in_http(self) -> None:
-        """Replaces the parser by one that is behind the same head.
-
-        A parser takes all that follows a request to change the protocol for
-        that protocol, though the request's body comes first and the protocol
-        need not be changed (RFC 9110, section 7.8).
-        """
+        """Replaces the parser by one that is behind the same head."""
         version = self.parser.get_http_version().encode()
-        lines = [b"POST / HTTP/" + version]
-        lines += [
-            name + b": " + value
-            for name, value in self.headers
-            if name in _FRAMING_HEADERS
-        ]
-        self.parser = _make_parser(_BehindHead(self))
-        self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
-
-    def _check_head_size(self, segment_bytes: int) -> None:
+        self.parser = parsers.make_parser_behind_head(self)
+        self.parser.feed_data(parsers.encode_framing(version, self.headers))
+
+    def _check_head_size(self, piece_bytes: int) -> None:
         """Rejects a head that is too large, though it is not complete."""
         if not self._head_bytes:
             self._head_bytes = (
-                segment_bytes
-                if self._messages_in_segment == 1
+                piece_bytes
+                if self._messages_in_piece == 1
                 else _count_head_bytes(self.url, self.headers)
             )
         if self._head_bytes > type(self).read_limits().header_bytes:
-            self._reject(CloseReason.HEAD_TOO_LARGE)
+            self._reject(closes.CloseReason.HEAD_TOO_LARGE)
+
+    def _is_framing_too_large(self) -> bool:
+        return self._framing_bytes > type(self).read_limits().header_bytes
 
-    def _reject_malformed(self) -> None:
-        """Rejects what cannot be parsed, unless it was answered already."""
+    def _reject_message(self, reason: closes.CloseReason) -> None:
+        """Rejects what is being read, unless it was answered already."""
         cycle = self.cycle
         is_in_body = self._is_in_message and not self._is_in_head
         if not is_in_body:
-            self._reject(CloseReason.MALFORMED)
+            self._reject(reason)
         elif cycle is not self._current_cycle:
             self._drop_last_queued()
-            self._reject(CloseReason.MALFORMED)
+            self._reject(reason)
         elif cycle.response_started:
+            self._rejection = reason
             self.transport.close()
         else:
             _disconnect(cycle)
-            self._rejection = CloseReason.MALFORMED
-            self.transport.write(_MALFORMED_RESPONSE)
+            self._rejection = reason
+            self.transport.write(closes.REJECTIONS[reason])
             self.transport.close()
 
-    def _reject(self, reason: CloseReason) -> None:
+    def _reject(self, reason: closes.CloseReason) -> None:
         """Sends a rejection and closes, once no response is outstanding."""
         self._stop_head_timer()
         self._rejection = reason
         if self._has_outstanding_response() or self.transport.is_closing():
             return
-        self.transport.write(_REJECTIONS[reason])
+        self.transport.write(closes.REJECTIONS[reason])
         self.transport.close()
 
     def _report_close(self) -> None:
@@ -452,8 +484,8 @@
         first = self.pipeline[-1][0].scope if self.pipeline else self.scope
         cycle = self._current_cycle
         type(self).report_close(
-            CloseReport(
-                reason=self._rejection or CloseReason.EARLIER_RESPONSE,
+            closes.CloseReport(
+                reason=self._rejection or closes.CloseReason.EARLIER_RESPONSE,
                 headers=first["headers"] if first else [],
                 head_bytes=self._head_bytes,
                 queued=len(self.pipeline),
@@ -476,7 +508,7 @@
         # A connection on which no request begins is idle, not slow, and gets
         # no response.
         if self._is_in_head:
-            self._reject(CloseReason.SLOW_HEAD)
+            self._reject(closes.CloseReason.SLOW_HEAD)
         else:
             self.transport.close()
 
@@ -487,38 +519,8 @@
         )
 
 
-class _BehindHead:
-    """Passes on what a parser finds behind its first head."""
-
-    def __init__(self, protocol: LimitedProtocol):
-        self._protocol = protocol
-        self._is_behind_head = False
-        self.on_body = protocol.on_body
-        self.on_message_complete = protocol.on_message_complete
-
-    def on_message_begin(self) -> None:
-        if self._is_behind_head:
-            self._protocol.on_message_begin()
-
-    def on_url(self, url: bytes) -> None:
-        if self._is_behind_head:
-            self._protocol.on_url(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._is_behind_head:
-            self._protocol.on_header(name, value)
-
-    def on_headers_complete(self) -> None:
-        if self._is_behind_head:
-            self._protocol.on_headers_complete()
-        self._is_behind_head = True
-
-
-def _make_parser(callbacks: object) -> httptools.HttpRequestParser:
-    parser = httptools.HttpRequestParser(callbacks)
-    # The request before a "connection: close" is answered in any case.
-    parser.set_dangerous_leniencies(lenient_data_after_close=True)
-    return parser
+class _TrailersTooLargeError(Exception):
+    """The trailers of a request exceed their limit."""
 
 
 def _disconnect(cycle: httptools_impl.RequestResponseCycle) -> None:
@@ -527,6 +529,14 @@
     cycle.message_event.set()
 
 
+def _find_body_length(headers: client.Headers) -> int:
+    """Returns the stated length of a body; the parser has checked it."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def _count_head_bytes(url: bytes, headers: client.Headers) -> int:
     r"""Returns the size of an incomplete head, as far as it was parsed.
 
--- a/sardinewharf/http1/server.py
+++ b/sardinewharf/http1/server.py
@@ -9,10 +9,11 @@
 
 from sardinewharf import clocks
 from sardinewharf import memory
+from sardinewharf.http1 import closes
 from sardinewharf.http1 import protocol
 
-CloseReport = protocol.CloseReport
-ServerLimits = protocol.ServerLimits
+CloseReport = closes.CloseReport
+ServerLimits = closes.ServerLimits
 
 _BACKLOG = 1024
 
@@ -65,6 +66,11 @@
         """Number of open connections."""
         return len(self._state.connections)
 
+    @property
+    def held_connections(self) -> int:
+        """Number of connections that are not read, as much waits on them."""
+        return sum(c.flow.is_held for c in self._state.connections)
+
     async def start(self, address: str) -> None:
         """Listens on ``IP:PORT``.
 
