Decode the quotas of organisations

The configuration states a quota for some organisations, and the settings file states by how much it may be exceeded. Neither was read. They are now decoded to catalog.Quota and Guarantees; nothing uses them yet. Null counts as absent, so that one field cannot make the whole configuration unreadable.

--- a/sardinewharf/catalog/__init__.py
+++ b/sardinewharf/catalog/__init__.py
@@ -3,6 +3,8 @@
 from sardinewharf.catalog.configuration import Configuration
 from sardinewharf.catalog.configuration import Limits
 from sardinewharf.catalog.configuration import Organisation
+from sardinewharf.catalog.quotas import Quota
+from sardinewharf.catalog.quotas import QuotaUnit
 from sardinewharf.catalog.routes import Route
 from sardinewharf.catalog.routes import RouteKind
 from sardinewharf.catalog.routes import Split
@@ -16,6 +18,8 @@
     "EngineSpec",
     "Limits",
     "Organisation",
+    "Quota",
+    "QuotaUnit",
     "Route",
     "RouteKind",
     "Service",
--- a/sardinewharf/catalog/configuration.py
+++ b/sardinewharf/catalog/configuration.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from sardinewharf.catalog import quotas as quotas_lib
 from sardinewharf.catalog import routes as routes_lib
 from sardinewharf.catalog import services as services_lib
 
@@ -21,12 +22,14 @@
             use the route's.
         is_isolated: Whether its cached prompts must not be shared with other
             organisations.
+        quota: The amount of work that it may request; None for no limit.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     is_isolated: bool = False
+    quota: quotas_lib.Quota | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +96,14 @@
             for key in organisation.keys
         }
 
+    @functools.cached_property
+    def _quotas(self) -> dict[str, quotas_lib.Quota]:
+        return {
+            organisation.name: organisation.quota
+            for organisation in self.organisations
+            if organisation.quota is not None
+        }
+
     @functools.cached_property
     def _isolated_names(self) -> frozenset[str]:
         return frozenset(
@@ -125,6 +136,10 @@
                 return route
         return None
 
+    def find_quota(self, organisation: str) -> quotas_lib.Quota | None:
+        """Returns the quota of an organisation, if any, by its name."""
+        return self._quotas.get(organisation)
+
     def find_organisation(self, key: str) -> Organisation | None:
         """Returns the organisation that a key belongs to, if any."""
         return self._organisations_by_key.get(key)
--- a/sardinewharf/gateway/settings.py
+++ b/sardinewharf/gateway/settings.py
@@ -28,6 +28,10 @@
             leader and the first order of the next.
         rollout_limit_ms: No request starts on replaced weights later than
             this after a new target version is set.
+        quota_window_s: Length of the sliding window in which quotas hold.
+        quota_over: Most that may exceed a quota, as a share of what it allows
+            in a window.
+        quota_slack: What may exceed it beyond that, in tokens or requests.
     """
 
     recovery_ms: int = 3_000
@@ -40,6 +44,9 @@
     retry_extra: float = 20.0
     handover_pause_ms: int = 3_000
     rollout_limit_ms: int = 10_000
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 190_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/platform/changes.py
+++ b/sardinewharf/platform/changes.py
@@ -21,6 +21,7 @@
     "unsafe": catalog.RouteKind.UNSAFE,
     "streaming": catalog.RouteKind.STREAM,
 }
+_QUOTA_UNITS = {"tokens": catalog.QuotaUnit.TOKENS}
 _ENDPOINT_STATES = {
     "ready": fleet.EndpointState.READY,
     "draining": fleet.EndpointState.LEAVING,
@@ -162,12 +163,25 @@
                 keys=tuple(row.api_keys),
                 priority=row.priority,
                 is_isolated=row.isolated,
+                quota=_read_quota(row),
             )
             for row in manifest.tenants
         ),
     )
 
 
+def _read_quota(row: wire.TenantRow) -> catalog.Quota | None:
+    """Returns the quota of an organisation; None if it has none."""
+    if not row.rate_per_s or row.rate_per_s < 0.0:
+        return None
+    return catalog.Quota(
+        rate=row.rate_per_s,
+        burst=row.burst or 0.0,
+        unit=_QUOTA_UNITS.get(row.unit or "", catalog.QuotaUnit.REQUESTS),
+        plain_cost=row.plain_tokens or 0.0,
+    )
+
+
 def _read_route(row: wire.RouteRow) -> catalog.Route:
     splits = tuple(
         catalog.Split(split.service, split.weight)
--- a/sardinewharf/platform/settings.py
+++ b/sardinewharf/platform/settings.py
@@ -57,5 +57,8 @@
             retry_extra=bounds.budget_extra,
             handover_pause_ms=bounds.lease_ms,
             rollout_limit_ms=bounds.version_ms,
+            quota_window_s=bounds.quota_window_s,
+            quota_over=bounds.quota_over,
+            quota_slack=bounds.quota_slack,
         ),
     )
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -183,12 +183,21 @@
 
 
 class TenantRow(msgspec.Struct):
-    """An organisation; ``isolated`` ones share no cached prompts."""
+    """An organisation; ``isolated`` ones share no cached prompts.
+
+    ``rate_per_s`` and ``burst`` limit what it may request; a rate of 0 sets no
+    limit. They count tokens if ``unit`` is ``tokens``, else requests. A request
+    without a prompt header counts as ``plain_tokens``.
+    """
 
     name: str
     api_keys: list[str] = []
     priority: decoding.Integer | None = None
     isolated: bool = False
+    rate_per_s: float | None = None
+    burst: float | None = None
+    unit: str | None = None
+    plain_tokens: float | None = None
 
 
 class Manifest(msgspec.Struct):
@@ -319,6 +328,8 @@
     - ``lease_ms`` is the pause between the orders of one rollout leader and
       those of the next, not the duration of a lease.
     - ``version_ms`` limits how long replaced weights may be used.
+    - ``quota_over`` is the share by which the quota of an organisation may be
+      exceeded in a window, and ``quota_slack`` what may be added to that.
     """
 
     contact_ms: decoding.Integer = 3_000
@@ -333,6 +344,9 @@
     lease_ms: decoding.Integer = 3_000
     thaw_slack_ms: decoding.Integer = 300
     version_ms: decoding.Integer = 10_000
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 190_000.0
 
 
 class VmLimits(msgspec.Struct):
