Keep quotas of organisations over all gateways

Each gateway admitted whatever its callers sent, so that an organisation could exceed its quota by any factor. The owner of a quota, the first active gateway by rendezvous hashing, now keeps its tokens. Others ask it by datagrams before they send a request, go to the next in rank when it does not respond, and spend a share of the slack when no gateway does. Requests beyond the quota are refused with 429 and the time after which they would be admitted.

--- a/sardinewharf/catalog/configuration.py
+++ b/sardinewharf/catalog/configuration.py
@@ -136,6 +136,11 @@
                 return route
         return None
 
+    @property
+    def has_quotas(self) -> bool:
+        """Whether any organisation has a quota."""
+        return bool(self._quotas)
+
     def find_quota(self, organisation: str) -> quotas_lib.Quota | None:
         """Returns the quota of an organisation, if any, by its name."""
         return self._quotas.get(organisation)
--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -31,6 +31,7 @@
 from sardinewharf.gateway import endings
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import quotas as quotas_lib
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -87,6 +88,7 @@
         header_codec: Encodes and decodes headers.
         replica: This gateway's replica of the store.
         admission_controller: Admits requests.
+        quota_gate: Charges them to the quotas of organisations.
         selector: Chooses the service of a request.
         relay: Forwards requests and their responses.
         shutdown: Tells whether requests can end before the gateway exits.
@@ -105,6 +107,7 @@
         header_codec: messages.HeaderCodec,
         replica: replica_lib.Replica,
         admission_controller: admission.AdmissionController,
+        quota_gate: quotas_lib.QuotaGate,
         selector: selection.Selector,
         relay: relay_lib.Relay,
         shutdown: shutdown_lib.Shutdown,
@@ -115,6 +118,7 @@
         self._header_codec = header_codec
         self._replica = replica
         self._admission_controller = admission_controller
+        self._quota_gate = quota_gate
         self._selector = selector
         self._relay = relay
         self._log = log
@@ -450,7 +454,12 @@
         # A half-close right behind the request arrives before this task runs.
         if caller.is_half_closed:
             raise _CallerHalfClosedError
-        await self._relay.respond(call, responder)
+        charge = await self._quota_gate.charge(call)
+        try:
+            await self._relay.respond(call, responder)
+        except BaseException:
+            self._quota_gate.give_back(charge, call)
+            raise
 
 
 class _Caller:
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sardinewharf import decoding
+from sardinewharf import quotas
 
 # Compression takes a fraction of a millisecond at this level.
 _COMPRESSION_LEVEL = 1
@@ -288,4 +289,12 @@
     suspects: list[SuspectUpdate] = []
 
 
-Message = Digest | UrgentUpdate | FeedRequest | FeedResponse | SuspectReport
+# The messages of quotas have the tags 5 to 8.
+Message = (
+    Digest
+    | UrgentUpdate
+    | FeedRequest
+    | FeedResponse
+    | SuspectReport
+    | quotas.Message
+)
--- a/sardinewharf/gateway/metrics.py
+++ b/sardinewharf/gateway/metrics.py
@@ -19,6 +19,8 @@
     "cache_fetches": ("service", "kind"),
     "failed_attempts": ("service", "outcome"),
     "task_failures": ("task", "effect"),
+    "quota_messages": ("role", "kind"),
+    "quota_use": ("organisation", "unit"),
 }
 
 
@@ -86,6 +88,14 @@
         """Counts a failure of background work."""
         self._counts["task_failures", task, effect.value] += 1
 
+    def count_quota_messages(self, role: str, kind: str, count: int) -> None:
+        """Counts messages about quotas, as their owner or as a borrower."""
+        self._counts["quota_messages", role, kind] += count
+
+    def count_quota_use(self, organisation: str, unit: str, cost: int) -> None:
+        """Counts the cost of requests that a quota admitted."""
+        self._counts["quota_use", organisation, unit] += cost
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets the current value of a gauge."""
         if name not in self._gauges:
--- a/sardinewharf/gateway/peers.py
+++ b/sardinewharf/gateway/peers.py
@@ -18,11 +18,13 @@
 from sardinewharf import addresses
 from sardinewharf import decoding
 from sardinewharf import logs
+from sardinewharf import quotas
 from sardinewharf import tasks
 from sardinewharf.gateway import broadcasts
 from sardinewharf.gateway import digests
 from sardinewharf.gateway import exchange as exchange_lib
 from sardinewharf.gateway import feeds
+from sardinewharf.gateway import quotas as quotas_lib
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import suspect_reports
@@ -50,6 +52,7 @@
         feed: Exchanges changes of the store with other gateways.
         request_sync: Called with the revision and the name of a peer that has a
             newer one.
+        quota_gate: Exchanges messages about quotas.
         failures: Counts the datagrams whose handling failed.
     """
 
@@ -61,6 +64,7 @@
         suspects: suspect_reports.SuspectExchange,
         feed: feeds.Feed,
         request_sync: Callable[[int, str], None],
+        quota_gate: quotas_lib.QuotaGate,
         failures: tasks.FailureCounter | None = None,
     ):
         self._settings = settings
@@ -70,6 +74,9 @@
         self._feed = feed
         feed.send = self.send
         self._request_sync = request_sync
+        self._quota_gate = quota_gate
+        quota_gate.send = self.send
+        quota_gate.set_digest_interval(self.estimate_digest_interval)
         self._failures = failures or tasks.FailureCounter()
         self._transport: asyncio.DatagramTransport | None = None
         self._is_closed = False
@@ -247,6 +254,8 @@
             return
         if isinstance(message, digests.FeedRequest):
             self._feed.respond(message, f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, quotas.Message):
+            self._quota_gate.handle(message, f"{addr[0]}:{addr[1]}")
         elif isinstance(message, digests.SuspectReport):
             self._suspects.merge(message)
         elif isinstance(message, digests.FeedResponse):
@@ -259,6 +268,8 @@
     ) -> None:
         """Merges a peer's state; requests its newer changes of the store."""
         self._exchange.handle(message)
+        if isinstance(message, digests.Digest):
+            self._quota_gate.record_digest(message)
         if (
             isinstance(message, digests.Digest)
             and message.revision > self._replica.revision
--- a/sardinewharf/gateway/refusals.py
+++ b/sardinewharf/gateway/refusals.py
@@ -20,6 +20,7 @@
         OUT_OF_MEMORY: The memory for requests is used up.
         QUARANTINED: Several endpoints crashed while they ran the request.
         NO_TIME: The deadline passed before the request ran.
+        OVER_QUOTA: The quota of the caller's organisation is used up.
         LEAVING: The gateway is shutting down.
         HALF_CLOSED: The caller closed its sending side before the request ran.
         LOST: The request may have run, but no valid response arrived.
@@ -37,6 +38,7 @@
     OUT_OF_MEMORY = "out_of_memory"
     QUARANTINED = "quarantined"
     NO_TIME = "no_time"
+    OVER_QUOTA = "over_quota"
     LEAVING = "leaving"
     HALF_CLOSED = "half_closed"
     LOST = "lost"
@@ -55,6 +57,7 @@
     Reason.OUT_OF_MEMORY: 503,
     Reason.QUARANTINED: 503,
     Reason.NO_TIME: 503,
+    Reason.OVER_QUOTA: 429,
     Reason.LEAVING: 503,
     Reason.HALF_CLOSED: 503,
     Reason.LOST: 502,
@@ -83,7 +86,7 @@
 
     @property
     def status(self) -> int:
-        """HTTP status; 503 states that the request has not run."""
+        """HTTP status; 429 and 503 state that the request has not run."""
         return _STATUSES[self.reason]
 
 
--- a/sardinewharf/gateway/retry_times.py
+++ b/sardinewharf/gateway/retry_times.py
@@ -20,6 +20,9 @@
 # of the wait and in seconds.
 _SPREAD_SHARE = 0.1
 _SPREAD_S = 0.5
+# The same for callers of an organisation that is over its quota: each of them
+# was told another time already, in seconds.
+_QUOTA_SPREAD_S = 0.1
 
 
 def choose_soon() -> float:
@@ -50,3 +53,17 @@
     wait_s = min(shortest_s, _MAX_WAIT_S)
     spread_s = _SPREAD_S + _SPREAD_SHARE * wait_s
     return wait_s + random.uniform(0.0, spread_s)
+
+
+def choose_for_quota(wait_s: float) -> float:
+    """Returns the seconds after which a quota admits a refused request.
+
+    Args:
+        wait_s: The same without a spread.
+
+    Examples:
+        >>> 3.0 <= choose_for_quota(3.0) <= 3.4
+        True
+    """
+    spread_s = _QUOTA_SPREAD_S + _SPREAD_SHARE * wait_s
+    return wait_s + random.uniform(0.0, spread_s)
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -34,6 +34,7 @@
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import quarantine as quarantine_lib
+from sardinewharf.gateway import quotas as quotas_lib
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -190,10 +191,14 @@
                 metrics=self._metrics,
             )
         )
+        self._quota_gate = quotas_lib.QuotaGate(
+            settings, self._replica, log, self._metrics
+        )
         self._app = app_lib.GatewayApp(
             platform.header_codec,
             self._replica,
             self._admission_controller,
+            self._quota_gate,
             selector,
             relay_lib.Relay(
                 dispatcher, reader, self._shutdown, log, self._metrics
@@ -226,6 +231,7 @@
             suspect_exchange,
             feed,
             self._synchronizer.record_newer_revision,
+            self._quota_gate,
             self._failures,
         )
         self._suspect_recorder = suspect_recorder.SuspectRecorder(
@@ -300,6 +306,7 @@
         keep_running(self._peers.run_broadcasts, "broadcasts")
         keep_running(self._peers.run_suspect_reports, "suspect-reports")
         keep_running(self._suspect_recorder.run, "suspect-entries")
+        keep_running(self._quota_gate.run, "quotas")
         keep_running(self._remove_outdated_suspects, "suspect-cleanup")
         keep_running(self._cache_store_watcher.run, "cache-store")
         keep_running(self._rollout_controller.maintain_lease, "office")
--- /dev/null
+++ b/sardinewharf/quotas/borrower.py
@@ -0,0 +1,436 @@
+"""Gets the tokens for a gateway's requests from the owners of quotas.
+
+A request that is not covered by tokens granted before waits for the owner, for
+a few tens of milliseconds. Then the next gateway in rank is asked, and at last
+the request is admitted or refused by a share of the slack.
+
+See Also:
+    ``docs/design/0017-quotas.md``
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import enum
+import math
+
+from sardinewharf import catalog
+from sardinewharf.quotas import accounts
+from sardinewharf.quotas import directory as directory_lib
+from sardinewharf.quotas import messages
+from sardinewharf.quotas import presence as presence_lib
+from sardinewharf.quotas import settings as settings_lib
+
+# Time after which an ask is repeated, and after which the next gateway is
+# asked, in seconds. Later ones first probe those before them.
+_REPEAT_S = 0.03
+_FIRST_WAIT_S = 0.09
+_NEXT_WAIT_S = 0.15
+# Gateways that are asked for one request.
+_MAX_ASKED = 3
+# A gateway that keeps no quotas now is asked again after this time, in seconds.
+_INACTIVE_S = 0.3
+# Time between two probes of a gateway that did not respond, in seconds.
+_PROBE_S = 1.0
+# A response counts for this long after its ask, in seconds: tokens granted long
+# ago belong to a window that has passed.
+_RESPONSE_S = 1.0
+# Tokens that were granted longer ago are not returned, for the same reason.
+_RETURN_S = 1.0
+# Repeated asks for tokens in advance and returns.
+_MAX_REPEATS = 3
+# While gateways respond but none keeps quotas yet, as just after the start of
+# the fleet, requests wait for so long and ask again in between, in seconds.
+_ACTIVATION_S = 0.4
+_ASK_AGAIN_S = 0.06
+# Stands for the owner of tokens that were granted in advance.
+_IN_ADVANCE = "in advance"
+
+
+class State(enum.Enum):
+    """How far the charge of a request is."""
+
+    PENDING = "pending"
+    ADMITTED = "admitted"
+    OVER_QUOTA = "over_quota"
+    UNOWNED = "unowned"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Charge:
+    """The charge of one request.
+
+    Attributes:
+        organisation: Name of the organisation.
+        quota: Its quota.
+        cost: Cost of the request.
+        begun_at: When it was begun.
+        state: Whether the request is admitted; ``UNOWNED`` if no owner
+            responded and the request is refused.
+        next_at: When the charge has to be advanced while it is pending.
+        wait_s: Time after which the request would be admitted, if it is
+            refused.
+        owner: The gateway that decided; empty if none did.
+        on_settled: Called when it is no longer pending.
+        candidates: The gateways that are asked, the first of them now.
+        ask: The last ask; None before the first one.
+        asked_at: When it was first sent.
+        give_up_at: When the next gateway is asked.
+        has_restarted: Whether a gateway has said that one before it in rank
+            keeps the quota.
+    """
+
+    organisation: str
+    quota: catalog.Quota
+    cost: int
+    begun_at: float
+    state: State = State.ADMITTED
+    next_at: float = math.inf
+    wait_s: float = 0.0
+    owner: str = ""
+    on_settled: Callable[[], None] | None = None
+    candidates: list[str] = dataclasses.field(default_factory=list)
+    ask: messages.Ask | None = None
+    asked_at: float = -math.inf
+    give_up_at: float = math.inf
+    has_restarted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    """An ask that awaits its response.
+
+    Attributes:
+        ask: The ask.
+        to: The gateway that was asked.
+        at: When it was first sent.
+        charge: The request that waits for it; None for tokens in advance.
+        repeats: How often it was repeated.
+    """
+
+    ask: messages.Ask
+    to: str
+    at: float
+    charge: Charge | None
+    repeats: int = 0
+
+
+class Borrower:
+    """Gets tokens from the owners of quotas.
+
+    Args:
+        name: Name of this gateway.
+        bounds: By how much quotas may be exceeded.
+        directory: The configuration and the registered gateways.
+        peers: Watches the other gateways.
+        send: Sends a message to a gateway by its name. It also takes messages
+            to this gateway itself, and may respond to them at once.
+        first_number: A number that former processes of this gateway did not
+            begin with.
+
+    Attributes:
+        on_silence: Called with the name of a gateway that did not respond.
+        counts: Numbers of messages by kind, for the metrics.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        bounds: settings_lib.Bounds,
+        directory: directory_lib.Directory,
+        peers: presence_lib.PeerWatch,
+        send: Callable[[str, messages.Message], None],
+        first_number: int,
+    ):
+        self._name = name
+        self._bounds = bounds
+        self._directory = directory
+        self._peers = peers
+        self._send = send
+        self._number = first_number
+        self._accounts: dict[str, accounts.Account] = {}
+        self._sent: dict[int, _Sent] = {}
+        # Organisations with an ask in advance that awaits its response.
+        self._asked_in_advance: set[str] = set()
+        # When gateways did not respond, and until when those are not asked that
+        # keep no quotas.
+        self._silent: dict[str, float] = {}
+        self._inactive_until: dict[str, float] = {}
+        self._probed_at = -math.inf
+        self.on_silence: Callable[[str], None] = lambda name: None
+        self.counts = collections.Counter[str]()
+
+    def begin(
+        self, organisation: str, quota: catalog.Quota, cost: int, now: float
+    ) -> Charge:
+        """Begins to charge a request; most are settled at once."""
+        charge = Charge(organisation, quota, cost, now)
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = accounts.Account()
+        account.count_demand(cost, now)
+        if account.take(cost, now):
+            charge.owner = _IN_ADVANCE
+            if account.tokens < account.find_target() // 2:
+                self._ask_in_advance(organisation, account, now)
+            return charge
+        if now < account.blocked_until:
+            charge.state = State.OVER_QUOTA
+            charge.wait_s = account.refuse(cost, quota.rate, now)
+            return charge
+        charge.state = State.PENDING
+        charge.candidates = self._list_candidates(organisation, now)
+        self._ask_next(charge, now)
+        return charge
+
+    def advance(self, charge: Charge, now: float) -> None:
+        """Repeats the ask of a pending charge, or asks the next gateway."""
+        if charge.state is not State.PENDING or now < charge.next_at:
+            return
+        if now < charge.give_up_at:
+            self._repeat(charge, now)
+            return
+        if charge.candidates:
+            asked = charge.candidates.pop(0)
+            heard_at = self._peers.find_last_heard(asked)
+            if asked != self._name and heard_at < charge.asked_at:
+                self._record_silence(asked, now)
+        else:
+            charge.candidates = self._list_responsive(charge.organisation)
+        self._ask_next(charge, now)
+
+    def cancel(self, charge: Charge) -> None:
+        """Ends the charge of a request whose caller has left."""
+        if charge.state is State.PENDING:
+            charge.state = State.UNOWNED
+
+    def give_back(self, charge: Charge, now: float) -> None:
+        """Returns the tokens of a request that has not run and will not."""
+        if charge.state is not State.ADMITTED or not charge.cost:
+            return
+        charge.state = State.UNOWNED
+        account = self._accounts[charge.organisation]
+        account.used -= charge.cost
+        if charge.owner and now - charge.begun_at <= _RETURN_S:
+            account.returned += charge.cost
+
+    def handle_grant(self, grant: messages.Grant, now: float) -> None:
+        """Handles the response to an ask."""
+        self.counts[grant.verdict.name.lower()] += 1
+        sent = self._sent.pop(grant.number, None)
+        if sent is None or sent.to != grant.sender:
+            return
+        if sent.charge is None:
+            self._asked_in_advance.discard(sent.ask.organisation)
+        if now - sent.at > _RESPONSE_S:
+            return
+        if grant.verdict in (
+            messages.Verdict.GRANTED,
+            messages.Verdict.UNLIMITED,
+        ):
+            self._handle_tokens(sent, grant, now)
+        elif grant.verdict is messages.Verdict.DENIED:
+            self._handle_denial(sent, grant, now)
+        else:
+            self._handle_wrong_owner(sent, grant, now)
+
+    def _handle_tokens(
+        self, sent: _Sent, grant: messages.Grant, now: float
+    ) -> None:
+        account = self._accounts[sent.ask.organisation]
+        tokens = grant.tokens
+        charge = sent.charge
+        if charge is not None and charge.state is State.PENDING:
+            tokens -= charge.cost
+            account.used += charge.cost
+            self._settle(charge, State.ADMITTED, grant.sender)
+        if tokens > 0:
+            account.add(tokens, now)
+
+    def _handle_denial(
+        self, sent: _Sent, grant: messages.Grant, now: float
+    ) -> None:
+        account = self._accounts[sent.ask.organisation]
+        account.record_denial(
+            grant.wait_ms / 1000, grant.blocked_ms / 1000, now
+        )
+        charge = sent.charge
+        if charge is not None and charge.state is State.PENDING:
+            charge.wait_s = grant.wait_ms / 1000
+            self._settle(charge, State.OVER_QUOTA, grant.sender)
+
+    def _handle_wrong_owner(
+        self, sent: _Sent, grant: messages.Grant, now: float
+    ) -> None:
+        """Asks another gateway, as one does not keep a quota."""
+        account = self._accounts[sent.ask.organisation]
+        account.returned += sent.ask.returned
+        account.refused += sent.ask.refused
+        charge = sent.charge
+        is_waiting = charge is not None and charge.state is State.PENDING
+        if grant.verdict is messages.Verdict.INACTIVE:
+            self._inactive_until[grant.sender] = now + _INACTIVE_S
+            if is_waiting and charge.candidates[:1] == [grant.sender]:
+                charge.candidates.pop(0)
+                self._ask_next(charge, now)
+            return
+        # A gateway of a better rank keeps the quota.
+        rank = list(self._directory.rank(sent.ask.organisation))
+        if grant.sender in rank:
+            for name in rank[: rank.index(grant.sender)]:
+                self._silent.pop(name, None)
+                self._inactive_until.pop(name, None)
+        if is_waiting and charge.has_restarted:
+            self._decide_unowned(charge, now)
+        elif is_waiting:
+            charge.has_restarted = True
+            charge.candidates = self._list_candidates(charge.organisation, now)
+            self._ask_next(charge, now)
+
+    def tick(self, now: float) -> None:
+        """Reports what was returned and refused, several times a second."""
+        for organisation, account in self._accounts.items():
+            account.drop_expired(now)
+            if account.returned or account.refused:
+                self._ask_in_advance(organisation, account, now)
+        self._drop_old_asks(now)
+        if now - self._probed_at >= _PROBE_S:
+            self._probed_at = now
+            for name in list(self._silent):
+                if name not in self._directory.members:
+                    del self._silent[name]
+                elif self._is_silent(name):
+                    self._peers.probe(name, now)
+
+    def list_use(self) -> dict[str, int]:
+        """Returns the cost of the admitted requests, by organisation."""
+        used = {}
+        for organisation, account in self._accounts.items():
+            if account.used > 0:
+                used[organisation] = account.used
+                account.used = 0
+        return used
+
+    def _drop_old_asks(self, now: float) -> None:
+        """Repeats asks in advance, and forgets those without a response."""
+        for number, sent in list(self._sent.items()):
+            if now - sent.at > _RESPONSE_S:
+                del self._sent[number]
+                if sent.charge is None:
+                    self._asked_in_advance.discard(sent.ask.organisation)
+            elif sent.charge is None and sent.repeats < _MAX_REPEATS:
+                sent.repeats += 1
+                self._send(sent.to, sent.ask)
+
+    def _list_responsive(self, organisation: str) -> list[str]:
+        """Returns the gateways that responded that they keep no quotas."""
+        return [
+            name
+            for name in self._directory.rank(organisation)
+            if name in self._inactive_until and not self._is_silent(name)
+        ][:_MAX_ASKED]
+
+    def _list_candidates(self, organisation: str, now: float) -> list[str]:
+        """Returns the gateways to ask, in order."""
+        return [
+            name
+            for name in self._directory.rank(organisation)
+            if not self._is_silent(name)
+            and now >= self._inactive_until.get(name, -math.inf)
+        ][:_MAX_ASKED]
+
+    def _is_silent(self, name: str) -> bool:
+        """Returns whether a gateway did not respond and was not heard since."""
+        at = self._silent.get(name)
+        if at is None:
+            return False
+        if self._peers.find_last_heard(name) > at:
+            del self._silent[name]
+            return False
+        return True
+
+    def _record_silence(self, name: str, now: float) -> None:
+        if name not in self._silent:
+            self.on_silence(name)
+        self._silent[name] = now
+
+    def _ask_next(self, charge: Charge, now: float) -> None:
+        """Asks the next gateway, or decides without an owner."""
+        if not charge.candidates:
+            self._wait_or_decide(charge, now)
+            return
+        account = self._accounts[charge.organisation]
+        is_first = charge.ask is None
+        charge.ask = self._make_ask(
+            charge.organisation, account, tokens=charge.cost
+        )
+        wait_s = _FIRST_WAIT_S if is_first else _NEXT_WAIT_S
+        charge.asked_at = now
+        charge.give_up_at = now + wait_s
+        charge.next_at = now + _REPEAT_S
+        self._dispatch(charge.ask, charge.candidates[0], charge, now)
+
+    def _wait_or_decide(self, charge: Charge, now: float) -> None:
+        """Waits for a gateway to keep quotas, or decides without an owner."""
+        has_time = now + _ASK_AGAIN_S < charge.begun_at + _ACTIVATION_S
+        if has_time and self._list_responsive(charge.organisation):
+            charge.next_at = charge.give_up_at = now + _ASK_AGAIN_S
+        else:
+            self._decide_unowned(charge, now)
+
+    def _repeat(self, charge: Charge, now: float) -> None:
+        charge.next_at = min(now + _REPEAT_S, charge.give_up_at)
+        self.counts["repeated"] += 1
+        self._send(charge.candidates[0], charge.ask)
+
+    def _decide_unowned(self, charge: Charge, now: float) -> None:
+        """Admits a request by this gateway's share of the slack, or not."""
+        share = self._bounds.find_unowned_share(
+            charge.quota, len(self._directory.members)
+        )
+        is_admitted = self._accounts[charge.organisation].take_unowned(
+            charge.cost, share, self._bounds.window_s, now
+        )
+        self.counts["unowned"] += 1
+        self._settle(
+            charge, State.ADMITTED if is_admitted else State.UNOWNED, ""
+        )
+
+    def _settle(self, charge: Charge, state: State, owner: str) -> None:
+        charge.state = state
+        charge.owner = owner
+        charge.next_at = math.inf
+        if charge.on_settled is not None:
+            charge.on_settled()
+
+    def _ask_in_advance(
+        self, organisation: str, account: accounts.Account, now: float
+    ) -> None:
+        """Asks for tokens of later requests, and reports what is returned."""
+        if organisation in self._asked_in_advance:
+            return
+        candidates = self._list_candidates(organisation, now)
+        if not candidates:
+            account.returned = 0
+            return
+        ask = self._make_ask(organisation, account)
+        ask.returned, account.returned = account.returned, 0
+        ask.refused, account.refused = account.refused, 0
+        self._asked_in_advance.add(organisation)
+        self._dispatch(ask, candidates[0], None, now)
+
+    def _make_ask(
+        self, organisation: str, account: accounts.Account, tokens: int = 0
+    ) -> messages.Ask:
+        self._number += 1
+        extra = max(0, account.find_target() - account.tokens)
+        return messages.Ask(
+            self._name, self._number, organisation, tokens, extra
+        )
+
+    def _dispatch(
+        self, ask: messages.Ask, to: str, charge: Charge | None, now: float
+    ) -> None:
+        self.counts["asked"] += 1
+        self._sent[ask.number] = _Sent(ask, to, now, charge)
+        self._send(to, ask)
--- /dev/null
+++ b/sardinewharf/quotas/presence.py
@@ -0,0 +1,245 @@
+"""Tells which gateways are heard, and whether they keep the quotas they own.
+
+Digests come from each gateway now and then. They are too few to tell at once
+that a gateway was killed, so that one that is about to act in the place of
+another probes it.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import dataclasses
+import enum
+import math
+
+from sardinewharf.quotas import directory as directory_lib
+from sardinewharf.quotas import messages
+
+# Time in which the gateways are counted that are heard, in seconds. Most of a
+# fleet of 70 send a digest within it.
+_HEARD_WINDOW_S = 2.0
+# Interval of the rounds of digests, in seconds.
+_ROUND_S = 0.2
+# Share of the gateways that has to be heard; the others are fewer.
+_MAJORITY = 0.5
+# A gateway that was not heard for this long is taken for gone for good: it does
+# not count for the majority, in seconds.
+_GONE_S = 30.0
+# Two unanswered probes and this time since the first show that a gateway is
+# silent, in seconds. A round trip takes 1 to 3 ms, but a slow machine tens.
+_SILENT_S = 0.06
+_SILENT_PROBES = 2
+# Time between two probes, until the answer is known and from then on, in
+# seconds.
+_FIRST_PROBE_S = 0.025
+_PROBE_S = 0.1
+# For how long an answer to a probe counts, in seconds.
+_ACTIVE_S = 0.15
+_INACTIVE_S = 0.3
+# Without a message for so many times the mean interval of its digests, a
+# gateway is silent without a probe.
+_LONG_SILENT_INTERVALS = 6.0
+_MIN_LONG_SILENT_S = 3.0
+# Gateways that started up to this long before this one, in seconds, started
+# together with it.
+_START_TOGETHER_S = 5.0
+_NEW_SHARE = 0.75
+_MIN_HEARD_PEERS = 3
+
+
+class Presence(enum.Enum):
+    """Whether a gateway keeps the quotas that it owns."""
+
+    ACTIVE = "active"
+    ABSENT = "absent"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """What is known of a gateway; times are on the monotonic clock.
+
+    Attributes:
+        heard_at: When its last message came.
+        started_at: When its process started, by the estimate that makes it the
+            youngest.
+        probed_at: When it was last probed.
+        unanswered: Probes since its last message.
+        unanswered_since: When the first of them was sent.
+        active_at: When it last stated that it keeps its quotas.
+        inactive_at: When it last stated that it does not.
+        absent_since: Since when it has been absent; None if it is not known to
+            be.
+        is_silent: Whether it is absent by its silence, not by its statement.
+    """
+
+    heard_at: float = -math.inf
+    started_at: float = -math.inf
+    probed_at: float = -math.inf
+    unanswered: int = 0
+    unanswered_since: float = math.inf
+    active_at: float = -math.inf
+    inactive_at: float = -math.inf
+    absent_since: float | None = None
+    is_silent: bool = False
+
+
+class PeerWatch:
+    """Watches the other gateways.
+
+    Args:
+        name: Name of this gateway.
+        directory: The registered gateways.
+        send: Sends a message to a gateway by its name.
+        now: When this process started, on the monotonic clock.
+        wall: The same by the time of day.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: directory_lib.Directory,
+        send: Callable[[str, messages.Message], None],
+        now: float,
+        wall: float,
+    ):
+        self._name = name
+        self._directory = directory
+        self._send = send
+        self._started_at = now
+        self._started_wall = wall
+        self._peers: dict[str, _Peer] = {}
+
+    def record_digest(
+        self, sender: str, started_wall: float, number: int, now: float
+    ) -> None:
+        """Records a digest.
+
+        Clocks of machines differ by seconds, and the number of a digest also
+        counts other messages, so that each makes a peer seem older than it is.
+
+        Args:
+            sender: Its sender.
+            started_wall: When the sender's process started, by its time of day.
+            number: Number of the digest, which rises in each round.
+            now: The time.
+        """
+        peer = self.record(sender, now)
+        by_wall = self._started_at + started_wall - self._started_wall
+        peer.started_at = max(by_wall, now - number * _ROUND_S)
+
+    def record(self, sender: str, now: float) -> _Peer:
+        """Records a message of a gateway, and returns what is known of it."""
+        peer = self._peers.setdefault(sender, _Peer())
+        peer.heard_at = now
+        peer.unanswered = 0
+        peer.unanswered_since = math.inf
+        if peer.is_silent:
+            peer.is_silent = False
+            peer.absent_since = None
+        return peer
+
+    def record_statement(
+        self, sender: str, is_active: bool, now: float
+    ) -> None:
+        """Records whether a gateway states that it keeps its quotas."""
+        peer = self.record(sender, now)
+        if is_active:
+            peer.active_at = now
+            peer.inactive_at = -math.inf
+            peer.absent_since = None
+        else:
+            peer.inactive_at = now
+            peer.active_at = -math.inf
+            if peer.absent_since is None:
+                peer.absent_since = now
+
+    def find_last_heard(self, name: str) -> float:
+        """Returns when a gateway was last heard."""
+        peer = self._peers.get(name)
+        return -math.inf if peer is None else peer.heard_at
+
+    def check(self, name: str, now: float) -> Presence:
+        """Returns whether a gateway keeps its quotas, and probes it."""
+        peer = self._peers.setdefault(name, _Peer())
+        presence = self._judge(peer, now)
+        if presence is Presence.ABSENT and peer.absent_since is None:
+            peer.absent_since = min(now, peer.unanswered_since)
+        interval_s = (
+            _FIRST_PROBE_S if presence is Presence.UNKNOWN else _PROBE_S
+        )
+        if now - peer.probed_at >= interval_s:
+            self.probe(name, now)
+        return presence
+
+    def probe(self, name: str, now: float) -> None:
+        """Probes a gateway."""
+        peer = self._peers.setdefault(name, _Peer())
+        peer.probed_at = now
+        peer.unanswered += 1
+        peer.unanswered_since = min(peer.unanswered_since, now)
+        self._send(name, messages.Probe(self._name))
+
+    def find_absence(self, name: str) -> tuple[float, bool]:
+        """Returns since when a gateway is absent, and whether it is silent."""
+        peer = self._peers[name]
+        return peer.absent_since or -math.inf, peer.is_silent
+
+    def _judge(self, peer: _Peer, now: float) -> Presence:
+        if now - peer.active_at <= _ACTIVE_S:
+            return Presence.ACTIVE
+        if now - peer.inactive_at <= _INACTIVE_S:
+            return Presence.ABSENT
+        is_silent = (
+            peer.unanswered >= _SILENT_PROBES
+            and now - peer.unanswered_since >= _SILENT_S
+        )
+        if is_silent or self._is_long_silent(peer, now):
+            peer.is_silent = True
+            return Presence.ABSENT
+        return Presence.UNKNOWN
+
+    def _is_long_silent(self, peer: _Peer, now: float) -> bool:
+        limit_s = max(
+            _MIN_LONG_SILENT_S,
+            self._directory.digest_interval_s * _LONG_SILENT_INTERVALS,
+        )
+        since = max(peer.heard_at, self._started_at)
+        return now - since > limit_s
+
+    def hears_majority(self, now: float) -> bool:
+        """Returns whether most gateways are heard that are not gone for good.
+
+        If not, this gateway is cut off from the others, and another may act in
+        its place. The few that send no digest in a short time are estimated.
+        """
+        others = [n for n in self._directory.members if n != self._name]
+        if now - self._started_at > _GONE_S:
+            others = self._list_heard_since(others, now - _GONE_S)
+        heard = len(self._list_heard_since(others, now - _HEARD_WINDOW_S))
+        interval_s = max(_ROUND_S, self._directory.digest_interval_s)
+        missed = (1.0 - _ROUND_S / interval_s) ** (_HEARD_WINDOW_S / _ROUND_S)
+        present = min(heard / (1.0 - missed), float(len(others)))
+        return (present + 1.0) > (len(others) + 1.0) * _MAJORITY
+
+    def is_fleet_new(self) -> bool:
+        """Returns whether the other gateways started when this one did.
+
+        A gateway that starts among others that have run for long takes quotas
+        over from them. Some that start together take them over from nobody.
+        """
+        others = [n for n in self._directory.members if n != self._name]
+        heard = [
+            peer
+            for name, peer in self._peers.items()
+            if peer.started_at > -math.inf and name != self._name
+        ]
+        if len(heard) < min(_MIN_HEARD_PEERS, len(others)):
+            return False
+        since = self._started_at - _START_TOGETHER_S
+        new = sum(peer.started_at >= since for peer in heard)
+        return new >= len(heard) * _NEW_SHARE
+
+    def _list_heard_since(
+        self, names: Collection[str], since: float
+    ) -> list[str]:
+        return [n for n in names if self.find_last_heard(n) >= since]
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -293,6 +293,21 @@
     age_s: float
 
 
+class QuotaOwnerSilent(Record, tag="quota_owner_silent"):
+    """A gateway did not respond to an ask for tokens of a quota.
+
+    The next one in rank is asked until it is heard again.
+    """
+
+    gateway: str
+
+
+class QuotaTakenOver(Record, tag="quota_taken_over"):
+    """This gateway keeps a quota, as all of a better rank are absent."""
+
+    organisation: str
+
+
 class EndpointChosen(Record, tag="endpoint_chosen"):
     """A request is sent to an endpoint.
 
