--- a/sardinewharf/quotas/__init__.py
+++ b/sardinewharf/quotas/__init__.py
@@ -7,6 +7,7 @@
     settings: By how much quotas may be exceeded.
     messages: What gateways send each other.
     directory: What has to be known of configuration and fleet.
+    quorum: Whether most other gateways are in reach.
     presence: Which gateways are heard, and keep their quotas.
     owner: Keeps the quotas that a gateway owns.
     accounts: What a gateway has of a quota.
--- a/sardinewharf/quotas/borrower.py
+++ b/sardinewharf/quotas/borrower.py
@@ -43,6 +43,10 @@
 # the fleet, requests wait for so long and ask again in between, in seconds.
 _ACTIVATION_S = 0.4
 _ASK_AGAIN_S = 0.06
+# A request that is denied and would be admitted within this time waits and asks
+# again, so that the last ones within a quota are not refused, in seconds.
+_MAX_HOLD_S = 0.15
+_MAX_HOLDS = 2
 # Stands for the owner of tokens that were granted in advance.
 _IN_ADVANCE = "in advance"
 
@@ -78,6 +82,8 @@
         give_up_at: When the next gateway is asked.
         has_restarted: Whether a gateway has said that one before it in rank
             keeps the quota.
+        is_held: Whether it waits to ask the next gateway, not for a response.
+        holds: How often it was denied and waited.
     """
 
     organisation: str
@@ -94,6 +100,8 @@
     asked_at: float = -math.inf
     give_up_at: float = math.inf
     has_restarted: bool = False
+    is_held: bool = False
+    holds: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -190,13 +198,13 @@
         if now < charge.give_up_at:
             self._repeat(charge, now)
             return
-        if charge.candidates:
+        if charge.is_held:
+            charge.is_held = False
+        else:
             asked = charge.candidates.pop(0)
             heard_at = self._peers.find_last_heard(asked)
             if asked != self._name and heard_at < charge.asked_at:
                 self._record_silence(asked, now)
-        else:
-            charge.candidates = self._list_responsive(charge.organisation)
         self._ask_next(charge, now)
 
     def cancel(self, charge: Charge) -> None:
@@ -250,13 +258,17 @@
     def _handle_denial(
         self, sent: _Sent, grant: messages.Grant, now: float
     ) -> None:
-        account = self._accounts[sent.ask.organisation]
-        account.record_denial(
-            grant.wait_ms / 1000, grant.blocked_ms / 1000, now
-        )
+        wait_s = grant.wait_ms / 1000
         charge = sent.charge
-        if charge is not None and charge.state is State.PENDING:
-            charge.wait_s = grant.wait_ms / 1000
+        is_waiting = charge is not None and charge.state is State.PENDING
+        if is_waiting and wait_s <= _MAX_HOLD_S and charge.holds < _MAX_HOLDS:
+            charge.holds += 1
+            self._hold(charge, [grant.sender], wait_s, now)
+            return
+        account = self._accounts[sent.ask.organisation]
+        account.record_denial(wait_s, grant.blocked_ms / 1000, now)
+        if is_waiting:
+            charge.wait_s = wait_s
             self._settle(charge, State.OVER_QUOTA, grant.sender)
 
     def _handle_wrong_owner(
@@ -373,11 +385,20 @@
     def _wait_or_decide(self, charge: Charge, now: float) -> None:
         """Waits for a gateway to keep quotas, or decides without an owner."""
         has_time = now + _ASK_AGAIN_S < charge.begun_at + _ACTIVATION_S
-        if has_time and self._list_responsive(charge.organisation):
-            charge.next_at = charge.give_up_at = now + _ASK_AGAIN_S
+        responsive = self._list_responsive(charge.organisation)
+        if has_time and responsive:
+            self._hold(charge, responsive, _ASK_AGAIN_S, now)
         else:
             self._decide_unowned(charge, now)
 
+    def _hold(
+        self, charge: Charge, candidates: list[str], wait_s: float, now: float
+    ) -> None:
+        """Makes a request wait before it asks."""
+        charge.is_held = True
+        charge.candidates = candidates
+        charge.next_at = charge.give_up_at = now + wait_s
+
     def _repeat(self, charge: Charge, now: float) -> None:
         charge.next_at = min(now + _REPEAT_S, charge.give_up_at)
         self.counts["repeated"] += 1
--- a/sardinewharf/quotas/buckets.py
+++ b/sardinewharf/quotas/buckets.py
@@ -76,9 +76,8 @@
         return self._level
 
     def skip(self, now: float) -> None:
-        """Adds no tokens for the time since the last call, and keeps none."""
+        """Adds no tokens for the time since the last call."""
         self._filled_at = max(self._filled_at, now)
-        self._level = min(0.0, self._level)
 
     def take(self, tokens: float, now: float) -> bool:
         """Returns whether a request of this cost is admitted."""
--- a/sardinewharf/quotas/owner.py
+++ b/sardinewharf/quotas/owner.py
@@ -17,6 +17,7 @@
 from sardinewharf.quotas import directory as directory_lib
 from sardinewharf.quotas import messages
 from sardinewharf.quotas import presence as presence_lib
+from sardinewharf.quotas import quorum as quorum_lib
 from sardinewharf.quotas import settings as settings_lib
 
 # A gap of the clock by which a process was frozen, in seconds. Another gateway
@@ -31,11 +32,14 @@
 # When the whole fleet has just started, a quota begins with a full bucket once
 # no gateway was registered for this time, in seconds.
 _SETTLED_S = 0.5
+# Share of the capacity below which the majority has to confirm that this
+# gateway is not cut off: more is not worth messages, as it is not exceeded.
+_BUSY_SHARE = 0.5
 # Time between two checks whether the gateway is active, in seconds.
 _CHECK_S = 0.05
 # Time in which a gateway that is cut off notices it, and share of the rate at
 # which another one fills its bucket meanwhile.
-_NOTICE_S = 0.8
+_NOTICE_S = 0.6
 _NOTICE_SHARE = 0.5
 # Share of the capacity that is left for requests when tokens are granted in
 # advance.
@@ -52,11 +56,14 @@
         key: The circumstances that have to stay the same.
         bucket: The tokens.
         slow_until: Until when the bucket fills more slowly.
+        is_settled: Whether the bucket has been given all that it may begin
+            with; it is not yet while a fleet starts.
     """
 
     key: tuple[object, ...]
     bucket: buckets.DebtBucket
     slow_until: float
+    is_settled: bool = True
 
 
 class Owner:
@@ -87,6 +94,7 @@
         self._bounds = bounds
         self._directory = directory
         self._peers = peers
+        self._quorum = quorum_lib.Quorum(name, directory, peers)
         self._started_at = now
         self._member_since: float | None = None
         # When a gateway was last registered or removed.
@@ -112,6 +120,7 @@
 
         It has to be called several times a second.
         """
+        self._quorum.advance(now)
         elapsed = now - self._checked_at
         if elapsed < _CHECK_S:
             return
@@ -262,8 +271,26 @@
             )
         if now < tenure.slow_until:
             tenure.bucket.fill(now, _NOTICE_SHARE)
+        if not tenure.is_settled and self._is_settled(now):
+            tenure.is_settled = True
+            if self._is_fleet_new(now):
+                tenure.bucket.put(quota.capacity, now)
+        self._require_quorum(tenure.bucket, now)
         return tenure
 
+    def _require_quorum(self, bucket: buckets.DebtBucket, now: float) -> None:
+        """Lets a busy bucket fill only while most gateways are in reach.
+
+        If they are not, another gateway is about to keep the quota.
+        """
+        if self._quorum.has_lost(now):
+            bucket.skip(now)
+        if bucket.fill(now) < bucket.quota.capacity * _BUSY_SHARE:
+            self._quorum.require(now)
+
+    def _is_settled(self, now: float) -> bool:
+        return now - self._members_changed_at >= _SETTLED_S
+
     def _begin_tenure(
         self,
         organisation: str,
@@ -288,7 +315,7 @@
             default=since,
         )
         level = self._take_credit(organisation, quota, now)
-        is_settled = now - self._members_changed_at >= _SETTLED_S
+        is_settled = self._is_settled(now)
         if is_settled and self._is_fleet_new(now):
             level = quota.capacity
         bucket = buckets.DebtBucket(
@@ -298,7 +325,7 @@
         if slow_end > since:
             bucket.fill(slow_end, _NOTICE_SHARE)
         bucket.fill(now)
-        return _Tenure(key, bucket, slow_until)
+        return _Tenure(key, bucket, slow_until, is_settled)
 
     def _take_credit(
         self,
--- a/sardinewharf/quotas/presence.py
+++ b/sardinewharf/quotas/presence.py
@@ -212,15 +212,20 @@
         If not, this gateway is cut off from the others, and another may act in
         its place. The few that send no digest in a short time are estimated.
         """
-        others = [n for n in self._directory.members if n != self._name]
-        if now - self._started_at > _GONE_S:
-            others = self._list_heard_since(others, now - _GONE_S)
+        others = self.list_present(now)
         heard = len(self._list_heard_since(others, now - _HEARD_WINDOW_S))
         interval_s = max(_ROUND_S, self._directory.digest_interval_s)
         missed = (1.0 - _ROUND_S / interval_s) ** (_HEARD_WINDOW_S / _ROUND_S)
         present = min(heard / (1.0 - missed), float(len(others)))
         return (present + 1.0) > (len(others) + 1.0) * _MAJORITY
 
+    def list_present(self, now: float) -> list[str]:
+        """Returns the other gateways that are not gone for good."""
+        others = [n for n in self._directory.members if n != self._name]
+        if now - self._started_at > _GONE_S:
+            return self._list_heard_since(others, now - _GONE_S)
+        return others
+
     def is_fleet_new(self) -> bool:
         """Returns whether the other gateways started when this one did.
 
