Decode loads of four figures

Cause: a load header with a fourth figure, how long work takes on that machine at this moment, was dropped as a whole.

Change: messages.Load has a slowness, None where the fourth figure is absent or 0. Nothing uses it yet.

Evidence: test_a_load_has_three_or_four_figures fails without the change (Load has three fields) and passes with it; sardinewharf/platform passes.

--- a/sardinewharf/gateway/messages.py
+++ b/sardinewharf/gateway/messages.py
@@ -125,11 +125,14 @@
         running: Number of running requests.
         waiting: Number of queued requests.
         slots: Number of requests that can run at a time.
+        slowness: How long work takes there at the moment; 1.0 is usual. None
+            if not stated.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/platform/headers.py
+++ b/sardinewharf/platform/headers.py
@@ -88,6 +88,10 @@
 _MAX_DIGITS = 18
 # Longest number of tokens in a header of a caller.
 _MAX_TOKEN_DIGITS = 12
+# Numbers of figures that a load may have, and the last of four that states the
+# usual duration of work.
+_LOAD_FIELDS = (3, 4)
+_USUAL_PERCENT = 100
 # Seconds, with a fraction at most; the length is limited too.
 _RETRY_AFTER_VALUE = re.compile(rb"\d{1,18}(\.\d{1,18})?")
 # Longest part of an ignored value that is logged, in bytes, and number of the
@@ -292,14 +296,21 @@
 
 
 def _read_load(value: bytes) -> messages.Load | None:
-    """Decodes ``RUNNING,WAITING,SLOTS``; returns None for any other value."""
-    fields = value.split(b",")
-    stripped = [field.strip() for field in fields]
+    """Decodes ``RUNNING,WAITING,SLOTS`` or ``RUNNING,WAITING,SLOTS,PERCENT``.
+
+    The last is how long work takes there at the moment, relative to usual. No
+    work takes no time, so that 0 counts as not stated.
+
+    Returns:
+        The load; None for any other value.
+    """
+    stripped = [field.strip() for field in value.split(b",")]
     are_numbers = all(f.isdigit() and len(f) <= _MAX_DIGITS for f in stripped)
-    if len(fields) != 3 or not are_numbers:
+    if len(stripped) not in _LOAD_FIELDS or not are_numbers:
         return None
-    running, waiting, slots = (int(field) for field in stripped)
-    return messages.Load(running, waiting, slots)
+    running, waiting, slots, *percent = (int(field) for field in stripped)
+    slowness = percent[0] / _USUAL_PERCENT if any(percent) else None
+    return messages.Load(running, waiting, slots, slowness)
 
 
 def _read_leaving(headers: http1.Headers) -> bool:
--- a/sardinewharf/platform/tests/test_headers.py
+++ b/sardinewharf/platform/tests/test_headers.py
@@ -4,6 +4,7 @@
 
 from sardinewharf import http1
 from sardinewharf import platform
+from sardinewharf.gateway import messages
 from sardinewharf.platform import headers
 
 
@@ -23,6 +24,26 @@
     assert decoded.load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,24", messages.Load(3, 1, 24)),
+        (b"3, 1, 24, 250", messages.Load(3, 1, 24, 2.5)),
+        (b"3,1,24,0", messages.Load(3, 1, 24)),
+        (b"3,1,24,", None),
+        (b"3,1,24,-100", None),
+        (b"3,1,24,1.5", None),
+        (b"3,1,24,100,100", None),
+        (b"3,1", None),
+        (b"3,1,24," + b"9" * 19, None),
+    ],
+)
+def test_a_load_has_three_or_four_figures(value, load):
+    """A load of four figures was dropped as a whole."""
+    head = http1.Head(200, [(headers.LOAD, value)])
+    assert platform.PlatformHeaderCodec().read_response(head).load == load
+
+
 @pytest.mark.parametrize(
     ("values", "is_leaving"),
     [
