Keep what endpoints report of their load and slowness

Cause: the load that endpoints state in their responses was decoded and used nowhere.

Change: fleet.ReportTable keeps, by incarnation, the smoothed slowness and the latest running and waiting requests of endpoints that state a slowness. Outcomes records the report of each response, refusals too. Nothing reads the table yet.

--- a/sardinewharf/fleet/__init__.py
+++ b/sardinewharf/fleet/__init__.py
@@ -10,6 +10,8 @@
 from sardinewharf.fleet.notices import NoticeTable
 from sardinewharf.fleet.pauses import PauseTable
 from sardinewharf.fleet.registry import Registry
+from sardinewharf.fleet.reports import LoadReport
+from sardinewharf.fleet.reports import ReportTable
 from sardinewharf.fleet.target_versions import TargetVersionTable
 
 __all__ = [
@@ -18,9 +20,11 @@
     "EndpointLoad",
     "EndpointState",
     "HealthTable",
+    "LoadReport",
     "LoadTable",
     "NoticeTable",
     "PauseTable",
+    "ReportTable",
     "TargetVersionTable",
     "Registry",
     "RunningRequest",
--- a/sardinewharf/gateway/dependencies.py
+++ b/sardinewharf/gateway/dependencies.py
@@ -42,6 +42,7 @@
         suspects: Requests that ran when endpoints crashed.
         quarantine: Refuses requests that crash endpoints.
         notices: Records what endpoints state about further requests.
+        reports: What endpoints report of their load.
         estimators: What is measured of engines and prompts.
         reader: Reads from endpoints, and detects stalled ones.
         shutdown: Tells whether requests can end before the gateway exits.
@@ -65,6 +66,7 @@
     suspects: limits.SuspectTable
     quarantine: quarantine_lib.Quarantine
     notices: notices_lib.NoticeRecorder
+    reports: fleet.ReportTable
     estimators: tables.EstimatorTable
     reader: readers.EndpointReader
     shutdown: shutdown_lib.Shutdown
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -56,6 +56,7 @@
             dependencies.crash_prober,
             dependencies.suspects,
             dependencies.notices,
+            dependencies.reports,
             self._log,
         )
 
--- a/sardinewharf/gateway/outcomes.py
+++ b/sardinewharf/gateway/outcomes.py
@@ -24,6 +24,7 @@
 _PROGRESS_S = 0.2
 # Statuses of refusals by endpoints that may have room a moment later.
 _FULL_STATUSES = frozenset({429, 503})
+_MISDIRECTED = 421
 
 _Outcome = attempt_log.AttemptOutcome
 
@@ -39,6 +40,7 @@
         crash_prober: Probes endpoints whose connections were lost.
         suspects: Requests that ran when endpoints crashed.
         notices: Records what endpoints state about further requests.
+        reports: Receives what endpoints report of their load.
         log: Logs and counts attempts.
     """
 
@@ -51,6 +53,7 @@
         crash_prober: crash_probes.CrashProber,
         suspects: limits.SuspectTable,
         notices: notices_lib.NoticeRecorder,
+        reports: fleet.ReportTable,
         log: attempt_log.AttemptLog,
     ):
         self._registry = registry
@@ -60,6 +63,7 @@
         self._crash_prober = crash_prober
         self._suspects = suspects
         self._notices = notices
+        self._reports = reports
         self._log = log
 
     def classify(self, call: requests.Call, attempt: requests.Attempt) -> bool:
@@ -80,6 +84,7 @@
             return False
         self._notices.record(call, attempt)
         self._record_weights(call, attempt)
+        self._record_report(attempt)
         if head.is_not_run:
             if _proves_not_run(attempt, request_id):
                 self._record_not_run(call, attempt)
@@ -133,7 +138,9 @@
         if status in _FULL_STATUSES:
             call.full.add(endpoint.id)
         backoff_s = (
-            _MISDIRECTED_BACKOFF_S if status == 421 else _REFUSAL_BACKOFF_S
+            _MISDIRECTED_BACKOFF_S
+            if status == _MISDIRECTED
+            else _REFUSAL_BACKOFF_S
         )
         self._health.pause(
             endpoint.incarnation, clocks.read_monotonic() + backoff_s
@@ -169,6 +176,25 @@
                 attempt.target.endpoint.id, prompt.model, head.weights
             )
 
+    def _record_report(self, attempt: requests.Attempt) -> None:
+        """Records the load that a response reports, if it states a slowness.
+
+        Refusals report it, too. Status 421 may come from another endpoint that
+        has taken over the address.
+        """
+        load = attempt.head.load
+        if load is None or load.slowness is None:
+            return
+        if attempt.head.status == _MISDIRECTED:
+            return
+        self._reports.record(
+            attempt.target.endpoint.incarnation,
+            fleet.LoadReport(
+                load.running, load.waiting, load.slots, load.slowness
+            ),
+            clocks.read_monotonic(),
+        )
+
     def record_loss(
         self,
         call: requests.Call,
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -120,6 +120,7 @@
         )
         self._drains = drains_lib.DrainTable()
         self._notices = fleet.NoticeTable()
+        self._reports = fleet.ReportTable()
         self._suspects = limits.SuspectTable(quarantine_lib.QUARANTINE_S)
         self._crashes = crashes_lib.CrashDetector(
             settings,
@@ -183,6 +184,7 @@
                     self._exchange,
                 ),
                 notices=notice_recorder,
+                reports=self._reports,
                 estimators=self._estimators,
                 reader=reader,
                 shutdown=self._shutdown,
@@ -488,6 +490,7 @@
         now = clocks.read_monotonic()
         self._crashes.forget_old(now)
         self._notices.forget_old(self._replica.registry, now)
+        self._reports.forget_old(now)
 
     def _close_removed_connections(self) -> None:
         """Closes connections to endpoints that were removed since."""
