Choose endpoints by the slowness and queue that they report

Cause: engines and servers differ in speed and slow down at times, and a queue that only the endpoint knew of was not seen.

Change: EngineState and ServerState have the endpoint's report; the default changes no cost. Waits, prefills, running and queued requests cost more at a slow engine, and so does what each engine has to do for a request. Fresh running and waiting requests are a lower bound of the estimated ones. Servers that report their slowness and have no free slot are chosen last.

--- a/sardinewharf/balancing/applications.py
+++ b/sardinewharf/balancing/applications.py
@@ -12,6 +12,9 @@
 # A server in another failure domain is chosen only if its share of busy slots
 # is lower by this much.
 _REMOTE_DOMAIN_PENALTY = 0.1
+# Cost of a server without a free slot, if it reports its slowness: it rejects
+# requests, so that the slowest server with a free slot costs less.
+_FULL_PENALTY = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +27,7 @@
         slots: Number of requests that it runs concurrently.
         load: Requests that run there.
         failure_rate: Share of its recent responses that failed.
+        report: What it reported of its own load and slowness.
     """
 
     id: str
@@ -31,6 +35,7 @@
     slots: int
     load: fleet.EndpointLoad
     failure_rate: float = 0.0
+    report: fleet.LoadReport = fleet.UNKNOWN_LOAD
 
 
 def choose_server(
@@ -38,18 +43,27 @@
 ) -> str | None:
     """Returns the id of the server with the lowest cost; None without servers.
 
-    The cost is the share of busy slots including this request. It is higher for
-    servers outside ``failure_domain`` and rises with a server's failure rate.
+    The cost is the share of busy slots including this request, multiplied by
+    the slowness that a server reports. It is higher for servers outside
+    ``failure_domain`` and rises with a server's failure rate.
 
     Examples:
         >>> busy = ServerState("a", "fd1", 4, fleet.EndpointLoad(running=3))
         >>> idle = ServerState("b", "fd2", 4, fleet.EndpointLoad())
         >>> choose_server([busy, idle], "fd1")
         'b'
+        >>> slow = fleet.LoadReport(slowness=6.0)
+        >>> idle = dataclasses.replace(idle, report=slow)
+        >>> choose_server([busy, idle], "fd1")
+        'a'
     """
 
     def estimate_cost(server: ServerState) -> float:
-        busy_share = (server.load.running + 1) / server.slots
+        report = server.report
+        requests = max(server.load.running, report.running + report.waiting)
+        busy_share = (requests + 1) / server.slots * report.slowness
+        if report.is_known and requests >= server.slots:
+            busy_share += _FULL_PENALTY
         if server.failure_domain != failure_domain:
             busy_share += _REMOTE_DOMAIN_PENALTY
         return busy_share / max(0.05, 1.0 - server.failure_rate)
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -84,6 +84,7 @@
         shared: Where it would get the request's shared prompt from.
         has_outdated_weights: Whether the target version is newer than its
             weights.
+        report: What it reported of its own load and slowness.
     """
 
     id: str
@@ -92,6 +93,7 @@
     failure_rate: float = 0.0
     shared: PrefixSource = PrefixSource.COMPUTED
     has_outdated_weights: bool = False
+    report: fleet.LoadReport = fleet.UNKNOWN_LOAD
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +123,7 @@
         id: Id of the engine.
         cost_ms: Estimated cost of running the request there.
         wait_ms: Time in which it prefills the prompts queued there.
+        slowness: How long work takes there; 1.0 is usual.
         shared: Where it gets the shared prompt from.
         preferred: Id of the preferred engine of the shared prompt; empty if
             it has none.
@@ -131,6 +134,7 @@
     wait_ms: float
     shared: PrefixSource
     preferred: str = ""
+    slowness: float = 1.0
 
 
 def misses_deadline(
@@ -329,13 +333,20 @@
     """Returns an engine with the estimated cost of running the request there.
 
     The cost is the sum of the delays and penalties, divided by the engine's
-    success rate.
+    success rate. All work takes longer at a slow engine, also that which it
+    shares with all others: prefilling what is not shared.
     """
     load = engine.load
-    tokens_per_ms = estimates.prefill_tokens_per_ms
+    report = engine.report
+    slowness = report.slowness
+    tokens_per_ms = estimates.prefill_tokens_per_ms / slowness
+    requests = max(load.running, report.running + report.waiting)
     wait_ms = load.prompt_tokens / tokens_per_ms
-    cost_ms = wait_ms + load.running * _MS_PER_RUNNING_REQUEST + penalty_ms
-    cost_ms += max(0, load.running + 1 - spec.slots) * _MS_PER_QUEUED_REQUEST
+    cost_ms = wait_ms + requests * _MS_PER_RUNNING_REQUEST * slowness
+    cost_ms += penalty_ms
+    queued = max(requests + 1 - spec.slots, report.waiting)
+    cost_ms += max(0, queued) * _MS_PER_QUEUED_REQUEST * slowness
+    cost_ms += (slowness - 1.0) * _estimate_usual_ms(size, estimates)
     if engine.shared is PrefixSource.COMPUTED:
         prefill_ms = size.shared_tokens / tokens_per_ms
         cost_ms += _RECOMPUTE_WEIGHT * prefill_ms
@@ -356,4 +367,17 @@
     if engine.failure_domain != failure_domain:
         cost_ms += _REMOTE_DOMAIN_PENALTY_MS
     cost_ms /= max(0.1, 1.0 - engine.failure_rate)
-    return Choice(engine.id, cost_ms, wait_ms, engine.shared, preferred)
+    return Choice(
+        engine.id, cost_ms, wait_ms, engine.shared, preferred, slowness
+    )
+
+
+def _estimate_usual_ms(
+    size: PromptSize, estimates: estimates_lib.EngineEstimates
+) -> float:
+    """Returns the time to first token at an idle engine of usual speed.
+
+    The shared prompt is left out: it may be cached.
+    """
+    own_tokens = max(0, size.tokens - size.shared_tokens)
+    return estimates.base_ms + own_tokens / estimates.prefill_tokens_per_ms
--- a/sardinewharf/balancing/estimates.py
+++ b/sardinewharf/balancing/estimates.py
@@ -21,10 +21,12 @@
         prefill_tokens_per_ms: Prompt tokens that an engine works off per
             millisecond.
         split: Boundaries between short and long prompts.
+        base_ms: Time to the first token without any prompt, in milliseconds.
     """
 
     prefill_tokens_per_ms: float = prefill_rates.ASSUMED_TOKENS_PER_MS
     split: prompt_lengths.LengthSplit = prompt_lengths.LengthSplit()
+    base_ms: float = prefill_rates.ASSUMED_BASE_MS
 
 
 class EngineEstimator:
@@ -37,7 +39,9 @@
 
     def read(self) -> EngineEstimates:
         """Returns the present estimates."""
-        return EngineEstimates(self._rates.tokens_per_ms, self._lengths.split)
+        return EngineEstimates(
+            self._rates.tokens_per_ms, self._lengths.split, self._rates.base_ms
+        )
 
     def record_prompt(
         self, shared_part_ids: Sequence[str], tokens: int
--- a/sardinewharf/balancing/prefill_rates.py
+++ b/sardinewharf/balancing/prefill_rates.py
@@ -20,7 +20,7 @@
 # Assumed rate of prefill before it is measured, in tokens per millisecond, and
 # assumed time to the first token of an empty prompt, in milliseconds.
 ASSUMED_TOKENS_PER_MS = 50.0
-_ASSUMED_BASE_MS = 60.0
+ASSUMED_BASE_MS = 60.0
 # The assumed line weighs as much as this many measured requests, with prompts
 # of these lengths in tokens.
 _ASSUMED_WEIGHT = 8.0
@@ -46,7 +46,7 @@
         for tokens in _ASSUMED_PROMPT_TOKENS:
             self._add(
                 tokens,
-                _ASSUMED_BASE_MS + tokens / ASSUMED_TOKENS_PER_MS,
+                ASSUMED_BASE_MS + tokens / ASSUMED_TOKENS_PER_MS,
                 _ASSUMED_WEIGHT / len(_ASSUMED_PROMPT_TOKENS),
             )
 
@@ -59,6 +59,13 @@
             return _MAX_TOKENS_PER_MS
         return max(_MIN_TOKENS_PER_MS, variance / covariance)
 
+    @property
+    def base_ms(self) -> float:
+        """Time to the first token without any prompt, in milliseconds."""
+        mean_x = self._sum_x / self._weight
+        mean_y = self._sum_y / self._weight
+        return max(0.0, mean_y - mean_x / self.tokens_per_ms)
+
     def record(self, prompt_tokens: int, first_token_ms: float) -> None:
         """Records a request that was served.
 
@@ -67,9 +74,7 @@
                 when the request was sent, and its own.
             first_token_ms: Time from its sending to its first token.
         """
-        expected_ms = self._estimate_base_ms() + (
-            prompt_tokens / self.tokens_per_ms
-        )
+        expected_ms = self.base_ms + (prompt_tokens / self.tokens_per_ms)
         time_ms = min(first_token_ms, _MAX_TIME_FACTOR * expected_ms)
         self._weight *= _DECAY
         self._sum_x *= _DECAY
@@ -78,12 +83,6 @@
         self._sum_xy *= _DECAY
         self._add(float(prompt_tokens), time_ms, 1.0)
 
-    def _estimate_base_ms(self) -> float:
-        """Returns the time to the first token without any prompt."""
-        mean_x = self._sum_x / self._weight
-        mean_y = self._sum_y / self._weight
-        return max(0.0, mean_y - mean_x / self.tokens_per_ms)
-
     def _add(self, tokens: float, time_ms: float, weight: float) -> None:
         self._weight += weight
         self._sum_x += weight * tokens
--- a/sardinewharf/fleet/__init__.py
+++ b/sardinewharf/fleet/__init__.py
@@ -10,6 +10,7 @@
 from sardinewharf.fleet.notices import NoticeTable
 from sardinewharf.fleet.pauses import PauseTable
 from sardinewharf.fleet.registry import Registry
+from sardinewharf.fleet.reports import UNKNOWN_LOAD
 from sardinewharf.fleet.reports import LoadReport
 from sardinewharf.fleet.reports import ReportTable
 from sardinewharf.fleet.target_versions import TargetVersionTable
@@ -28,4 +29,5 @@
     "TargetVersionTable",
     "Registry",
     "RunningRequest",
+    "UNKNOWN_LOAD",
 ]
--- a/sardinewharf/fleet/reports.py
+++ b/sardinewharf/fleet/reports.py
@@ -62,7 +62,7 @@
     is_known: bool = True
 
 
-_UNKNOWN = LoadReport(is_known=False)
+UNKNOWN_LOAD = LoadReport(is_known=False)
 
 
 @dataclasses.dataclass(slots=True)
@@ -129,7 +129,7 @@
         """
         known = self._known.get(incarnation)
         if known is None or now - known.at > _KEEP_S:
-            return _UNKNOWN
+            return UNKNOWN_LOAD
         log_mean = known.compute_log_mean(_compute_decay(known, now))
         slowness = _limit(math.exp(log_mean))
         if now - known.at > _FRESH_S:
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -141,6 +141,7 @@
             queued prompts and this one, in seconds.
         candidates: Number of endpoints that it was chosen from.
         load: Estimated load of the endpoint when it was chosen.
+        report: What the endpoint had reported of its load by then.
     """
 
     endpoint: fleet.Endpoint
@@ -159,6 +160,7 @@
     prefill_finish_s: float = 0.0
     candidates: int = 0
     load: fleet.EndpointLoad = fleet.EndpointLoad()
+    report: fleet.LoadReport = fleet.UNKNOWN_LOAD
 
     @property
     def needs_prefill(self) -> bool:
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -12,7 +12,7 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf.gateway import availability as availability_lib
-from sardinewharf.gateway import cache_scopes
+from sardinewharf.gateway import cache_keys as cache_keys_lib
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
@@ -49,6 +49,7 @@
         availability: Which endpoints may be sent requests.
         prompts: Where shared prompts are cached.
         estimators: What is measured of engines and prompts.
+        reports: What endpoints report of their load.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         availability: availability_lib.EndpointAvailability,
         prompts: prompts_lib.PromptTable,
         estimators: tables.EstimatorTable,
+        reports: fleet.ReportTable,
     ):
         self._settings = settings
         self._replica = replica
@@ -70,6 +72,7 @@
         self._availability = availability
         self._prompts = prompts
         self._estimators = estimators
+        self._reports = reports
         # A cached prompt is shared only while an isolation would be known.
         self._max_sharing_age_s = freshness.split_guarantees(
             settings.guarantees
@@ -139,6 +142,7 @@
                 endpoint.slots,
                 self._loads.read(endpoint.id, now),
                 self._health.read_failure_rate(endpoint.incarnation),
+                self._reports.read(endpoint.incarnation, now),
             )
             for endpoint in endpoints
         ]
@@ -149,6 +153,7 @@
                     endpoint,
                     candidates=len(endpoints),
                     load=self._loads.read(endpoint.id, now),
+                    report=self._reports.read(endpoint.incarnation, now),
                 )
         return None
 
@@ -164,7 +169,7 @@
         estimator = self._estimators.find(call.service)
         estimates = estimator.read()
         usable = self._list_with_current_weights(endpoints, prompt.model, now)
-        cache_keys = _CacheKeys(
+        cache_keys = cache_keys_lib.CacheKeys(
             self._replica.configuration,
             call,
             prompt,
@@ -187,6 +192,7 @@
                 shared=candidate.shared,
                 has_outdated_weights=candidate.weights
                 < self._replica.target_versions.find_target(prompt.model),
+                report=candidate.report,
             )
             for candidate in candidates
         ]
@@ -210,7 +216,7 @@
     def _make_candidate(
         self,
         prompt: messages.Prompt,
-        cache_keys: "_CacheKeys",
+        cache_keys: cache_keys_lib.CacheKeys,
         endpoint: fleet.Endpoint,
         incarnations: list[str],
         now: float,
@@ -225,10 +231,13 @@
             endpoint.incarnation,
             incarnations,
         )
+        report = self._reports.read(endpoint.incarnation, now)
         load = self._loads.read(
-            endpoint.id, now, estimates.prefill_tokens_per_ms
+            endpoint.id, now, estimates.prefill_tokens_per_ms / report.slowness
+        )
+        return _EngineCandidate(
+            endpoint, weights, cache_key, shared, load, report
         )
-        return _EngineCandidate(endpoint, weights, cache_key, shared, load)
 
     def _make_target(
         self,
@@ -259,6 +268,7 @@
         if not needs_prefill:
             prefill_tokens -= prompt.shared_tokens
         own_prefill_ms = prefill_tokens / estimates.prefill_tokens_per_ms
+        own_prefill_ms *= choice.slowness
         return requests.Target(
             chosen.endpoint,
             weights=chosen.weights,
@@ -280,6 +290,7 @@
             prefill_finish_s=(choice.wait_ms + own_prefill_ms) / 1000,
             candidates=len(usable),
             load=chosen.load,
+            report=chosen.report,
         )
 
     def _find_start_deadline(
@@ -369,58 +380,6 @@
         return self._availability.prefer_staying(not_draining or current)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _CacheKey:
-    """Identifies a request's shared prompt in the engines' prefix caches.
-
-    Attributes:
-        scope: Requests with the same scope may share cached prompts.
-        key: Hash of the scope and the shared prompt; 0 for a short prompt.
-        is_stored: Whether the cache store is assumed to hold the prompt.
-    """
-
-    scope: str
-    key: int
-    is_stored: bool
-
-
-class _CacheKeys:
-    """Computes a shared prompt's cache key once for each weights version."""
-
-    def __init__(
-        self,
-        configuration: catalog.Configuration,
-        call: requests.Call,
-        prompt: messages.Prompt,
-        prompts: prompts_lib.PromptTable,
-        is_current: bool,
-    ):
-        self._is_current = is_current
-        self._configuration = configuration
-        self._call = call
-        self._prompt = prompt
-        self._prompts = prompts
-        self._by_version: dict[int, _CacheKey] = {}
-
-    def find(self, weights: int) -> _CacheKey:
-        """Returns the cache key for a version of the weights."""
-        cache_key = self._by_version.get(weights)
-        if cache_key is None:
-            prompt = self._prompt
-            scope = cache_scopes.make_cache_scope(
-                self._configuration,
-                self._call.admitted.organisation,
-                prompt.model,
-                weights,
-                self._is_current,
-            )
-            key = prompts_lib.make_key(scope, prompt)
-            is_stored = self._prompts.is_stored(key, scope, prompt)
-            cache_key = _CacheKey(scope, key, is_stored)
-            self._by_version[weights] = cache_key
-        return cache_key
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _EngineCandidate:
     """An engine that a request may be sent to.
@@ -432,10 +391,12 @@
         shared: Whether the shared prompt is cached there, or would be fetched
             or prefilled.
         load: Its estimated load.
+        report: What it reported of its load.
     """
 
     endpoint: fleet.Endpoint
     weights: int
-    cache_key: _CacheKey
+    cache_key: cache_keys_lib.CacheKey
     shared: balancing.PrefixSource
     load: fleet.EndpointLoad
+    report: fleet.LoadReport
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -158,6 +158,7 @@
             availability,
             self._prompts,
             self._estimators,
+            self._reports,
         )
         reader = readers.EndpointReader(self._loads, self._health)
         dispatcher = dispatcher_lib.Dispatcher(
