Learn how fast each engine is beyond what it reports

Cause: machines differ in speed whatever they report of the moment, and what they report may be false.

Change: fleet.SpeedTable compares the time to the first token with the one that was expected when the engine was chosen, by the slowness reported then. It counts only beside a report of slowness. Short prompts are left out: their time shows the other requests of the batch. The rate of the whole service is measured as that of engines of usual speed.

--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -338,7 +338,7 @@
     """
     load = engine.load
     report = engine.report
-    slowness = report.slowness
+    slowness = report.total_slowness
     tokens_per_ms = estimates.prefill_tokens_per_ms / slowness
     requests = max(load.running, report.running + report.waiting)
     wait_ms = load.prompt_tokens / tokens_per_ms
--- a/sardinewharf/balancing/estimates.py
+++ b/sardinewharf/balancing/estimates.py
@@ -28,6 +28,27 @@
     split: prompt_lengths.LengthSplit = prompt_lengths.LengthSplit()
     base_ms: float = prefill_rates.ASSUMED_BASE_MS
 
+    def expect_first_ms(
+        self, prefill_tokens: int, queued_tokens: int
+    ) -> float | None:
+        """Returns the time to first token at an engine of usual speed.
+
+        Args:
+            prefill_tokens: Prompt tokens that the engine has to prefill.
+            queued_tokens: Those that are queued there before.
+
+        Returns:
+            The time in milliseconds; None if too little of it depends on the
+            engine's speed, or the prompt may overtake most of the queue.
+        """
+        is_long = prefill_tokens >= self.split.long_tokens
+        is_first = queued_tokens <= prefill_tokens
+        is_medium = prefill_tokens >= self.split.medium_tokens
+        if not is_long and not (is_medium and is_first):
+            return None
+        tokens = prefill_tokens + queued_tokens
+        return self.base_ms + tokens / self.prefill_tokens_per_ms
+
 
 class EngineEstimator:
     """Measures a service's engines and prompts."""
--- a/sardinewharf/balancing/tests/test_estimates.py
+++ b/sardinewharf/balancing/tests/test_estimates.py
@@ -123,3 +123,19 @@
     for _ in range(500):
         estimator.record_first_token(300, 60_000, 30.0)
     assert estimator.read().prefill_tokens_per_ms == before
+
+
+@pytest.mark.parametrize(
+    ("prefill", "queued", "first_ms"),
+    [
+        pytest.param(17_000, 50_000, 1_400.0, id="long, queued"),
+        pytest.param(2_000, 500, 110.0, id="medium, no queue"),
+        pytest.param(2_000, 50_000, None, id="overtakes the queue"),
+        pytest.param(300, 0, None, id="short"),
+    ],
+)
+def test_the_first_token_is_expected_only_where_it_shows_the_speed(
+    prefill, queued, first_ms
+):
+    estimates = balancing.EngineEstimates()
+    assert estimates.expect_first_ms(prefill, queued) == first_ms
--- a/sardinewharf/fleet/reports.py
+++ b/sardinewharf/fleet/reports.py
@@ -22,6 +22,8 @@
 import dataclasses
 import math
 
+from sardinewharf.fleet import speeds as speeds_lib
+
 MIN_SLOWNESS = 0.25
 MAX_SLOWNESS = 8.0
 # A report counts as at most this factor away from the mean before it, so that
@@ -53,6 +55,7 @@
         slots: Requests that can run there at a time; 0 if unknown.
         slowness: How long work takes there; 1.0 is usual.
         is_known: Whether the endpoint reported its slowness lately.
+        learned: How much longer work was found to take there than that.
     """
 
     running: int = 0
@@ -60,6 +63,12 @@
     slots: int = 0
     slowness: float = 1.0
     is_known: bool = True
+    learned: float = 1.0
+
+    @property
+    def total_slowness(self) -> float:
+        """How long work takes there by all that is known."""
+        return _limit(self.slowness * self.learned)
 
 
 UNKNOWN_LOAD = LoadReport(is_known=False)
@@ -95,6 +104,7 @@
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self._speeds = speeds_lib.SpeedTable()
 
     def __len__(self) -> int:
         return len(self._known)
@@ -120,6 +130,19 @@
         known.last = report
         known.at = now
 
+    def record_duration(
+        self, incarnation: str, expected_ms: float, took_ms: float, now: float
+    ) -> None:
+        """Records how long an endpoint took for work; see ``speeds``.
+
+        Args:
+            incarnation: The endpoint.
+            expected_ms: Time that was expected, by the slowness reported then.
+            took_ms: Time that it took.
+            now: The present time, on the monotonic clock.
+        """
+        self._speeds.record(incarnation, expected_ms, took_ms, now)
+
     def read(self, incarnation: str, now: float) -> LoadReport:
         """Returns what is known of an endpoint.
 
@@ -132,13 +155,15 @@
             return UNKNOWN_LOAD
         log_mean = known.compute_log_mean(_compute_decay(known, now))
         slowness = _limit(math.exp(log_mean))
+        learned = self._speeds.read(incarnation, now)
         if now - known.at > _FRESH_S:
-            return LoadReport(slowness=slowness)
+            return LoadReport(slowness=slowness, learned=learned)
         return LoadReport(
             min(known.last.running, _MAX_REQUESTS),
             min(known.last.waiting, _MAX_REQUESTS),
             known.last.slots,
             slowness,
+            learned=learned,
         )
 
     def list_slowness(self, now: float) -> list[float]:
@@ -153,6 +178,7 @@
             for incarnation, known in self._known.items()
             if now - known.at <= _KEEP_S
         }
+        self._speeds.forget_old(now)
 
 
 def _compute_decay(known: _Known, now: float) -> float:
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -254,6 +254,7 @@
             exchange,
             prefill_handle,
             self._dependencies.estimators.find(call.service),
+            self._dependencies.reports,
         )
 
     def _encode_head(
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -142,6 +142,8 @@
         candidates: Number of endpoints that it was chosen from.
         load: Estimated load of the endpoint when it was chosen.
         report: What the endpoint had reported of its load by then.
+        usual_first_ms: Time to the first token that was expected then of an
+            engine of usual speed; None if it shows no engine's speed.
     """
 
     endpoint: fleet.Endpoint
@@ -161,6 +163,7 @@
     candidates: int = 0
     load: fleet.EndpointLoad = fleet.EndpointLoad()
     report: fleet.LoadReport = fleet.UNKNOWN_LOAD
+    usual_first_ms: float | None = None
 
     @property
     def needs_prefill(self) -> bool:
@@ -180,6 +183,7 @@
         exchange: The response as it arrives.
         prefill_handle: Reports to the prompt table how the prefill ended.
         estimator: Receives the time to the first token of a prompt.
+        reports: Receives the same for an endpoint that reports its slowness.
 
     Attributes:
         head: The decoded status and headers of the response; None before they
@@ -201,8 +205,10 @@
         exchange: http1.Exchange,
         prefill_handle: prompts.PrefillHandle,
         estimator: balancing.EngineEstimator,
+        reports: fleet.ReportTable,
     ):
         self.target = target
+        self._reports = reports
         self._estimator = estimator
         self.sent_at = clocks.read_monotonic()
         self.first_event_at: float | None = None
@@ -226,12 +232,21 @@
         self.first_event_at = clocks.read_monotonic()
         self._running_request.end_prefill()
         self._prefill_handle.succeed()
-        took_s = self.first_event_at - self.sent_at
+        took_ms = (self.first_event_at - self.sent_at) * 1000
+        report = self.target.report
         self._estimator.record_first_token(
             self.target.prefill_tokens,
             self.target.load.prompt_tokens,
-            took_s * 1000,
+            took_ms / report.slowness,
         )
+        usual_ms = self.target.usual_first_ms
+        if report.is_known and usual_ms is not None:
+            self._reports.record_duration(
+                self.target.endpoint.incarnation,
+                usual_ms * report.slowness,
+                took_ms,
+                self.first_event_at,
+            )
 
     def abandon_prefill(self) -> None:
         """Makes no other request wait for the prefill of this attempt."""
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -233,7 +233,9 @@
         )
         report = self._reports.read(endpoint.incarnation, now)
         load = self._loads.read(
-            endpoint.id, now, estimates.prefill_tokens_per_ms / report.slowness
+            endpoint.id,
+            now,
+            estimates.prefill_tokens_per_ms / report.total_slowness,
         )
         return _EngineCandidate(
             endpoint, weights, cache_key, shared, load, report
@@ -291,6 +293,9 @@
             candidates=len(usable),
             load=chosen.load,
             report=chosen.report,
+            usual_first_ms=estimates.expect_first_ms(
+                prefill_tokens, chosen.load.prompt_tokens
+            ),
         )
 
     def _find_start_deadline(
