Log and count what endpoints report of their slowness

Cause: the records of a choice did not show why a slow engine was or was not chosen.

Change: endpoint_chosen has slowness, learned and reported; gauges count the endpoints that report their slowness, its largest and its mean value.

Evidence: test_uneven_endpoints.py sends requests through a gateway to stand-ins that report 100 and 800: the slow one gets fewest of them, plain services and streams alike; refusals are recorded, loads of three figures are not. sardinewharf/fleet, balancing and records pass.

--- a/sardinewharf/balancing/applications.py
+++ b/sardinewharf/balancing/applications.py
@@ -60,7 +60,7 @@
 
     def estimate_cost(server: ServerState) -> float:
         report = server.report
-        requests = max(server.load.running, report.running + report.waiting)
+        requests = max(server.load.running, report.requests)
         busy_share = (requests + 1) / server.slots * report.slowness
         if report.is_known and requests >= server.slots:
             busy_share += _FULL_PENALTY
--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -340,7 +340,7 @@
     report = engine.report
     slowness = report.total_slowness
     tokens_per_ms = estimates.prefill_tokens_per_ms / slowness
-    requests = max(load.running, report.running + report.waiting)
+    requests = max(load.running, report.requests)
     wait_ms = load.prompt_tokens / tokens_per_ms
     cost_ms = wait_ms + requests * _MS_PER_RUNNING_REQUEST * slowness
     cost_ms += penalty_ms
--- a/sardinewharf/fleet/reports.py
+++ b/sardinewharf/fleet/reports.py
@@ -56,6 +56,7 @@
         slowness: How long work takes there; 1.0 is usual.
         is_known: Whether the endpoint reported its slowness lately.
         learned: How much longer work was found to take there than that.
+        is_fresh: Whether the running and waiting requests are of late.
     """
 
     running: int = 0
@@ -64,6 +65,12 @@
     slowness: float = 1.0
     is_known: bool = True
     learned: float = 1.0
+    is_fresh: bool = False
+
+    @property
+    def requests(self) -> int:
+        """Number of requests that run or are queued there."""
+        return self.running + self.waiting
 
     @property
     def total_slowness(self) -> float:
@@ -164,6 +171,7 @@
             known.last.slots,
             slowness,
             learned=learned,
+            is_fresh=True,
         )
 
     def list_slowness(self, now: float) -> list[float]:
--- a/sardinewharf/gateway/attempt_log.py
+++ b/sardinewharf/gateway/attempt_log.py
@@ -64,6 +64,7 @@
         """Logs which endpoint a request is sent to, and why."""
         prompt = call.request.headers.prompt
         model = prompt.model if prompt is not None else ""
+        report = target.report
         self._metrics.count_dispatch(call.service, target)
         self._log.write(
             records.events.EndpointChosen(
@@ -86,6 +87,9 @@
                 left_ms=int(call.deadline.remaining() * 1000),
                 configuration=self._replica.configuration.version,
                 age_s=self._replica.round_age(),
+                slowness=round(report.slowness, 2) if report.is_known else 0.0,
+                learned=round(report.learned, 2) if report.is_known else 0.0,
+                reported=report.requests if report.is_fresh else -1,
             )
         )
 
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
+import statistics
 
 from sardinewharf import clocks
 from sardinewharf import fleet
@@ -383,6 +384,11 @@
             "quarantined_requests", self._suspects.count_quarantined()
         )
         self._metrics.set_gauge("store_calls", self._platform.store.calls)
+        slowness = self._reports.list_slowness(clocks.read_monotonic())
+        self._metrics.set_gauge("slowness_endpoints", len(slowness))
+        if slowness:
+            self._metrics.set_gauge("slowness_max", max(slowness))
+            self._metrics.set_gauge("slowness_mean", statistics.mean(slowness))
         account = self._platform.account
         self._metrics.set_gauge("buffered_bytes", account.held_bytes)
         for use in memory.Use:
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -306,6 +306,11 @@
     ``fetch_from`` or prefilled; ``read_tokens`` are the prompt tokens that the
     endpoint is expected to prefill. ``resume_after`` is the id of the last
     event that the caller has of a stream that is resumed.
+
+    If the endpoint reports its slowness, ``slowness`` is the smoothed one and
+    ``learned`` what was learned beyond it, 1.0 for the usual; both are 0
+    otherwise. ``reported`` are the requests that it reported in the last half
+    second as running or waiting, -1 if it did not.
     """
 
     request: str
@@ -327,6 +332,9 @@
     left_ms: int
     configuration: int
     age_s: float
+    slowness: float = 0.0
+    learned: float = 0.0
+    reported: int = -1
 
 
 class AttemptFailed(Record, tag="attempt_failed"):
