--- a/sardinewharf/balancing/estimates.py
+++ b/sardinewharf/balancing/estimates.py
@@ -21,10 +21,33 @@
         prefill_tokens_per_ms: Prompt tokens that an engine works off per
             millisecond.
         split: Boundaries between short and long prompts.
+        base_ms: Time to the first token without any prompt, in milliseconds.
     """
 
     prefill_tokens_per_ms: float = prefill_rates.ASSUMED_TOKENS_PER_MS
     split: prompt_lengths.LengthSplit = prompt_lengths.LengthSplit()
+    base_ms: float = prefill_rates.ASSUMED_BASE_MS
+
+    def expect_first_ms(
+        self, prefill_tokens: int, queued_tokens: int
+    ) -> float | None:
+        """Returns the time to first token at an engine of usual speed.
+
+        Args:
+            prefill_tokens: Prompt tokens that the engine has to prefill.
+            queued_tokens: Those that are queued there before.
+
+        Returns:
+            The time in milliseconds; None if too little of it depends on the
+            engine's speed, or the prompt may overtake most of the queue.
+        """
+        is_long = prefill_tokens >= self.split.long_tokens
+        is_first = queued_tokens <= prefill_tokens
+        is_medium = prefill_tokens >= self.split.medium_tokens
+        if not is_long and not (is_medium and is_first):
+            return None
+        tokens = prefill_tokens + queued_tokens
+        return self.base_ms + tokens / self.prefill_tokens_per_ms
 
 
 class EngineEstimator:
@@ -37,7 +60,9 @@
 
     def read(self) -> EngineEstimates:
         """Returns the present estimates."""
-        return EngineEstimates(self._rates.tokens_per_ms, self._lengths.split)
+        return EngineEstimates(
+            self._rates.tokens_per_ms, self._lengths.split, self._rates.base_ms
+        )
 
     def record_prompt(
         self, shared_part_ids: Sequence[str], tokens: int
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -56,6 +56,7 @@
             dependencies.crash_prober,
             dependencies.suspects,
             dependencies.notices,
+            dependencies.reports,
             self._log,
         )
 
@@ -253,6 +254,7 @@
             exchange,
             prefill_handle,
             self._dependencies.estimators.find(call.service),
+            self._dependencies.reports,
         )
 
     def _encode_head(
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 import dataclasses
 import functools
+import statistics
 
 from sardinewharf import clocks
 from sardinewharf import fleet
@@ -122,6 +123,7 @@
         )
         self._drains = drains_lib.DrainTable()
         self._notices = fleet.NoticeTable()
+        self._reports = fleet.ReportTable()
         self._suspects = limits.SuspectTable(quarantine_lib.QUARANTINE_S)
         self._crashes = crashes_lib.CrashDetector(
             settings,
@@ -159,6 +161,7 @@
             availability,
             self._prompts,
             self._estimators,
+            self._reports,
         )
         reader = readers.EndpointReader(self._loads, self._health)
         dispatcher = dispatcher_lib.Dispatcher(
@@ -185,6 +188,7 @@
                     self._exchange,
                 ),
                 notices=notice_recorder,
+                reports=self._reports,
                 estimators=self._estimators,
                 reader=reader,
                 shutdown=self._shutdown,
@@ -397,6 +401,11 @@
         self._metrics.set_gauge(
             "held_connections", sum(s.held_connections for s in servers)
         )
+        slowness = self._reports.list_slowness(clocks.read_monotonic())
+        self._metrics.set_gauge("slowness_endpoints", len(slowness))
+        if slowness:
+            self._metrics.set_gauge("slowness_max", max(slowness))
+            self._metrics.set_gauge("slowness_mean", statistics.mean(slowness))
         account = self._platform.account
         self._metrics.set_gauge("buffered_bytes", account.held_bytes)
         for use in memory.Use:
@@ -509,6 +518,7 @@
         now = clocks.read_monotonic()
         self._crashes.forget_old(now)
         self._notices.forget_old(self._replica.registry, now)
+        self._reports.forget_old(now)
 
     def _close_removed_connections(self) -> None:
         """Closes connections to endpoints that were removed since."""
