Use all cache stores of a configuration, not only the first

Shared prompts were prefilled again although there was room to keep them: configurations with several cache stores had all but the first unused. The prompts of such a deployment (5.4 M tokens) exceed one store (2.7 M), so that they evicted each other; gateways that do not watch the store assumed them to be there all the same.

Change: each shared prompt belongs to one store, chosen by rendezvous hashing over the stores that respond. Each store is watched by gateways of its own choice, and a digest tells the others which ones respond. A gateway that does not watch assumes nothing of a store that stands in for a lost one. With one store nothing changes.

--- a/sardinewharf/gateway/cache_keys.py
+++ b/sardinewharf/gateway/cache_keys.py
@@ -16,11 +16,14 @@
     Attributes:
         scope: Requests with the same scope may share cached prompts.
         key: Hash of the scope and the shared prompt; 0 for a short prompt.
-        is_stored: Whether the cache store is assumed to hold the prompt.
+        store: ``IP:PORT`` of the cache store that the shared prompt belongs
+            to; empty if it belongs to none, or none responds.
+        is_stored: Whether that store is assumed to hold the prompt.
     """
 
     scope: str
     key: int
+    store: str
     is_stored: bool
 
 
@@ -64,7 +67,12 @@
                 self._is_current,
             )
             key = prompts_lib.make_key(scope, prompt)
-            is_stored = self._prompts.is_stored(key, scope, prompt)
-            cache_key = CacheKey(scope, key, is_stored)
+            store = self._prompts.stores.choose(key)
+            cache_key = CacheKey(
+                scope,
+                key,
+                store.address if store else "",
+                self._prompts.is_stored(key, scope, prompt, store),
+            )
             self._by_version[weights] = cache_key
         return cache_key
--- a/sardinewharf/gateway/digests.py
+++ b/sardinewharf/gateway/digests.py
@@ -237,6 +237,13 @@
     age_ms: decoding.Integer
 
 
+class CacheStoreAge(msgspec.Struct, array_like=True):
+    """The time since a cache store's last response to a gateway."""
+
+    address: str
+    age_ms: decoding.Integer
+
+
 class Digest(msgspec.Struct, array_like=True, tag=0):
     """The state of a gateway that other gateways cannot observe themselves.
 
@@ -257,11 +264,13 @@
         cache_uses: Shared prompts that its requests recently used.
         cache_store_age_ms: Time since the cache store's last response to it;
             None if it does not read the cache store's updates, or has had no
-            response for so long that the store counts as unresponsive.
+            response for so long that the store counts as unresponsive. Of
+            several stores it is the first that is neither.
         cache_store: ``IP:PORT`` of that cache store; empty if there is none.
         unknown_leader_age_ms: No leader of rolling updates acted since then
             but those in ``leader_ages``; None if nothing is known.
         leader_ages: When leaders can have acted last.
+        more_cache_stores: The same as of the first one of further cache stores.
     """
 
     sender: str
@@ -280,6 +289,7 @@
     cache_store: str = ""
     unknown_leader_age_ms: decoding.Integer | None = None
     leader_ages: list[LeaderAge] = []
+    more_cache_stores: list[CacheStoreAge] = []
 
 
 class SuspectReport(msgspec.Struct, array_like=True, tag=4):
--- a/sardinewharf/gateway/exchange.py
+++ b/sardinewharf/gateway/exchange.py
@@ -197,8 +197,7 @@
             is_leaving=self.is_leaving,
             prefills=self._list_prefills(now),
             cache_uses=self._list_cache_uses(now),
-            cache_store_age_ms=self._read_cache_store_age(),
-            cache_store=self._prompts.store.address,
+            **self._make_cache_store_ages(),
             **self._make_leader_ages(now),
         )
 
@@ -267,15 +266,21 @@
             for use in self._prompts.list_cache_uses()
         ]
 
-    def _read_cache_store_age(self) -> int | None:
-        """Returns the ms since the cache store's last response to this gateway.
-
-        It is None if this gateway does not watch the cache store, or the cache
-        store is unresponsive.
-        """
-        store = self._prompts.store
-        age = store.count_age() if store.is_watched else None
-        return None if age is None else int(age * 1000)
+    def _make_cache_store_ages(self) -> dict[str, object]:
+        """Returns the fields that tell which watched cache stores respond."""
+        ages = [
+            digests.CacheStoreAge(store.address, int(age_s * 1000))
+            for store in self._prompts.stores.list_all()
+            if store.is_watched and (age_s := store.count_age()) is not None
+        ]
+        if not ages:
+            return {}
+        first, *others = ages
+        return {
+            "cache_store_age_ms": first.age_ms,
+            "cache_store": first.address,
+            "more_cache_stores": others,
+        }
 
     def _merge_weights(self, updates: list[digests.WeightsUpdate]) -> None:
         for update in updates:
@@ -336,7 +341,7 @@
                 target.slack_ms / 1000,
             )
         self._merge_leader_ages(digest, now)
-        self._merge_cache_store(digest)
+        self._merge_cache_stores(digest)
 
     def _merge_leader_ages(self, digest: digests.Digest, now: float) -> None:
         if digest.unknown_leader_age_ms is None:
@@ -347,13 +352,19 @@
         )
         self._replica.rollout_tenures.merge(ages, digest.revision, now)
 
-    def _merge_cache_store(self, digest: digests.Digest) -> None:
-        """Merges when the cache store responded to a peer that watches it.
+    def _merge_cache_stores(self, digest: digests.Digest) -> None:
+        """Merges when cache stores responded to a peer that watches them.
 
-        A peer with another configuration may watch another store.
+        A peer with another configuration may watch other stores.
         """
-        store = self._prompts.store
-        if digest.cache_store_age_ms is None or store.is_watched:
-            return
-        if digest.cache_store == store.address:
-            store.record_response(digest.cache_store_age_ms / 1000)
+        ages = list(digest.more_cache_stores)
+        if digest.cache_store_age_ms is not None:
+            ages.append(
+                digests.CacheStoreAge(
+                    digest.cache_store, digest.cache_store_age_ms
+                )
+            )
+        for age in ages:
+            store = self._prompts.stores.find(age.address)
+            if store is not None and not store.is_watched:
+                store.record_response(age.age_ms / 1000)
--- a/sardinewharf/gateway/prompts.py
+++ b/sardinewharf/gateway/prompts.py
@@ -1,6 +1,6 @@
 """Tracks where shared prompts are cached, and which are being prefilled.
 
-The cache store reports what it holds. What engines have cached is assumed from
+Cache stores report what they hold. What engines have cached is assumed from
 the requests that this gateway and its peers sent to them.
 """
 
@@ -14,6 +14,7 @@
 
 from sardinewharf import balancing
 from sardinewharf import clocks
+from sardinewharf.gateway import cache_stores
 from sardinewharf.gateway import messages
 
 # Shorter shared prompts are not worth fetching or saving.
@@ -26,11 +27,6 @@
 _MAX_BROADCAST_USES = 24
 # Number of recently used prompts that are remembered.
 _MAX_RECENT_PROMPTS = 1_000
-# Caches hold complete blocks only, so up to this many tokens at the end of a
-# part are not cached.
-_BLOCK_TOKENS = 32
-# A cache store that has not responded for this long is not used, in seconds.
-_STORE_TIMEOUT_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,69 +81,6 @@
             self._table.finish(use, self._needs_prefill, is_cached=False)
 
 
-class CacheStoreIndex:
-    """Index of the prompt parts that the cache store holds.
-
-    Attributes:
-        address: ``IP:PORT`` of the cache store; empty if there is none.
-        is_watched: Whether this gateway watches the cache store itself.
-    """
-
-    def __init__(self) -> None:
-        self.address = ""
-        self.is_watched = True
-        self._cached_tokens: dict[tuple[str, str], int] = {}
-        self._last_response_at = float("-inf")
-
-    @property
-    def is_alive(self) -> bool:
-        """Whether the cache store responded recently."""
-        return (
-            clocks.read_monotonic() - self._last_response_at < _STORE_TIMEOUT_S
-        )
-
-    def set_address(self, address: str) -> None:
-        """Forgets all that was learned if it is another store's address."""
-        if address != self.address:
-            self.address = address
-            self._last_response_at = float("-inf")
-            self.clear()
-
-    def record_response(self, age_s: float = 0.0) -> None:
-        """Records that the cache store responded to this gateway or a peer.
-
-        Args:
-            age_s: How long ago it responded, in seconds.
-        """
-        at = clocks.read_monotonic() - age_s
-        self._last_response_at = max(self._last_response_at, at)
-
-    def count_age(self) -> float | None:
-        """Returns the seconds since the last response; None if not alive."""
-        age = clocks.read_monotonic() - self._last_response_at
-        return age if age < _STORE_TIMEOUT_S else None
-
-    def clear(self) -> None:
-        """Removes all parts, after the cache store has restarted empty."""
-        self._cached_tokens.clear()
-
-    def put(self, scope: str, part_id: str, tokens: int) -> None:
-        """Records that the cache store holds a part."""
-        self._cached_tokens[scope, part_id] = tokens
-
-    def drop(self, scope: str, part_id: str) -> None:
-        """Records that the cache store has evicted a part."""
-        self._cached_tokens.pop((scope, part_id), None)
-
-    def holds(self, scope: str, prompt: messages.Prompt) -> bool:
-        """Returns whether the cache store holds a prompt's shared parts."""
-        return all(
-            self._cached_tokens.get((scope, part.id), -1)
-            >= part.tokens - _BLOCK_TOKENS
-            for part in prompt.shared
-        )
-
-
 class PromptTable:
     """Table of where shared prompts are cached and being prefilled.
 
@@ -156,7 +89,7 @@
             without waiting for the next regular message.
 
     Attributes:
-        store: Index of what the cache store holds.
+        stores: Indexes of what the cache stores hold.
     """
 
     def __init__(self, schedule_broadcast: Callable[[], None]):
@@ -169,7 +102,7 @@
         )
         # Set when a prefill may have ended, for the requests that wait for it.
         self._changed = asyncio.Event()
-        self.store = CacheStoreIndex()
+        self.stores = cache_stores.CacheStoreTable()
 
     def set_capacity(self, tokens: int) -> None:
         """Sets the KV cache memory of each engine, in tokens."""
@@ -186,7 +119,7 @@
 
         Args:
             key: Key of the prompt; 0 if it has none.
-            is_stored: Whether the cache store is assumed to hold the prompt.
+            is_stored: Whether a cache store is assumed to hold the prompt.
             incarnation: The engine's incarnation.
             incarnations: Incarnations of the engines that it could fetch from;
                 its own may be among them.
@@ -205,18 +138,32 @@
             return balancing.PrefixSource.FETCHED
         return balancing.PrefixSource.COMPUTED
 
-    def is_stored(self, key: int, scope: str, prompt: messages.Prompt) -> bool:
-        """Returns whether the cache store is assumed to hold a shared prompt.
+    def is_stored(
+        self,
+        key: int,
+        scope: str,
+        prompt: messages.Prompt,
+        store: cache_stores.CacheStoreIndex | None,
+    ) -> bool:
+        """Returns whether a cache store is assumed to hold a shared prompt.
 
         A gateway that does not watch the store assumes it of every prompt whose
         use is known, since the first engine to prefill a prompt is
-        instructed to save it.
+        instructed to save it. That is so only where the prompt belongs while
+        all stores respond.
+
+        Args:
+            key: Key of the prompt; 0 if it has none.
+            scope: Its cache scope.
+            prompt: The prompt.
+            store: The store that the prompt belongs to; None if none responds.
         """
-        if not key or not self.store.is_alive:
+        if not key or store is None:
             return False
-        if self.store.is_watched:
-            return self.store.holds(scope, prompt)
-        return key in self._recently_used
+        if store.is_watched:
+            return store.holds(scope, prompt)
+        is_first = self.stores.is_first_choice(key, store)
+        return is_first and key in self._recently_used
 
     def find_holder(self, key: int, incarnations: list[str]) -> str | None:
         """Returns the engine that used a prompt most recently, if any."""
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -261,11 +261,7 @@
             estimates: What was measured of engines and prompts.
         """
         needs_prefill = choice.shared is balancing.PrefixSource.COMPUTED
-        store = self._prompts.store
         cache_key = chosen.cache_key
-        saves = (
-            bool(cache_key.key) and store.is_alive and not cache_key.is_stored
-        )
         prefill_tokens = prompt.tokens
         if not needs_prefill:
             prefill_tokens -= prompt.shared_tokens
@@ -279,7 +275,7 @@
                 call.admitted.priority, prefill_tokens, estimates.split
             ),
             fetch_from=self._find_fetch_source(prompt, chosen, choice, usable),
-            save_to=store.address if saves else "",
+            save_to="" if cache_key.is_stored else cache_key.store,
             prompt_key=cache_key.key,
             shared_tokens=prompt.shared_tokens,
             shared=choice.shared,
@@ -336,7 +332,7 @@
             return ""
         cache_key = chosen.cache_key
         if cache_key.is_stored:
-            return self._prompts.store.address
+            return cache_key.store
         others = {
             e.incarnation: e for e in usable if e.id != chosen.endpoint.id
         }
--- a/sardinewharf/gateway/tests/test_prompts.py
+++ b/sardinewharf/gateway/tests/test_prompts.py
@@ -30,7 +30,8 @@
 
 
 def locate(table, engine="e1@1", others=("e2@1",)):
-    is_stored = table.is_stored(KEY, SCOPE, PROMPT)
+    store = table.stores.choose(KEY)
+    is_stored = table.is_stored(KEY, SCOPE, PROMPT, store)
     return table.locate(KEY, is_stored, engine, list(others))
 
 
@@ -72,9 +73,12 @@
 
 async def test_an_unresponsive_store_is_not_used():
     table = make_table()
-    table.store.put(SCOPE, "aa", 13_000)
+    table.stores.set_addresses(["10.0.0.1:1"])
+    index = table.stores.find("10.0.0.1:1")
+    index.is_watched = True
+    index.put(SCOPE, "aa", 13_000)
     assert locate(table, others=()) is balancing.PrefixSource.COMPUTED
-    table.store.record_response()
+    index.record_response()
     assert locate(table, others=()) is balancing.PrefixSource.FETCHED
 
 
--- a/sardinewharf/platform/tests/test_decoders_fuzz.py
+++ b/sardinewharf/platform/tests/test_decoders_fuzz.py
@@ -132,6 +132,7 @@
     cache_uses=[digests.CacheUseUpdate(1, "a/1", 100, 5)],
     cache_store_age_ms=5,
     cache_store="127.0.0.1:1",
+    more_cache_stores=[digests.CacheStoreAge("127.0.0.1:2", 5)],
 )
 URGENT = digests.UrgentUpdate(
     sender="vm-2",
