Rank requests by organisation and route under the contract "pressure"

Cause: the organisation's priority overrides the route's in the priority that engines are given. Where all organisations have priority 1, a long prompt on a route of priority 0 is queued behind each short prompt on a route of priority 2 (5 against 3).

Without the contract, priorities are as before.

--- a/sardinewharf/gateway/admission.py
+++ b/sardinewharf/gateway/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sardinewharf import catalog
+from sardinewharf import overload
 from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import refusals
@@ -39,6 +40,11 @@
             return self.route.priority
         return self.organisation.priority
 
+    @property
+    def priority_pair(self) -> overload.PriorityPair:
+        """Priorities of its organisation and of its route."""
+        return overload.make_pair(self.route, self.organisation)
+
 
 class AdmissionController:
     """Checks requests against the configuration.
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -17,6 +17,7 @@
 from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import ranking
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
@@ -70,6 +71,9 @@
         self._availability = availability
         self._prompts = prompts
         self._estimators = estimators
+        self._ranker = ranking.RequestRanker(
+            replica, settings.guarantees.overload_policy
+        )
         # A cached prompt is shared only while an isolation would be known.
         self._max_sharing_age_s = freshness.split_guarantees(
             settings.guarantees
@@ -263,8 +267,8 @@
             chosen.endpoint,
             weights=chosen.weights,
             cache_scope=cache_key.scope,
-            priority=balancing.choose_priority(
-                call.admitted.priority, prefill_tokens, estimates.split
+            priority=self._ranker.choose_priority(
+                call, prefill_tokens, estimates.split
             ),
             fetch_from=self._find_fetch_source(prompt, chosen, choice, usable),
             save_to=store.address if saves else "",
--- a/sardinewharf/gateway/settings.py
+++ b/sardinewharf/gateway/settings.py
@@ -1,6 +1,7 @@
 """Defines the settings of a gateway."""
 
 import dataclasses
+import enum
 
 # Bandwidth of a VM's link where the platform states none, in Mbit/s.
 DEFAULT_LINK_MBPS = 10.0
@@ -8,6 +9,18 @@
 DEFAULT_MEMORY_MB = 128.0
 
 
+class OverloadPolicy(enum.Enum):
+    """What a gateway does while engines have too little capacity.
+
+    ``FORWARD``: it sends requests at once, and engines queue or refuse them.
+    ``RANK``: it ranks requests by the priorities that the configuration has for
+    their service, and delays or refuses those that cost callers least.
+    """
+
+    FORWARD = "forward"
+    RANK = "rank"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Guarantees:
     """Bounds that the operators of a deployment guarantee to its users.
@@ -28,6 +41,7 @@
             leader and the first order of the next.
         rollout_limit_ms: No request starts on replaced weights later than
             this after a new target version is set.
+        overload_policy: What to do while engines have too little capacity.
     """
 
     recovery_ms: int = 3_000
@@ -40,6 +54,7 @@
     retry_extra: float = 20.0
     handover_pause_ms: int = 3_000
     rollout_limit_ms: int = 10_000
+    overload_policy: OverloadPolicy = OverloadPolicy.FORWARD
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/platform/settings.py
+++ b/sardinewharf/platform/settings.py
@@ -10,6 +10,8 @@
 _METRICS_PORT = 9464
 # Heartbeats without which the store removes an endpoint's entry.
 _HEARTBEATS_TO_EXPIRY = 3
+# Contract by which requests are delayed or refused by their rank.
+_OVERLOAD_CONTRACT = "pressure"
 
 
 class SettingsFileError(Exception):
@@ -57,5 +59,13 @@
             retry_extra=bounds.budget_extra,
             handover_pause_ms=bounds.lease_ms,
             rollout_limit_ms=bounds.version_ms,
+            overload_policy=_choose_overload_policy(file_settings.contracts),
         ),
     )
+
+
+def _choose_overload_policy(contracts: list[str]) -> settings.OverloadPolicy:
+    """Returns what to do while engines have too little capacity."""
+    if _OVERLOAD_CONTRACT in contracts:
+        return settings.OverloadPolicy.RANK
+    return settings.OverloadPolicy.FORWARD
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -343,7 +343,10 @@
 
 
 class Settings(msgspec.Struct):
-    """The settings file of a process; fields that are not here are ignored."""
+    """The settings file of a process; fields that are not here are ignored.
+
+    ``contracts`` names the optional behaviour that the deployment asks for.
+    """
 
     node: str
     zone: str
@@ -355,3 +358,4 @@
     limits: VmLimits = msgspec.field(default_factory=VmLimits)
     heartbeat_ms: decoding.Integer = 1_000
     zones: dict[str, Any] = {}
+    contracts: list[str] = []
