Let less urgent requests wait for room at engines, or refuse them

Cause: gateways sent every request at once. Less urgent short prompts took all slots and waited in engines, and engines rejected 15 in 100 arrivals, most of them urgent long prompts.

Change, only with the overload policy RANK: a request that is not of the most urgent rank is sent while engines have a free slot and memory beyond room for one more request of each more urgent rank. Otherwise it waits at the gateway. Gateways divide the free places by a soft share: one waiting request for each own request that ends, and a share of the places seen free. Past its target latency a request needs a free slot only, and such requests get an eighth of the places that end in any case. What cannot be sent before its deadline at the measured rate is refused with 503 "overloaded" and a Retry-After. Requests are sent as before while fewer than half of the gateways' loads are known.

--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -13,9 +13,11 @@
     0
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 
+from sardinewharf import clocks
 from sardinewharf import ids
 
 # Time for which a peer's reported load counts, in seconds.
@@ -53,6 +55,7 @@
         self._prompt_tokens = prompt_tokens
         self._held_tokens = held_tokens
         self._has_ended = False
+        self._began_at = clocks.read_monotonic()
         table._add(endpoint_id, 1, prompt_tokens, held_tokens)
 
     def end_prefill(self) -> None:
@@ -66,6 +69,8 @@
             self._has_ended = True
             self.end_prefill()
             self._table._add(self._endpoint_id, -1, 0, -self._held_tokens)
+            took_s = clocks.read_monotonic() - self._began_at
+            self._table.on_end(self._endpoint_id, self._held_tokens, took_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +81,12 @@
     load: EndpointLoad
 
 
+def _ignore_end(
+    endpoint_id: ids.EndpointId, held_tokens: int, took_s: float
+) -> None:
+    """Does nothing; the default callback for requests that ended."""
+
+
 class LoadTable:
     """Load of all endpoints, of this gateway and of its peers.
 
@@ -86,6 +97,9 @@
 
     Attributes:
         peers_per_report: Peers that each report stands for, at least 1.
+        on_end: Called when a request of this gateway has ended, with the
+            endpoint, the KV cache tokens that it needed and the seconds that it
+            took.
     """
 
     def __init__(self) -> None:
@@ -95,6 +109,9 @@
         self._peers: dict[ids.EndpointId, dict[str, _PeerLoad]] = {}
         # Endpoints in the last report of each peer.
         self._reported: dict[str, list[ids.EndpointId]] = {}
+        # When the last report of each peer arrived.
+        self._reported_at: dict[str, float] = {}
+        self.on_end: Callable[[ids.EndpointId, int, float], None] = _ignore_end
 
     def set_report_interval(self, interval_s: float) -> None:
         """Sets the mean time between two reports of a peer, in seconds."""
@@ -145,10 +162,18 @@
             if not by_peer:
                 del self._peers[endpoint_id]
         self._reported[peer] = list(loads)
+        self._reported_at[peer] = now
         for endpoint_id, load in loads.items():
             by_peer = self._peers.setdefault(endpoint_id, {})
             by_peer[peer] = _PeerLoad(now, load)
 
+    def count_reporting(self, now: float) -> float:
+        """Returns for how many peers the reports that count now stand."""
+        recent = sum(
+            now - at <= _PEER_LOAD_TTL_S for at in self._reported_at.values()
+        )
+        return self.peers_per_report * recent
+
     def read(
         self,
         endpoint_id: ids.EndpointId,
--- a/sardinewharf/gateway/attempt_log.py
+++ b/sardinewharf/gateway/attempt_log.py
@@ -83,6 +83,8 @@
                 read_tokens=target.prefill_tokens,
                 fetch_from=target.fetch_from,
                 resume_after=call.resume_after,
+                places=call.places,
+                held_ms=int(call.held_s * 1000),
                 left_ms=int(call.deadline.remaining() * 1000),
                 configuration=self._replica.configuration.version,
                 age_s=self._replica.round_age(),
--- a/sardinewharf/gateway/availability.py
+++ b/sardinewharf/gateway/availability.py
@@ -36,7 +36,8 @@
     ) -> list[fleet.Endpoint]:
         """Returns the endpoints that a request may be sent to.
 
-        If all are ejected, those that responded recently are returned.
+        If all are ejected, those that responded recently are returned. Engines
+        that had no room for it are left out while others are usable.
         """
         ready = [
             endpoint
@@ -45,6 +46,9 @@
             and self._notices.may_send(endpoint.incarnation, now)
         ]
         healthy = [e for e in ready if self._health.may_try(e.incarnation, now)]
+        if healthy and call.open_engines is not None:
+            with_room = [e for e in healthy if e.id in call.open_engines]
+            return with_room or healthy
         if healthy:
             return healthy
         return [
--- a/sardinewharf/gateway/dependencies.py
+++ b/sardinewharf/gateway/dependencies.py
@@ -12,6 +12,7 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import notices as notices_lib
+from sardinewharf.gateway import overload_control
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import quarantine as quarantine_lib
 from sardinewharf.gateway import readers
@@ -43,6 +44,7 @@
         quarantine: Refuses requests that crash endpoints.
         notices: Records what endpoints state about further requests.
         estimators: What is measured of engines and prompts.
+        overload: Lets requests wait for room, or refuses them.
         reader: Reads from endpoints, and detects stalled ones.
         shutdown: Tells whether requests can end before the gateway exits.
         log: Receives a record of each attempt.
@@ -66,6 +68,7 @@
     quarantine: quarantine_lib.Quarantine
     notices: notices_lib.NoticeRecorder
     estimators: tables.EstimatorTable
+    overload: overload_control.OverloadController
     reader: readers.EndpointReader
     shutdown: shutdown_lib.Shutdown
     log: records.RecordSink
--- a/sardinewharf/gateway/dispatcher.py
+++ b/sardinewharf/gateway/dispatcher.py
@@ -78,6 +78,8 @@
             self.policy.check_may_send(call)
             if await self._wait_for_suspects(call):
                 continue
+            if await self._dependencies.overload.wait_for_room(call):
+                continue
             target = self._dependencies.selector.choose(call)
             if target is None:
                 if not call.last_failure_detail:
@@ -89,6 +91,7 @@
                 )
             if await self._wait_for_prefill(call, target):
                 continue
+            self._dependencies.overload.record_choice(call, target)
             self.policy.check_meets_deadline(call, target)
             try:
                 pool, connection = await self._connect(call, target)
--- a/sardinewharf/gateway/metrics.py
+++ b/sardinewharf/gateway/metrics.py
@@ -17,6 +17,7 @@
     "sends": ("service", "endpoint"),
     "prompt_tokens": ("service", "kind"),
     "cache_fetches": ("service", "kind"),
+    "holds": ("service", "outcome"),
     "failed_attempts": ("service", "outcome"),
     "task_failures": ("task", "effect"),
 }
@@ -78,6 +79,10 @@
         if target.fetch_from:
             self._counts["cache_fetches", service, "asked"] += 1
 
+    def count_hold(self, service: str, outcome: str) -> None:
+        """Counts a request that waited for room at engines."""
+        self._counts["holds", service, outcome] += 1
+
     def count_failure(self, service: str, outcome: str) -> None:
         """Counts an attempt that gave no response to relay."""
         self._counts["failed_attempts", service, outcome] += 1
--- a/sardinewharf/gateway/ranking.py
+++ b/sardinewharf/gateway/ranking.py
@@ -24,6 +24,16 @@
         self._policy = policy
         self._table = overload.RankTable()
 
+    @property
+    def is_active(self) -> bool:
+        """Whether requests are ranked."""
+        return self._policy is settings_lib.OverloadPolicy.RANK
+
+    def find_rank(self, call: requests.Call) -> int:
+        """Returns the rank of a request; 0 is the most urgent."""
+        ranks = self._table.find(self._replica.configuration, call.service)
+        return ranks.find_rank(call.admitted.priority_pair)
+
     def choose_priority(
         self,
         call: requests.Call,
@@ -31,7 +41,7 @@
         split: balancing.LengthSplit,
     ) -> int:
         """Returns the priority of a request in an engine's queue."""
-        if self._policy is settings_lib.OverloadPolicy.FORWARD:
+        if not self.is_active:
             return balancing.choose_priority(
                 call.admitted.priority, prefill_tokens, split
             )
--- a/sardinewharf/gateway/refusals.py
+++ b/sardinewharf/gateway/refusals.py
@@ -17,6 +17,8 @@
         NO_ENDPOINT: No endpoint can be used, or too many connections failed.
         BUSY: The prompt cannot be prefilled in time, or the retry budget is
             used up.
+        OVERLOADED: More urgent or earlier requests take the engines until it is
+            too late for the deadline.
         OUT_OF_MEMORY: The memory for requests is used up.
         QUARANTINED: Several endpoints crashed while they ran the request.
         NO_TIME: The deadline passed before the request ran.
@@ -34,6 +36,7 @@
     NOT_CURRENT = "not_current"
     NO_ENDPOINT = "no_endpoint"
     BUSY = "busy"
+    OVERLOADED = "overloaded"
     OUT_OF_MEMORY = "out_of_memory"
     QUARANTINED = "quarantined"
     NO_TIME = "no_time"
@@ -52,6 +55,7 @@
     Reason.NOT_CURRENT: 503,
     Reason.NO_ENDPOINT: 503,
     Reason.BUSY: 503,
+    Reason.OVERLOADED: 503,
     Reason.OUT_OF_MEMORY: 503,
     Reason.QUARANTINED: 503,
     Reason.NO_TIME: 503,
--- a/sardinewharf/gateway/requests.py
+++ b/sardinewharf/gateway/requests.py
@@ -9,6 +9,7 @@
 from sardinewharf import http1
 from sardinewharf import ids
 from sardinewharf import limits
+from sardinewharf import overload
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts
@@ -75,6 +76,13 @@
             is known whether that one crashed; empty before.
         suspect_run_at: When its last run was recorded for what is suspect of
             it, on the monotonic clock.
+        need: The room without which it is not sent; None if it need not wait.
+        has_room: Whether it waits no longer for room at engines.
+        open_engines: Engines that had room for it when it was to be sent; None
+            if it is not known.
+        places: Number of requests like it that they had room for; -1 if it is
+            not known.
+        held_s: How long it has waited for room, in seconds.
         hold_limit: Until when it waits for other runs of what is suspect of it;
             None before it has to.
     """
@@ -98,6 +106,11 @@
     is_withdrawn: bool = False
     lost_at: str = ""
     suspect_run_at: float = -math.inf
+    need: overload.Need | None = None
+    has_room: bool = False
+    open_engines: frozenset[str] | None = None
+    places: int = -1
+    held_s: float = 0.0
     hold_limit: clocks.Deadline | None = None
 
     @property
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -12,7 +12,7 @@
 from sardinewharf import clocks
 from sardinewharf import fleet
 from sardinewharf.gateway import availability as availability_lib
-from sardinewharf.gateway import cache_scopes
+from sardinewharf.gateway import cache_keys as cache_keys_lib
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
@@ -50,6 +50,7 @@
         availability: Which endpoints may be sent requests.
         prompts: Where shared prompts are cached.
         estimators: What is measured of engines and prompts.
+        ranker: Ranks requests.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         availability: availability_lib.EndpointAvailability,
         prompts: prompts_lib.PromptTable,
         estimators: tables.EstimatorTable,
+        ranker: ranking.RequestRanker,
     ):
         self._settings = settings
         self._replica = replica
@@ -71,9 +73,7 @@
         self._availability = availability
         self._prompts = prompts
         self._estimators = estimators
-        self._ranker = ranking.RequestRanker(
-            replica, settings.guarantees.overload_policy
-        )
+        self._ranker = ranker
         # A cached prompt is shared only while an isolation would be known.
         self._max_sharing_age_s = freshness.split_guarantees(
             settings.guarantees
@@ -115,6 +115,14 @@
             )
         return self._choose_engine(call, service.engine, prompt, endpoints, now)
 
+    def list_engines(
+        self, call: requests.Call, now: float
+    ) -> list[fleet.Endpoint]:
+        """Returns the engines that a request with a prompt may be sent to."""
+        endpoints = self._availability.list_usable(call, now)
+        model = call.request.headers.prompt.model
+        return self._list_with_current_weights(endpoints, model, now)
+
     def explain_no_endpoint(self, call: requests.Call) -> str:
         """Returns a message that explains why a request has no endpoint."""
         now = clocks.read_monotonic()
@@ -168,7 +176,7 @@
         estimator = self._estimators.find(call.service)
         estimates = estimator.read()
         usable = self._list_with_current_weights(endpoints, prompt.model, now)
-        cache_keys = _CacheKeys(
+        cache_keys = cache_keys_lib.CacheKeys(
             self._replica.configuration,
             call,
             prompt,
@@ -214,7 +222,7 @@
     def _make_candidate(
         self,
         prompt: messages.Prompt,
-        cache_keys: "_CacheKeys",
+        cache_keys: cache_keys_lib.CacheKeys,
         endpoint: fleet.Endpoint,
         incarnations: list[str],
         now: float,
@@ -373,58 +381,6 @@
         return self._availability.prefer_staying(not_draining or current)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _CacheKey:
-    """Identifies a request's shared prompt in the engines' prefix caches.
-
-    Attributes:
-        scope: Requests with the same scope may share cached prompts.
-        key: Hash of the scope and the shared prompt; 0 for a short prompt.
-        is_stored: Whether the cache store is assumed to hold the prompt.
-    """
-
-    scope: str
-    key: int
-    is_stored: bool
-
-
-class _CacheKeys:
-    """Computes a shared prompt's cache key once for each weights version."""
-
-    def __init__(
-        self,
-        configuration: catalog.Configuration,
-        call: requests.Call,
-        prompt: messages.Prompt,
-        prompts: prompts_lib.PromptTable,
-        is_current: bool,
-    ):
-        self._is_current = is_current
-        self._configuration = configuration
-        self._call = call
-        self._prompt = prompt
-        self._prompts = prompts
-        self._by_version: dict[int, _CacheKey] = {}
-
-    def find(self, weights: int) -> _CacheKey:
-        """Returns the cache key for a version of the weights."""
-        cache_key = self._by_version.get(weights)
-        if cache_key is None:
-            prompt = self._prompt
-            scope = cache_scopes.make_cache_scope(
-                self._configuration,
-                self._call.admitted.organisation,
-                prompt.model,
-                weights,
-                self._is_current,
-            )
-            key = prompts_lib.make_key(scope, prompt)
-            is_stored = self._prompts.is_stored(key, scope, prompt)
-            cache_key = _CacheKey(scope, key, is_stored)
-            self._by_version[weights] = cache_key
-        return cache_key
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _EngineCandidate:
     """An engine that a request may be sent to.
@@ -440,6 +396,6 @@
 
     endpoint: fleet.Endpoint
     weights: int
-    cache_key: _CacheKey
+    cache_key: cache_keys_lib.CacheKey
     shared: balancing.PrefixSource
     load: fleet.EndpointLoad
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -31,9 +31,11 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import notices as notices_lib
+from sardinewharf.gateway import overload_control
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import quarantine as quarantine_lib
+from sardinewharf.gateway import ranking
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -148,6 +150,9 @@
         availability = availability_lib.EndpointAvailability(
             self._replica.registry, self._health, self._notices
         )
+        ranker = ranking.RequestRanker(
+            self._replica, settings.guarantees.overload_policy
+        )
         selector = selection.Selector(
             settings,
             self._replica,
@@ -157,6 +162,17 @@
             availability,
             self._prompts,
             self._estimators,
+            ranker,
+        )
+        self._overload = overload_control.OverloadController(
+            self._replica,
+            self._loads,
+            selector,
+            ranker,
+            self._estimators,
+            self._shutdown,
+            self._metrics,
+            self._failures,
         )
         reader = readers.EndpointReader(self._loads, self._health)
         dispatcher = dispatcher_lib.Dispatcher(
@@ -184,6 +200,7 @@
                 ),
                 notices=notice_recorder,
                 estimators=self._estimators,
+                overload=self._overload,
                 reader=reader,
                 shutdown=self._shutdown,
                 log=log,
@@ -373,6 +390,7 @@
             "configuration_version", self._replica.configuration.version
         )
         self._metrics.set_gauge("running_requests", self._app.running)
+        self._metrics.set_gauge("waiting_requests", self._overload.waiting)
         self._metrics.set_gauge("endpoints", len(self._replica.registry))
         self._metrics.set_gauge("gateways", len(self._replica.members))
         self._metrics.set_gauge("log_lines_lost", self._log.total_dropped)
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -306,6 +306,10 @@
     ``fetch_from`` or prefilled; ``read_tokens`` are the prompt tokens that the
     endpoint is expected to prefill. ``resume_after`` is the id of the last
     event that the caller has of a stream that is resumed.
+
+    ``places`` are the further requests of this size that all engines had room
+    for, as far as known; -1 if the request was not checked for room.
+    ``held_ms`` is the time for which it waited for room.
     """
 
     request: str
@@ -327,6 +331,8 @@
     left_ms: int
     configuration: int
     age_s: float
+    places: int = -1
+    held_ms: int = 0
 
 
 class AttemptFailed(Record, tag="attempt_failed"):
