Refuse in a lasting overload what would miss its target latency

Cause: requests waited until just before their deadlines, so that in a lasting overload all would be answered late, and no more of them.

Change: while requests have been past their target latency for a second, those are refused that would be sent past it. Limits of waiting requests follow the measured times, with a margin of 0.3 of the mean. Requests that are too late only because memory seems scarce are sent, not refused.

--- a/sardinewharf/gateway/overload_control.py
+++ b/sardinewharf/gateway/overload_control.py
@@ -13,6 +13,7 @@
 from sardinewharf import overload
 from sardinewharf import tasks
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import overload_rooms
 from sardinewharf.gateway import overload_states
 from sardinewharf.gateway import ranking
 from sardinewharf.gateway import refusals
@@ -27,17 +28,12 @@
 # While at least this share of the slots is free and no request waits, requests
 # are sent at once.
 _AMPLE_SHARE = 0.125
-# While at least this share of the slots is free, all waiting requests are sent,
-# and none is refused.
+# While the engines have places for at least this share of the slots, all
+# waiting requests are sent. While this share of the slots is free, none is
+# refused.
 _IDLE_SHARE = 0.5
-# Reports of peers from which the load of engines is known, as a share of those
-# that are expected.
-_MIN_REPORTED_SHARE = 0.5
-# Largest shares of the time to its target latency and to its deadline that a
-# request is expected to take at an engine. It may take longer, but a measured
-# time that is too long must not refuse requests that could be served.
-_MAX_TARGET_SHARE = 0.75
-_MAX_DEADLINE_SHARE = 0.5
+# Most requests that are refused at a time, so that others are served meanwhile.
+_MAX_REFUSED = 32
 # Number of waiting requests that are tried in turn, if the first ones do not
 # fit.
 _MAX_TRIED = 8
@@ -70,8 +66,9 @@
         failures: tasks.FailureCounter,
     ):
         self._replica = replica
-        self._loads = loads
-        self._selector = selector
+        self._rooms = overload_rooms.RoomReader(
+            replica, loads, selector, estimators
+        )
         self._ranker = ranker
         self._estimators = estimators
         self._shutdown = shutdown
@@ -105,7 +102,7 @@
         state = self._states.setdefault(
             call.service, overload_states.ServiceState()
         )
-        waiting = self._make_waiting(call, state, now)
+        waiting = self._make_waiting(call, state)
         state.demand.record(waiting.rank, waiting.work, now)
         call.has_room = True
         if not waiting.rank:
@@ -113,8 +110,8 @@
         room = self._read_room(state, call, spec, now)
         if room is None:
             return False
-        if not len(state.queue) and self._is_ample(state, waiting, spec, now):
-            self._record_sent(state, waiting, call, spec, now)
+        if not len(state.queue) and self._is_ample(state, waiting, now):
+            self._record_sent(state, waiting, call, now)
             self._find_open(call)
             return False
         call.has_room = False
@@ -192,18 +189,26 @@
                 # Nothing is known of the engines, so that none may be kept.
                 self._release_all(state)
                 return
-            waiting = self._find_next(state, room, spec, now)
+            waiting = self._find_next(state, room, now)
             if waiting is None:
                 return
-            call = state.holds[waiting].call
-            self._remove_and_resolve(state, waiting)
-            self._record_sent(state, waiting, call, spec, now)
+            self._send(state, waiting, now)
+
+    def _send(
+        self,
+        state: overload_states.ServiceState,
+        waiting: overload.Waiting,
+        now: float,
+    ) -> None:
+        """Sends a waiting request."""
+        call = state.holds[waiting].call
+        self._remove_and_resolve(state, waiting)
+        self._record_sent(state, waiting, call, now)
 
     def _find_next(
         self,
         state: overload_states.ServiceState,
         room: overload.ServiceRoom,
-        spec: catalog.EngineSpec,
         now: float,
     ) -> overload.Waiting | None:
         """Returns the next request that may be sent now, if any.
@@ -211,9 +216,6 @@
         A request that does not fit does not stop those behind it, which leave
         room for it.
         """
-        free = room.slots - room.taken - state.sent_since
-        if free >= _IDLE_SHARE * room.slots:
-            return state.queue.list_in_order(now)[0]
         kept = overload.Reserve()
         has_slot = room.count_places(1, kept) > state.sent_since
         tried = state.queue.list_in_order(now)[:_MAX_TRIED] if has_slot else []
@@ -221,8 +223,10 @@
             if not self._shutdown.can_finish(state.holds[waiting].call):
                 # It is refused when it is checked again.
                 return waiting
-            need = self._find_need(state, waiting, spec, now)
+            need = state.find_need(waiting, now)
             places = room.count_places(need.tokens, need.reserve.add(kept))
+            if places - state.sent_since >= _IDLE_SHARE * room.slots:
+                return waiting
             if places > state.sent_since:
                 return waiting if state.credit.take() else None
             kept = overload.Reserve(1, max(kept.tokens, waiting.work))
@@ -235,10 +239,19 @@
         """Refuses the requests that cannot be served before their deadline."""
         now = clocks.read_monotonic()
         room = state.room
-        if room is None or room.taken < _IDLE_SHARE * room.slots:
+        if room is None:
             return
-        drain = state.read_drain(now)
-        while waiting := state.queue.find_refusable(now, drain):
+        state.update_limits()
+        is_idle = room.taken < _IDLE_SHARE * room.slots
+        drain = None if is_idle else state.read_drain(now)
+        for _ in range(_MAX_REFUSED):
+            waiting = state.queue.find_refusable(now, drain)
+            if waiting is None:
+                return
+            if is_idle:
+                # Only memory is known to be scarce, which is an estimate.
+                self._send(state, waiting, now)
+                continue
             wait_s = state.queue.estimate_wait(waiting.rank, drain)
             detail = (
                 f"{len(state.queue)} requests wait for {room.slots} slots with"
@@ -261,14 +274,13 @@
         state: overload_states.ServiceState,
         waiting: overload.Waiting,
         call: requests.Call,
-        spec: catalog.EngineSpec,
         now: float,
     ) -> None:
         """Records that a request is sent now, to engines with room."""
         call.has_room = True
         state.sent.record(waiting.work, now)
         state.queue.record_sent(waiting)
-        call.need = self._find_need(state, waiting, spec, now)
+        call.need = state.find_need(waiting, now)
         state.sent_since += 1
 
     def _find_open(self, call: requests.Call) -> None:
@@ -310,110 +322,46 @@
             return state.room
         state.room_read_at = now
         state.sent_since = 0
-        state.room = self._make_room(call, spec, now)
+        state.room = self._rooms.read(call, spec, now)
         if state.room is not None:
-            own = self._count_own(state.room)
-            share = overload.compute_share(
-                own,
-                len(state.queue),
-                state.room.running,
-                len(self._replica.members),
-            )
-            places = state.room.count_places(1, overload.Reserve())
-            state.credit.refill(places, share, now)
+            share = self._rooms.compute_share(state.room, len(state.queue))
+            state.credit.refill(state.count_places(now), share, now)
         return state.room
 
-    def _make_room(
-        self, call: requests.Call, spec: catalog.EngineSpec, now: float
-    ) -> overload.ServiceRoom | None:
-        peers = max(0, len(self._replica.members) - 1)
-        reported = self._loads.count_reporting(now)
-        if reported < _MIN_REPORTED_SHARE * peers:
-            return None
-        engines = self._selector.list_engines(call, now)
-        if not engines:
-            return None
-        rate = self._estimators.find(call.service).read().prefill_tokens_per_ms
-        return overload.ServiceRoom(
-            tuple(
-                overload.EngineRoom(
-                    e.id,
-                    spec.slots,
-                    spec.capacity_tokens,
-                    self._loads.read(e.id, now, rate),
-                )
-                for e in engines
-            )
-        )
-
-    def _count_own(self, room: overload.ServiceRoom) -> int:
-        return sum(
-            self._loads.count_own(ids.EndpointId(e.id)) for e in room.engines
-        )
-
     def _is_ample(
         self,
         state: overload_states.ServiceState,
         waiting: overload.Waiting,
-        spec: catalog.EngineSpec,
         now: float,
     ) -> bool:
         """Returns whether a request need not wait for its turn."""
-        need = self._find_need(state, waiting, spec, now)
+        need = state.find_need(waiting, now)
         places = state.room.count_places(need.tokens, need.reserve)
         return places - state.sent_since >= max(
             1.0, _AMPLE_SHARE * state.room.slots
         )
 
-    def _find_need(
-        self,
-        state: overload_states.ServiceState,
-        waiting: overload.Waiting,
-        spec: catalog.EngineSpec,
-        now: float,
-    ) -> overload.Need:
-        """Returns the room without which a request is not sent.
-
-        Past its target latency it is a free slot: engines keep nothing for
-        others, and the memory that requests share is not known.
-        """
-        if waiting.target_by.is_past(now):
-            return overload.Need(0, overload.Reserve())
-        reserve = state.demand.read_reserve(
-            waiting.rank, spec.slots, spec.capacity_tokens, now
-        )
-        return overload.Need(waiting.work, reserve)
-
     def _make_waiting(
         self,
         call: requests.Call,
         state: overload_states.ServiceState,
-        now: float,
     ) -> overload.Waiting:
         """Returns what decides how long a call waits."""
         prompt = call.request.headers.prompt
         estimates = self._estimators.find(call.service).read()
         work = prompt.tokens + prompt.answer_tokens
         is_long = work >= estimates.split.long_tokens
-        expected_s = state.times_s.get(
-            is_long, prompt.tokens / estimates.prefill_tokens_per_ms / 1000
+        prefill_s = prompt.tokens / estimates.prefill_tokens_per_ms / 1000
+        limits = overload_states.find_limits(
+            call, state.times_s.get(is_long, prefill_s)
         )
-        arrived = call.request.arrived
-        target_s = call.admitted.route.target_ms / 1000
-        left_s = call.deadline.remaining(now)
         return overload.Waiting(
             rank=self._ranker.find_rank(call),
             organisation=call.admitted.organisation_name,
             work=work,
             is_long=is_long,
-            target_by=clocks.Deadline(
-                arrived
-                + target_s
-                - min(expected_s, _MAX_TARGET_SHARE * target_s)
-            ),
-            latest=clocks.Deadline(
-                now + left_s - min(expected_s, _MAX_DEADLINE_SHARE * left_s)
-            ),
+            target_by=limits.target_by,
+            latest=limits.latest,
         )
 
     def _find_spec(self, call: requests.Call) -> catalog.EngineSpec | None:
--- a/sardinewharf/gateway/overload_states.py
+++ b/sardinewharf/gateway/overload_states.py
@@ -3,11 +3,20 @@
 import asyncio
 import dataclasses
 
+from sardinewharf import clocks
 from sardinewharf import overload
 from sardinewharf.gateway import requests
 
 # Weight of the latest request in the mean time that requests take at engines.
 _TIME_WEIGHT = 0.1
+# A request is expected to take the mean time by this factor: half of them take
+# longer than the mean.
+_TIME_FACTOR = 1.3
+# Largest shares of the time to its target latency and to its deadline that a
+# request is expected to take at an engine. It may take longer, but a measured
+# time that is too long must not refuse requests that could be served.
+_MAX_TARGET_SHARE = 0.75
+_MAX_DEADLINE_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +66,69 @@
             max(sent.work_per_s, aged * ended.work_per_s),
         )
 
+    def find_need(self, waiting: overload.Waiting, now: float) -> overload.Need:
+        """Returns the room without which a request is not sent.
+
+        Past its target latency it is a free slot: engines keep nothing for
+        others, and the memory that requests share is not known.
+        """
+        if waiting.target_by.is_past(now) or self.room is None:
+            return overload.Need(0, overload.Reserve())
+        engine = self.room.engines[0]
+        reserve = self.demand.read_reserve(
+            waiting.rank, engine.slots, engine.capacity_tokens, now
+        )
+        return overload.Need(waiting.work, reserve)
+
+    def count_places(self, now: float) -> int:
+        """Returns the places for requests like the first one that waits."""
+        need = overload.Need(0, overload.Reserve())
+        if len(self.queue):
+            need = self.find_need(self.queue.list_in_order(now)[0], now)
+        return self.room.count_places(need.tokens, need.reserve)
+
+    def update_limits(self) -> None:
+        """Sets the limits of all waiting requests by the times measured."""
+        for waiting, hold in self.holds.items():
+            expected_s = self.times_s.get(waiting.is_long)
+            if expected_s is not None:
+                limits = find_limits(hold.call, expected_s)
+                waiting.target_by = limits.target_by
+                waiting.latest = limits.latest
+
     def record_time(self, is_long: bool, took_s: float) -> None:
         """Records how long a request was at an engine."""
         mean = self.times_s.get(is_long, took_s)
         self.times_s[is_long] = mean + _TIME_WEIGHT * (took_s - mean)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Until when a request has to be sent.
+
+    Attributes:
+        target_by: To meet its target latency.
+        latest: To meet its deadline.
+    """
+
+    target_by: clocks.Deadline
+    latest: clocks.Deadline
+
+
+def find_limits(call: requests.Call, mean_s: float) -> Limits:
+    """Returns until when a request has to be sent.
+
+    Args:
+        call: The request.
+        mean_s: Mean time that requests like it take at an engine, in seconds.
+    """
+    arrived = call.request.arrived
+    target_s = call.admitted.route.target_ms / 1000
+    left_s = call.deadline.remaining(arrived)
+    expected_s = mean_s * _TIME_FACTOR
+    target_wait_s = target_s - min(expected_s, _MAX_TARGET_SHARE * target_s)
+    wait_s = left_s - min(expected_s, _MAX_DEADLINE_SHARE * left_s)
+    return Limits(
+        clocks.Deadline(arrived + target_wait_s),
+        clocks.Deadline(arrived + wait_s),
+    )
--- a/sardinewharf/overload/queue.py
+++ b/sardinewharf/overload/queue.py
@@ -12,6 +12,10 @@
 - If the rate at which requests are sent does not suffice for all to meet their
   deadlines, the organisation with the most waiting work of the rank that would
   be late loses the request with the most work for its time left.
+- A burst may wait until its deadlines. While some requests have been past their
+  target latency for a second, callers send more than is sent: a queue that goes
+  on would make all late and serve no more of them. Then those are refused, too,
+  that would be sent past their target latency.
 
 References:
     Goyal, Vin and Cheng, "Start-Time Fair Queueing", IEEE/ACM Transactions
@@ -31,6 +35,8 @@
 # Waits are estimates: one is too long if it exceeds the time left by this
 # factor.
 _WAIT_ERROR_FACTOR = 1.2
+# Requests past their target latency for this long are no burst, in seconds.
+_BURST_S = 1.0
 # Long prompts of a rank are refused in place of others only while they are sent
 # at least this often, relative to the others.
 _MIN_LONG_SHARE = 0.75
@@ -38,7 +44,7 @@
 _SHARE_DECAY = 0.99
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+@dataclasses.dataclass(slots=True, eq=False)
 class Waiting:
     """A request that waits for room.
 
@@ -104,6 +110,9 @@
             collections.defaultdict(_SentShare)
         )
         self._sent = 0
+        # When a request was first seen past its target latency, since there
+        # was none; None if there is none.
+        self._aged_since: float | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -118,6 +127,7 @@
         if not self._waiting:
             self._virtual_times.clear()
             self._finish_tags.clear()
+            self._aged_since = None
 
     def list_all(self) -> Sequence[Waiting]:
         """Returns all requests, the oldest first."""
@@ -179,19 +189,31 @@
                 return waiting
         if drain is None:
             return None
+        is_burst = self._is_burst(now)
         work = 0
         ahead: list[Waiting] = []
         for waiting in sorted(self._waiting, key=self._make_key):
             wait_s = drain.estimate_wait(len(ahead), work)
             ahead.append(waiting)
             work += waiting.work
-            if wait_s > _WAIT_ERROR_FACTOR * waiting.latest.remaining(now):
+            limit = waiting.latest
+            if not is_burst and not waiting.target_by.is_past(now):
+                limit = waiting.target_by
+            if wait_s > _WAIT_ERROR_FACTOR * limit.remaining(now):
                 rank = waiting.rank
                 return self._choose_refused(
                     [w for w in ahead if w.rank == rank], now
                 )
         return None
 
+    def _is_burst(self, now: float) -> bool:
+        """Returns whether all requests met their target latency lately."""
+        if self.find_aged(now) is None:
+            self._aged_since = None
+        elif self._aged_since is None:
+            self._aged_since = now
+        return self._aged_since is None or now - self._aged_since < _BURST_S
+
     def _choose_refused(self, found: list[Waiting], now: float) -> Waiting:
         """Returns which request of one rank to refuse."""
         candidates = [w for w in found if self._may_refuse(w)] or found
--- a/sardinewharf/overload/shares.py
+++ b/sardinewharf/overload/shares.py
@@ -67,10 +67,11 @@
         elapsed_s = min(_MAX_REFILL_S, now - self._refilled_at)
         self._refilled_at = now
         full = share * places
-        fill_s = max(elapsed_s, _FILL_S * (1.0 - share))
+        # A gateway with all requests knows all of them.
+        fill_s = _FILL_S * (1.0 - share)
+        part = min(1.0, elapsed_s / fill_s) if fill_s > 0.0 else 1.0
         self._credit = min(
-            max(1.0, full) + self._ends,
-            self._credit + full * elapsed_s / fill_s,
+            max(1.0, full) + self._ends, self._credit + full * part
         )
         self._ends = 0
 
--- a/sardinewharf/overload/tests/test_queue.py
+++ b/sardinewharf/overload/tests/test_queue.py
@@ -194,3 +194,33 @@
         if first is not urgent and first.rank == 5:
             return
     pytest.fail("the request of rank 5 was never first")
+
+
+def test_a_burst_waits_but_a_lasting_overload_meets_target_latencies():
+    """Load: a burst, and then twice as many requests as are sent.
+
+    Guards against a queue in which all requests wait beyond their target
+    latency, though no more are served for it.
+    """
+    drain = overload.Drain(10.0, 10.0 * SHORT)
+    queue = make_queue([make_waiting(1, SHORT) for _ in range(50)])
+    assert not refuse_all(queue, drain)
+    waits = []
+    arrivals = {}
+    for tenth in range(100):
+        now = tenth / 10
+        refuse_all(queue, drain, now)
+        if len(queue):
+            first = queue.list_in_order(now)[0]
+            queue.record_sent(first)
+            queue.remove(first)
+            waits.append(now - arrivals.get(first, 0.0))
+        for _ in range(2):
+            request = make_waiting(
+                1, SHORT, target_s=now + 2.0, latest_s=now + 6.0
+            )
+            arrivals[request] = now
+            queue.add(request)
+    assert max(waits) > 2.5
+    assert max(waits[-20:]) <= 2.6
+    assert len(waits) == 100
