Explain waits and refusals under overload, and expect longer engine times

Cause: nothing told an operator of waits for room.

A request is expected to take the mean time and two mean deviations. No request waits beyond its deadline, whatever else fails.

--- a/sardinewharf/gateway/overload_control.py
+++ b/sardinewharf/gateway/overload_control.py
@@ -139,8 +139,12 @@
             self._release(state)
             if len(state.queue) and state.task is None:
                 state.task = loop.create_task(self._poll(state))
-            await hold.released
+            async with asyncio.timeout_at(call.deadline.at):
+                await hold.released
             outcome = "sent"
+        except TimeoutError:
+            # It is refused when it is checked again.
+            outcome = "refused"
         except refusals.RefusedError:
             outcome = "refused"
             raise
@@ -153,8 +157,9 @@
         try:
             while len(state.queue):
                 with self._failures.contain(_TASK):
-                    self._release(state)
                     self._refuse_late(state)
+                with self._failures.contain(_TASK):
+                    self._release(state)
                 await asyncio.sleep(_POLL_S)
         finally:
             state.task = None
@@ -352,8 +357,9 @@
         work = prompt.tokens + prompt.answer_tokens
         is_long = work >= estimates.split.long_tokens
         prefill_s = prompt.tokens / estimates.prefill_tokens_per_ms / 1000
+        expected_s = state.read_time(is_long)
         limits = overload_states.find_limits(
-            call, state.times_s.get(is_long, prefill_s)
+            call, prefill_s if expected_s is None else expected_s
         )
         return overload.Waiting(
             rank=self._ranker.find_rank(call),
--- a/sardinewharf/gateway/overload_states.py
+++ b/sardinewharf/gateway/overload_states.py
@@ -7,11 +7,12 @@
 from sardinewharf import overload
 from sardinewharf.gateway import requests
 
-# Weight of the latest request in the mean time that requests take at engines.
+# Weight of the latest request in the mean time that requests take at engines,
+# and in the mean deviation from it.
 _TIME_WEIGHT = 0.1
-# A request is expected to take the mean time by this factor: half of them take
-# longer than the mean.
-_TIME_FACTOR = 1.3
+# A request is expected to take the mean time and this many mean deviations more
+# (after Jacobson, "Congestion Avoidance and Control", SIGCOMM 1988).
+_DEVIATIONS = 2.0
 # Largest shares of the time to its target latency and to its deadline that a
 # request is expected to take at an engine. It may take longer, but a measured
 # time that is too long must not refuse requests that could be served.
@@ -42,8 +43,9 @@
         self.demand = overload.RankDemand()
         self.sent = overload.DrainRate()
         self.ended = overload.DrainRate()
-        # Mean time at an engine of long requests and of others, in seconds.
-        self.times_s: dict[bool, float] = {}
+        # Mean time at an engine and mean deviation, of long requests and of
+        # others, in seconds.
+        self._times_s: dict[bool, tuple[float, float]] = {}
         self.room: overload.ServiceRoom | None = None
         self.room_read_at = float("-inf")
         # Requests that may be sent, but whose engine is not chosen yet.
@@ -90,7 +92,7 @@
     def update_limits(self) -> None:
         """Sets the limits of all waiting requests by the times measured."""
         for waiting, hold in self.holds.items():
-            expected_s = self.times_s.get(waiting.is_long)
+            expected_s = self.read_time(waiting.is_long)
             if expected_s is not None:
                 limits = find_limits(hold.call, expected_s)
                 waiting.target_by = limits.target_by
@@ -98,8 +100,17 @@
 
     def record_time(self, is_long: bool, took_s: float) -> None:
         """Records how long a request was at an engine."""
-        mean = self.times_s.get(is_long, took_s)
-        self.times_s[is_long] = mean + _TIME_WEIGHT * (took_s - mean)
+        mean, deviation = self._times_s.get(is_long, (took_s, took_s / 2))
+        deviation += _TIME_WEIGHT * (abs(took_s - mean) - deviation)
+        mean += _TIME_WEIGHT * (took_s - mean)
+        self._times_s[is_long] = (mean, deviation)
+
+    def read_time(self, is_long: bool) -> float | None:
+        """Returns the time that nearly all requests take; None if unknown."""
+        if is_long not in self._times_s:
+            return None
+        mean, deviation = self._times_s[is_long]
+        return mean + _DEVIATIONS * deviation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,17 +126,16 @@
     latest: clocks.Deadline
 
 
-def find_limits(call: requests.Call, mean_s: float) -> Limits:
+def find_limits(call: requests.Call, expected_s: float) -> Limits:
     """Returns until when a request has to be sent.
 
     Args:
         call: The request.
-        mean_s: Mean time that requests like it take at an engine, in seconds.
+        expected_s: Time that it is expected to take at an engine, in seconds.
     """
     arrived = call.request.arrived
     target_s = call.admitted.route.target_ms / 1000
     left_s = call.deadline.remaining(arrived)
-    expected_s = mean_s * _TIME_FACTOR
     target_wait_s = target_s - min(expected_s, _MAX_TARGET_SHARE * target_s)
     wait_s = left_s - min(expected_s, _MAX_DEADLINE_SHARE * left_s)
     return Limits(
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -266,12 +266,23 @@
     if not chosen:
         return ""
     last = chosen[-1]
-    return (
+    return _describe_hold(last) + (
         f" When it was sent, {last.get('running')} requests were running there"
         f" and {last.get('prompt_tokens')} prompt tokens were queued."
     )
 
 
+def _describe_hold(chosen: lines_lib.Line) -> str:
+    """Describes how long a request waited for room; empty if it did not."""
+    held_ms = int(chosen.get("held_ms") or 0)
+    if not held_ms:
+        return ""
+    return (
+        f" It waited {held_ms} ms at {chosen.vm} for room; then the engines had"
+        f" {chosen.get('places')} places."
+    )
+
+
 def _describe_context(history: History, end: lines_lib.Line) -> str:
     """Describes the last event around the end that may explain it."""
     before = [
--- a/sardinewharf/records/tests/test_histories.py
+++ b/sardinewharf/records/tests/test_histories.py
@@ -167,3 +167,42 @@
         ),
     )
     assert "endpoint_leaving (e1)" in cause
+
+
+def test_a_wait_for_room_is_named():
+    """Guards against a late answer that is taken for the engine's delay."""
+    chosen = {
+        "request": "r",
+        "endpoint": "e1",
+        "running": 7,
+        "prompt_tokens": 900,
+        "places": 2,
+        "held_ms": 430,
+    }
+    answer = {"request": "r", "status": 200, "endpoint": "e1", "first_ms": 600}
+    rows = (1.0, "endpoint_chosen", chosen), (2.0, "request_answered", answer)
+    assert "waited 430 ms at vm-1 for room; then the engines had 2" in explain(
+        *rows
+    )
+    chosen["held_ms"] = 0
+    assert "for room" not in explain(*rows)
+
+
+def test_a_refusal_under_overload_names_what_was_known():
+    """Guards against a refusal that does not show why it was made."""
+    detail = "9 requests wait for 24 slots with 31 requests"
+    cause = explain(
+        (
+            1.0,
+            "request_refused",
+            {
+                "request": "r",
+                "reason": "overloaded",
+                "status": 503,
+                "sends": 0,
+                "detail": detail,
+            },
+        )
+    )
+    assert detail in cause
+    assert "sent to no endpoint" in cause
