--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -17,6 +17,7 @@
 from sardinewharf.gateway import freshness
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import prompts as prompts_lib
+from sardinewharf.gateway import ranking
 from sardinewharf.gateway import replica as replica_lib
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import settings as settings_lib
@@ -50,6 +51,7 @@
         prompts: Where shared prompts are cached.
         estimators: What is measured of engines and prompts.
         reports: What endpoints report of their load.
+        ranker: Ranks requests.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         prompts: prompts_lib.PromptTable,
         estimators: tables.EstimatorTable,
         reports: fleet.ReportTable,
+        ranker: ranking.RequestRanker,
     ):
         self._settings = settings
         self._replica = replica
@@ -73,6 +76,7 @@
         self._prompts = prompts
         self._estimators = estimators
         self._reports = reports
+        self._ranker = ranker
         # A cached prompt is shared only while an isolation would be known.
         self._max_sharing_age_s = freshness.split_guarantees(
             settings.guarantees
@@ -114,6 +118,14 @@
             )
         return self._choose_engine(call, service.engine, prompt, endpoints, now)
 
+    def list_engines(
+        self, call: requests.Call, now: float
+    ) -> list[fleet.Endpoint]:
+        """Returns the engines that a request with a prompt may be sent to."""
+        endpoints = self._availability.list_usable(call, now)
+        model = call.request.headers.prompt.model
+        return self._list_with_current_weights(endpoints, model, now)
+
     def explain_no_endpoint(self, call: requests.Call) -> str:
         """Returns a message that explains why a request has no endpoint."""
         now = clocks.read_monotonic()
@@ -271,8 +283,8 @@
             chosen.endpoint,
             weights=chosen.weights,
             cache_scope=cache_key.scope,
-            priority=balancing.choose_priority(
-                call.admitted.priority, prefill_tokens, estimates.split
+            priority=self._ranker.choose_priority(
+                call, prefill_tokens, estimates.split
             ),
             fetch_from=self._find_fetch_source(prompt, chosen, choice, usable),
             save_to="" if cache_key.is_stored else cache_key.store,
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -33,10 +33,12 @@
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
 from sardinewharf.gateway import notices as notices_lib
+from sardinewharf.gateway import overload_control
 from sardinewharf.gateway import peers as peers_lib
 from sardinewharf.gateway import prompts as prompts_lib
 from sardinewharf.gateway import quarantine as quarantine_lib
 from sardinewharf.gateway import quotas as quotas_lib
+from sardinewharf.gateway import ranking
 from sardinewharf.gateway import readers
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
@@ -152,6 +154,9 @@
         availability = availability_lib.EndpointAvailability(
             self._replica.registry, self._health, self._notices
         )
+        ranker = ranking.RequestRanker(
+            self._replica, settings.guarantees.overload_policy
+        )
         selector = selection.Selector(
             settings,
             self._replica,
@@ -162,6 +167,17 @@
             self._prompts,
             self._estimators,
             self._reports,
+            ranker,
+        )
+        self._overload = overload_control.OverloadController(
+            self._replica,
+            self._loads,
+            selector,
+            ranker,
+            self._estimators,
+            self._shutdown,
+            self._metrics,
+            self._failures,
         )
         reader = readers.EndpointReader(self._loads, self._health)
         dispatcher = dispatcher_lib.Dispatcher(
@@ -190,6 +206,7 @@
                 notices=notice_recorder,
                 reports=self._reports,
                 estimators=self._estimators,
+                overload=self._overload,
                 reader=reader,
                 shutdown=self._shutdown,
                 log=log,
@@ -390,6 +407,7 @@
             "configuration_version", self._replica.configuration.version
         )
         self._metrics.set_gauge("running_requests", self._app.running)
+        self._metrics.set_gauge("waiting_requests", self._overload.waiting)
         self._metrics.set_gauge("endpoints", len(self._replica.registry))
         self._metrics.set_gauge("gateways", len(self._replica.members))
         self._metrics.set_gauge("log_lines_lost", self._log.total_dropped)
--- a/sardinewharf/gateway/settings.py
+++ b/sardinewharf/gateway/settings.py
@@ -1,6 +1,7 @@
 """Defines the settings of a gateway."""
 
 import dataclasses
+import enum
 
 # Bandwidth of a VM's link where the platform states none, in Mbit/s.
 DEFAULT_LINK_MBPS = 10.0
@@ -8,6 +9,18 @@
 DEFAULT_MEMORY_MB = 128.0
 
 
+class OverloadPolicy(enum.Enum):
+    """What a gateway does while engines have too little capacity.
+
+    ``FORWARD``: it sends requests at once, and engines queue or refuse them.
+    ``RANK``: it ranks requests by the priorities that the configuration has for
+    their service, and delays or refuses those that cost callers least.
+    """
+
+    FORWARD = "forward"
+    RANK = "rank"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Guarantees:
     """Bounds that the operators of a deployment guarantee to its users.
@@ -32,6 +45,7 @@
         quota_over: Most that may exceed a quota, as a share of what it allows
             in a window.
         quota_slack: What may exceed it beyond that, in tokens or requests.
+        overload_policy: What to do while engines have too little capacity.
     """
 
     recovery_ms: int = 3_000
@@ -47,6 +61,7 @@
     quota_window_s: float = 8.0
     quota_over: float = 0.1
     quota_slack: float = 190_000.0
+    overload_policy: OverloadPolicy = OverloadPolicy.FORWARD
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinewharf/records/events.py
+++ b/sardinewharf/records/events.py
@@ -326,6 +326,9 @@
     ``learned`` what was learned beyond it, 1.0 for the usual; both are 0
     otherwise. ``reported`` are the requests that it reported in the last half
     second as running or waiting, -1 if it did not.
+    ``places`` are the further requests of this size that all engines had room
+    for, as far as known; -1 if the request was not checked for room.
+    ``held_ms`` is the time for which it waited for room.
     """
 
     request: str
@@ -350,6 +353,8 @@
     slowness: float = 0.0
     learned: float = 0.0
     reported: int = -1
+    places: int = -1
+    held_ms: int = 0
 
 
 class AttemptFailed(Record, tag="attempt_failed"):
