Try a cache store that is not known to lack a prompt

After all gateways had restarted, engines prefilled shared prompts that the cache stores held: a gateway that does not watch a store assumes only prompts whose use it knows to be there, and after a restart it knows of none.

Change: an engine that would have to prefill a shared prompt is told to fetch it from the store unless this gateway watches the store and knows better. A miss costs an engine about a millisecond. Costs are estimated as before.

--- a/sardinewharf/gateway/cache_keys.py
+++ b/sardinewharf/gateway/cache_keys.py
@@ -19,12 +19,14 @@
         store: ``IP:PORT`` of the cache store that the shared prompt belongs
             to; empty if it belongs to none, or none responds.
         is_stored: Whether that store is assumed to hold the prompt.
+        may_be_stored: Whether that store is not known to lack the prompt.
     """
 
     scope: str
     key: int
     store: str
     is_stored: bool
+    may_be_stored: bool
 
 
 class CacheKeys:
@@ -73,6 +75,7 @@
                 key,
                 store.address if store else "",
                 self._prompts.is_stored(key, scope, prompt, store),
+                self._prompts.may_be_stored(scope, prompt, store),
             )
             self._by_version[weights] = cache_key
         return cache_key
--- a/sardinewharf/gateway/prompts.py
+++ b/sardinewharf/gateway/prompts.py
@@ -165,6 +165,22 @@
         is_first = self.stores.is_first_choice(key, store)
         return is_first and key in self._recently_used
 
+    def may_be_stored(
+        self,
+        scope: str,
+        prompt: messages.Prompt,
+        store: cache_stores.CacheStoreIndex | None,
+    ) -> bool:
+        """Returns whether a cache store is not known to lack a shared prompt.
+
+        Only a gateway that watches the store knows that. The others try it, as
+        a miss costs an engine about a millisecond: after a restart they know of
+        no use, but the store still holds the prompts.
+        """
+        if store is None:
+            return False
+        return not store.is_watched or store.holds(scope, prompt)
+
     def find_holder(self, key: int, incarnations: list[str]) -> str | None:
         """Returns the engine that used a prompt most recently, if any."""
         return self._prefix_cache.find_most_recent(key, incarnations)
--- a/sardinewharf/gateway/selection.py
+++ b/sardinewharf/gateway/selection.py
@@ -334,8 +334,9 @@
         """Returns the address to fetch the KV cache of the shared prompt from.
 
         It is the cache store, or else another engine that is known to have it.
-        Without either it is the preferred engine, which may have a part of it:
-        a miss costs little. It is empty if there is none to ask.
+        Without either it is the cache store again, unless that is known to lack
+        it, or the preferred engine, which may have a part of it: a miss costs
+        little. It is empty if there is none to ask.
 
         An engine that is assumed to have it cached gets a source too: it
         fetches only the blocks that are missing.
@@ -353,6 +354,8 @@
             holder = self._prompts.find_holder(cache_key.key, list(others))
         if holder is not None:
             return others[holder].address
+        if cache_key.may_be_stored:
+            return cache_key.store
         return next(
             (e.address for e in others.values() if e.id == choice.preferred),
             "",
--- a/sardinewharf/gateway/tests/test_cache_stores.py
+++ b/sardinewharf/gateway/tests/test_cache_stores.py
@@ -249,3 +249,21 @@
     finally:
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
+
+
+def test_a_store_that_is_not_watched_is_tried():
+    """Guards against prompts that are prefilled again after a restart.
+
+    A restarted gateway knows of no use of a prompt. It had engines prefill
+    prompts that the cache store held all the time.
+    """
+    table = make_table("a:1", "b:1", "c:1")
+    key = prompts.make_key("m/1", _PROMPT)
+    store = table.stores.choose(key)
+    assert not table.is_stored(key, "m/1", _PROMPT, store)
+    assert table.may_be_stored("m/1", _PROMPT, store)
+    store.is_watched = True
+    assert not table.may_be_stored("m/1", _PROMPT, store)
+    store.put("m/1", "aa", 13_000)
+    assert table.may_be_stored("m/1", _PROMPT, store)
+    assert not table.may_be_stored("m/1", _PROMPT, None)
