Close connections whose caller takes nothing of a response

What a caller does not read was counted in memory, but its connection stayed open as long as the caller liked, also after the idle timeout: that closes a connection once all is sent. A caller of which nothing was acknowledged for 60 s is cut off now; the reason is unread_response in connection_ended and _closes_total. A slow reader is not: what the kernel holds counts, and each acknowledged byte starts the time anew.

test_a_caller_that_takes_nothing_is_closed fails without the timer. The tests of http1, test_callers, test_memory, test_connection_records and test_hostile_clients pass.

--- a/sardinewharf/http1/closes.py
+++ b/sardinewharf/http1/closes.py
@@ -23,6 +23,11 @@
 )
 
 
+# Far above the pauses of a caller that reads slowly: a receiver tells of room as
+# soon as a segment fits, which on loopback is 64 KB.
+DEFAULT_UNREAD_S = 60.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLimits:
     """Limits of a connection.
@@ -32,11 +37,14 @@
             and its trailers together.
         header_s: Time in which the headers must arrive, in seconds.
         idle_s: Time for which a connection may stay idle, in seconds.
+        unread_s: Time in which a caller must take something of a response that
+            waits to be sent, in seconds.
     """
 
     header_bytes: int
     header_s: float
     idle_s: float
+    unread_s: float = DEFAULT_UNREAD_S
 
 
 class CloseReason(enum.Enum):
@@ -49,6 +57,8 @@
             many bytes came in a chunked body without any data.
         MALFORMED: The request cannot be parsed.
         EARLIER_RESPONSE: An earlier response closed the connection.
+        UNREAD_RESPONSE: The caller has not taken anything of a response for
+            long.
         OUT_OF_MEMORY: The memory for what callers send is used up.
     """
 
@@ -57,6 +67,7 @@
     TRAILERS_TOO_LARGE = "trailers_too_large"
     MALFORMED = "malformed"
     EARLIER_RESPONSE = "earlier_response"
+    UNREAD_RESPONSE = "unread_response"
     OUT_OF_MEMORY = "out_of_memory"
 
 
--- a/sardinewharf/http1/pipelines.py
+++ b/sardinewharf/http1/pipelines.py
@@ -15,6 +15,11 @@
     False
 """
 
+import asyncio
+import fcntl
+import struct
+import termios
+
 from uvicorn.protocols.http import flow_control
 
 # The connection is not read while so many bytes wait. It is the size of one
@@ -98,3 +103,10 @@
         """Reads on, unless it is held."""
         if not self.is_held:
             super().resume_reading()
+
+
+def count_unsent(transport: asyncio.WriteTransport) -> int:
+    """Returns how many written bytes the peer has not acknowledged."""
+    sock = transport.get_extra_info("socket")
+    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -59,7 +59,8 @@
 
     What comes behind a request is parsed until another request is queued; the
     rest waits as bytes. No request begins, and nothing is parsed, before all of
-    an earlier response was taken by the transport's socket.
+    an earlier response was taken by the transport's socket. A connection whose
+    caller takes nothing of a response for long is closed.
 
     The size of a head that begins behind another request in one piece is
     counted without a header that is not complete.
@@ -126,12 +127,14 @@
         # Why a request is rejected once no response is outstanding; nothing is
         # read any more.
         self._rejection: closes.CloseReason | None = None
+        self._unread_timer: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the application, and stops the timer."""
         self._stop_head_timer()
+        self._stop_unread_timer()
         self._unread.close()
         self._unsent.close()
         if exc is None and not self._has_caller_ended:
@@ -157,14 +160,20 @@
         self._count_unread()
 
     def pause_writing(self) -> None:
-        """Counts what the caller does not read; called by the transport."""
+        """Counts and times what the caller does not read.
+
+        Called by the transport.
+        """
         super().pause_writing()
         self._unsent.resize(self.transport.get_write_buffer_size())
+        if self._unread_timer is None:
+            self._start_unread_timer()
 
     def resume_writing(self) -> None:
         """Ends the count; called by the transport."""
         super().resume_writing()
         self._unsent.resize(0)
+        self._stop_unread_timer()
         if self._is_delivering:
             self._is_delivering = False
             self._go_on()
@@ -502,6 +511,27 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _start_unread_timer(self) -> None:
+        self._unread_timer = self.loop.call_later(
+            type(self).read_limits().unread_s,
+            self._end_unread_response,
+            pipelines.count_unsent(self.transport),
+        )
+
+    def _stop_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
+    def _end_unread_response(self, unsent_before: int) -> None:
+        """Closes the connection if the caller has taken nothing since."""
+        self._unread_timer = None
+        if pipelines.count_unsent(self.transport) < unsent_before:
+            self._start_unread_timer()
+            return
+        self._rejection = closes.CloseReason.UNREAD_RESPONSE
+        self.transport.abort()
+
     def _end_slow_head(self) -> None:
         """Closes the connection, as the headers did not arrive in time."""
         self._head_timer = None
--- a/sardinewharf/http1/tests/test_server_limits.py
+++ b/sardinewharf/http1/tests/test_server_limits.py
@@ -1,6 +1,8 @@
 """Tests the server's limits on what a connection sends, without a gateway."""
 
 import asyncio
+import dataclasses
+import socket
 import types
 
 import httptools
@@ -203,6 +205,48 @@
     writer.close()
 
 
+async def test_a_caller_that_takes_nothing_is_closed(served):
+    """Guards against descriptors that are held as long as a caller likes."""
+    served.limits = dataclasses.replace(served.limits, unread_s=0.2)
+    request = b"POST / HTTP/1.1\r\ncontent-length: 500000\r\n\r\n"
+    _, writer = await served.connect()
+    writer.transport.pause_reading()
+    writer.write((request + b"x" * 500_000) * 40)
+    async with asyncio.timeout(_READ_S):
+        while not served.reports:
+            await asyncio.sleep(0.02)
+    reason = closes.CloseReason.UNREAD_RESPONSE
+    assert [report.reason for report in served.reports] == [reason]
+    assert not served.server.connections
+    assert not served.account.held_bytes
+    writer.close()
+
+
+async def test_a_caller_that_reads_slowly_is_served(served):
+    """Guards against a limit that counts a slow reader as none."""
+    served.limits = dataclasses.replace(served.limits, unread_s=0.2)
+    body = b"x" * 1_000_000
+    request = b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n%b" % (
+        len(body),
+        body,
+    )
+    host, _, port = served.address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+    sock.connect((host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=16_384)
+    writer.write(request * 6)
+    received = 0
+    while received < 6 * len(body):
+        async with asyncio.timeout(_READ_S):
+            piece = await reader.read(200_000)
+        assert piece
+        received += len(piece)
+        await asyncio.sleep(0.005)
+    assert not served.reports
+    writer.close()
+
+
 async def test_a_half_close_behind_many_requests_ends_the_connection(served):
     """Guards against a connection kept open once all is answered."""
     data, bodies = make_requests(300)
