--- a/sardinewharf/bench/tests/hostile.py
+++ b/sardinewharf/bench/tests/hostile.py
@@ -37,15 +37,8 @@
     """
     async with memory.run_gateway(MEMORY_MB, _LIMITS, folder) as bench:
         sampling = asyncio.ensure_future(bench.sample_memory())
-        address = pick_address(bench)
-        piece = repeated * (_PIECE_BYTES // len(repeated))
         with contextlib.ExitStack() as sockets:
-            await asyncio.gather(
-                *(
-                    _send(sockets, address, start, piece)
-                    for _ in range(_CLIENTS)
-                )
-            )
+            await play(sockets, pick_address(bench), start, repeated)
             response = await bench.harness.send_request(
                 "/look/sound", x_sardinewharf_deadline_ms="15000"
             )
@@ -57,6 +50,14 @@
         assert (response.status, response.is_complete) == (200, True)
 
 
+async def play(sockets, address, start, repeated):
+    """Plays the clients; their sockets stay open until the stack is closed."""
+    piece = repeated * (_PIECE_BYTES // len(repeated))
+    await asyncio.gather(
+        *(_send(sockets, address, start, piece) for _ in range(_CLIENTS))
+    )
+
+
 async def _send(sockets, address, start, piece):
     """Sends until the time is up or the gateway closes the connection."""
     host, _, port = address.rpartition(":")
--- a/sardinewharf/http1/closes.py
+++ b/sardinewharf/http1/closes.py
@@ -23,8 +23,8 @@
 )
 
 
-# Far above the pauses of a caller that reads slowly: a receiver tells of room as
-# soon as a segment fits, which on loopback is 64 KB.
+# Far above the pauses of a caller that reads slowly: a receiver tells of room
+# as soon as a segment fits, which on loopback is 64 KB.
 DEFAULT_UNREAD_S = 60.0
 
 
