--- a/sardinewharf/bench/tests/hostile.py
+++ b/sardinewharf/bench/tests/hostile.py
@@ -18,6 +18,10 @@
 _CLIENTS = 8
 _SECONDS = 4.0
 _PIECE_BYTES = 65_536
+# Callers that send a large head and wait, and for how long: less than the head
+# may take, so that they are all there at once.
+_SLOW_CLIENTS = 200
+_SLOW_S = 0.8
 _LIMITS = {
     "max_header_bytes": 16_384,
     "max_body_bytes": 65_536,
@@ -43,11 +47,32 @@
                 "/look/sound", x_sardinewharf_deadline_ms="15000"
             )
         sampling.cancel()
-        print(f"{bench.peak_bytes / 1e6:.0f} MB, {bench.peak_descriptors} fds")
-        assert bench.process.returncode is None
-        assert bench.peak_bytes <= _MAX_PEAK_BYTES
-        assert bench.peak_descriptors <= _MAX_DESCRIPTORS
-        assert (response.status, response.is_complete) == (200, True)
+        _check_bench(bench, response, _MAX_DESCRIPTORS)
+
+
+async def check_slow(folder, data):
+    """Plays many callers that send some bytes and wait, as ``check`` does."""
+    async with memory.run_gateway(MEMORY_MB, _LIMITS, folder) as bench:
+        sampling = asyncio.ensure_future(bench.sample_memory())
+        with contextlib.ExitStack() as sockets:
+            await asyncio.gather(
+                *(
+                    _connect(sockets, bench.front, data)
+                    for _ in range(_SLOW_CLIENTS)
+                )
+            )
+            await asyncio.sleep(_SLOW_S)
+            response = await bench.harness.send_request("/look/sound")
+        sampling.cancel()
+        _check_bench(bench, response, _SLOW_CLIENTS + _MAX_DESCRIPTORS)
+
+
+def _check_bench(bench, response, max_descriptors):
+    print(f"{bench.peak_bytes / 1e6:.0f} MB, {bench.peak_descriptors} fds")
+    assert bench.process.returncode is None
+    assert bench.peak_bytes <= _MAX_PEAK_BYTES
+    assert bench.peak_descriptors <= max_descriptors
+    assert (response.status, response.is_complete) == (200, True)
 
 
 async def play(sockets, address, start, repeated):
@@ -58,17 +83,24 @@
     )
 
 
-async def _send(sockets, address, start, piece):
-    """Sends until the time is up or the gateway closes the connection."""
+async def _connect(sockets, address, data):
+    """Returns a connection on which some bytes were sent."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     sock = sockets.enter_context(socket.socket())
     sock.setblocking(False)
+    await loop.sock_connect(sock, (host, int(port)))
+    await loop.sock_sendall(sock, data)
+    return sock
+
+
+async def _send(sockets, address, start, piece):
+    """Sends until the time is up or the gateway closes the connection."""
+    loop = asyncio.get_running_loop()
     end = clocks.Deadline.after(_SECONDS)
     with contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout_at(end.at):
-            await loop.sock_connect(sock, (host, int(port)))
-            await loop.sock_sendall(sock, start)
+            sock = await _connect(sockets, address, start)
             while True:
                 await loop.sock_sendall(sock, piece)
 
