Leave owned quotas to others at a shutdown, and explain over_quota

A gateway that is stopped now states at once that it keeps no quotas, so that no request waits for it in vain. The absence of an owner that lasts for 3 s needs no probes of the majority, which made each rare request wait 30 ms. A quota that is configured hours after the start found no active owner for 3 s, since no gateway knew since when it was registered; the membership is noted without quotas, too.

sardinewharf explain names the owner that had not responded.

--- a/sardinewharf/gateway/quotas.py
+++ b/sardinewharf/gateway/quotas.py
@@ -26,6 +26,8 @@
 from sardinewharf.gateway import settings as settings_lib
 
 _TICK_S = 0.1
+# The same while no organisation has a quota.
+_IDLE_TICK_S = 0.5
 # Gateways that may keep a quota; more are not out of reach at the same time.
 _MAX_RANK = 6
 # Size of the random number from which a process numbers its asks.
@@ -131,7 +133,7 @@
         self._owner.on_takeover = lambda organisation: log.write(
             records.events.QuotaTakenOver(organisation)
         )
-        self._borrower.on_silence = lambda name: log.write(
+        self._borrower.candidates.on_silence = lambda name: log.write(
             records.events.QuotaOwnerSilent(name)
         )
 
@@ -157,7 +159,8 @@
         )
         if not cost:
             return None
-        self._update_members()
+        if not self._directory.members:
+            self._update_members()
         charge = self._borrower.begin(
             organisation.name,
             organisation.quota,
@@ -191,15 +194,25 @@
                     async with asyncio.timeout_at(charge.next_at):
                         await settled.wait()
                 self._borrower.advance(charge, clocks.read_monotonic())
+        except BaseException:
+            self._borrower.give_back(charge, clocks.read_monotonic())
+            raise
         finally:
             self._borrower.cancel(charge)
 
     async def run(self) -> None:
         """Reports what was returned, and notices pauses, until cancelled."""
         while True:
-            await asyncio.sleep(_TICK_S)
             if self._directory.has_quotas():
                 self._tick()
+                await asyncio.sleep(_TICK_S)
+            else:
+                self._update_members()
+                await asyncio.sleep(_IDLE_TICK_S)
+
+    def resign(self) -> None:
+        """Leaves the quotas that this gateway owns to others."""
+        self._owner.resign()
 
     def _tick(self) -> None:
         self._update_members()
@@ -219,8 +232,10 @@
             self._metrics.count_quota_use(organisation, unit, cost)
 
     def _update_members(self) -> None:
+        now = clocks.read_monotonic()
         if self._directory.update():
-            self._owner.handle_members_change(clocks.read_monotonic())
+            self._owner.handle_members_change(now)
+        self._owner.check_membership(now)
 
     def record_digest(self, digest: digests.Digest) -> None:
         """Records that a gateway was heard."""
@@ -246,7 +261,6 @@
         if isinstance(message, quotas.Grant):
             self._borrower.handle_grant(message, now)
             return
-        self._update_members()
         if isinstance(message, quotas.Probe):
             is_active = self._owner.is_active(now)
             self.send(address, quotas.ProbeResponse(self._name, is_active))
--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -273,6 +273,7 @@
     def stop(self) -> None:
         """Starts a graceful shutdown; the grace period begins now."""
         self._shutdown.begin(self._settings.guarantees.grace_ms / 1000)
+        self._quota_gate.resign()
         self._stopping.set()
 
     async def run(self) -> None:
--- a/sardinewharf/quotas/__init__.py
+++ b/sardinewharf/quotas/__init__.py
@@ -7,17 +7,19 @@
     settings: By how much quotas may be exceeded.
     messages: What gateways send each other.
     directory: What has to be known of configuration and fleet.
-    quorum: Whether most other gateways are in reach.
     presence: Which gateways are heard, and keep their quotas.
     owner: Keeps the quotas that a gateway owns.
+    quorum: Whether most other gateways are in reach.
+    charges: The charge of one request.
     accounts: What a gateway has of a quota.
+    candidates: Which gateways are asked.
     borrower: Gets tokens from the owners.
 """
 
 from sardinewharf.quotas.borrower import Borrower
-from sardinewharf.quotas.borrower import Charge
-from sardinewharf.quotas.borrower import State
 from sardinewharf.quotas.buckets import DebtBucket
+from sardinewharf.quotas.charges import Charge
+from sardinewharf.quotas.charges import State
 from sardinewharf.quotas.directory import Directory
 from sardinewharf.quotas.messages import Ask
 from sardinewharf.quotas.messages import Grant
--- a/sardinewharf/quotas/borrower.py
+++ b/sardinewharf/quotas/borrower.py
@@ -11,11 +11,12 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-import enum
 import math
 
 from sardinewharf import catalog
 from sardinewharf.quotas import accounts
+from sardinewharf.quotas import candidates
+from sardinewharf.quotas import charges
 from sardinewharf.quotas import directory as directory_lib
 from sardinewharf.quotas import messages
 from sardinewharf.quotas import presence as presence_lib
@@ -29,12 +30,6 @@
 # Requests of an organisation that ask at the same time; others wait for their
 # responses, which may cover them.
 _MAX_ASKING = 4
-# Gateways that are asked for one request.
-_MAX_ASKED = 3
-# A gateway that keeps no quotas now is asked again after this time, in seconds.
-_INACTIVE_S = 0.3
-# Time between two probes of a gateway that did not respond, in seconds.
-_PROBE_S = 1.0
 # A response counts for this long after its ask, in seconds: tokens granted long
 # ago belong to a window that has passed.
 _RESPONSE_S = 1.0
@@ -54,61 +49,6 @@
 _IN_ADVANCE = "in advance"
 
 
-class State(enum.Enum):
-    """How far the charge of a request is."""
-
-    PENDING = "pending"
-    ADMITTED = "admitted"
-    OVER_QUOTA = "over_quota"
-    UNOWNED = "unowned"
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Charge:
-    """The charge of one request.
-
-    Attributes:
-        organisation: Name of the organisation.
-        quota: Its quota.
-        cost: Cost of the request.
-        begun_at: When it was begun.
-        state: Whether the request is admitted; ``UNOWNED`` if no owner
-            responded and the request is refused.
-        next_at: When the charge has to be advanced while it is pending.
-        wait_s: Time after which the request would be admitted, if it is
-            refused.
-        owner: The gateway that decided; empty if none did.
-        on_settled: Called when it is no longer pending.
-        candidates: The gateways that are asked, the first of them now.
-        ask: The last ask; None before the first one.
-        asked_at: When it was first sent.
-        give_up_at: When the next gateway is asked.
-        has_restarted: Whether a gateway has said that one before it in rank
-            keeps the quota.
-        is_held: Whether it waits to ask the next gateway, not for a response.
-        is_asking: Whether it awaits a response.
-        holds: How often it was denied and waited.
-    """
-
-    organisation: str
-    quota: catalog.Quota
-    cost: int
-    begun_at: float
-    state: State = State.ADMITTED
-    next_at: float = math.inf
-    wait_s: float = 0.0
-    owner: str = ""
-    on_settled: Callable[[], None] | None = None
-    candidates: list[str] = dataclasses.field(default_factory=list)
-    ask: messages.Ask | None = None
-    asked_at: float = -math.inf
-    give_up_at: float = math.inf
-    has_restarted: bool = False
-    is_held: bool = False
-    is_asking: bool = False
-    holds: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class _Sent:
     """An ask that awaits its response.
@@ -124,7 +64,7 @@
     ask: messages.Ask
     to: str
     at: float
-    charge: Charge | None
+    charge: charges.Charge | None
     repeats: int = 0
 
 
@@ -142,7 +82,7 @@
             begin with.
 
     Attributes:
-        on_silence: Called with the name of a gateway that did not respond.
+        candidates: Chooses the gateways that are asked.
         counts: Numbers of messages by kind, for the metrics.
     """
 
@@ -159,25 +99,20 @@
         self._bounds = bounds
         self._directory = directory
         self._peers = peers
+        self.candidates = candidates.Candidates(directory, peers)
         self._send = send
         self._number = first_number
         self._accounts: dict[str, accounts.Account] = {}
         self._sent: dict[int, _Sent] = {}
         # Organisations with an ask in advance that awaits its response.
         self._asked_in_advance: set[str] = set()
-        # When gateways did not respond, and until when those are not asked that
-        # keep no quotas.
-        self._silent: dict[str, float] = {}
-        self._inactive_until: dict[str, float] = {}
-        self._probed_at = -math.inf
-        self.on_silence: Callable[[str], None] = lambda name: None
         self.counts = collections.Counter[str]()
 
     def begin(
         self, organisation: str, quota: catalog.Quota, cost: int, now: float
-    ) -> Charge:
+    ) -> charges.Charge:
         """Begins to charge a request; most are settled at once."""
-        charge = Charge(organisation, quota, cost, now)
+        charge = charges.Charge(organisation, quota, cost, now)
         account = self._accounts.get(organisation)
         if account is None:
             account = self._accounts[organisation] = accounts.Account()
@@ -189,20 +124,20 @@
                 self._ask_in_advance(organisation, account, now)
             return charge
         if now < account.blocked_until:
-            charge.state = State.OVER_QUOTA
+            charge.state = charges.State.OVER_QUOTA
             charge.wait_s = account.refuse(cost, quota.rate, now)
             return charge
-        charge.state = State.PENDING
+        charge.state = charges.State.PENDING
         if account.asking >= self._count_askers(account, now):
             self._queue(charge, account, now)
         else:
-            charge.candidates = self._list_candidates(organisation, now)
+            charge.candidates = self.candidates.list_usable(organisation, now)
             self._ask_next(charge, now)
         return charge
 
-    def advance(self, charge: Charge, now: float) -> None:
+    def advance(self, charge: charges.Charge, now: float) -> None:
         """Repeats the ask of a pending charge, or asks the next gateway."""
-        if charge.state is not State.PENDING or now < charge.next_at:
+        if charge.state is not charges.State.PENDING or now < charge.next_at:
             return
         if now < charge.give_up_at:
             self._repeat(charge, now)
@@ -210,26 +145,26 @@
         if charge.is_held:
             charge.is_held = False
             if not charge.candidates:
-                charge.candidates = self._list_candidates(
+                charge.candidates = self.candidates.list_usable(
                     charge.organisation, now
                 )
         else:
             asked = charge.candidates.pop(0)
             heard_at = self._peers.find_last_heard(asked)
             if asked != self._name and heard_at < charge.asked_at:
-                self._record_silence(asked, now)
+                self.candidates.record_silence(asked, now)
         self._ask_next(charge, now)
 
-    def cancel(self, charge: Charge) -> None:
+    def cancel(self, charge: charges.Charge) -> None:
         """Ends the charge of a request whose caller has left."""
-        if charge.state is State.PENDING:
-            self._settle(charge, State.UNOWNED, "")
+        if charge.state is charges.State.PENDING:
+            self._settle(charge, charges.State.UNOWNED, "")
 
-    def give_back(self, charge: Charge, now: float) -> None:
+    def give_back(self, charge: charges.Charge, now: float) -> None:
         """Returns the tokens of a request that has not run and will not."""
-        if charge.state is not State.ADMITTED or not charge.cost:
+        if charge.state is not charges.State.ADMITTED or not charge.cost:
             return
-        charge.state = State.UNOWNED
+        charge.state = charges.State.UNOWNED
         account = self._accounts[charge.organisation]
         account.used -= charge.cost
         if charge.owner and now - charge.begun_at <= _RETURN_S:
@@ -264,7 +199,7 @@
         return _MAX_ASKING
 
     def _queue(
-        self, charge: Charge, account: accounts.Account, now: float
+        self, charge: charges.Charge, account: accounts.Account, now: float
     ) -> None:
         """Makes a request wait for the responses to earlier ones."""
         account.queued.append(charge)
@@ -275,18 +210,20 @@
         account = self._accounts[organisation]
         queued, account.queued = account.queued, []
         for charge in queued:
-            if charge.state is not State.PENDING or not charge.is_held:
+            if charge.state is not charges.State.PENDING or not charge.is_held:
                 continue
             if account.take(charge.cost, now):
-                self._settle(charge, State.ADMITTED, _IN_ADVANCE)
+                self._settle(charge, charges.State.ADMITTED, _IN_ADVANCE)
             elif now < account.blocked_until:
                 charge.wait_s = account.refuse(
                     charge.cost, charge.quota.rate, now
                 )
-                self._settle(charge, State.OVER_QUOTA, "")
+                self._settle(charge, charges.State.OVER_QUOTA, "")
             elif account.asking < self._count_askers(account, now):
                 charge.is_held = False
-                charge.candidates = self._list_candidates(organisation, now)
+                charge.candidates = self.candidates.list_usable(
+                    organisation, now
+                )
                 self._ask_next(charge, now)
             else:
                 account.queued.append(charge)
@@ -297,10 +234,10 @@
         account = self._accounts[sent.ask.organisation]
         tokens = grant.tokens
         charge = sent.charge
-        if charge is not None and charge.state is State.PENDING:
+        if _is_pending(charge):
             tokens -= charge.cost
             account.used += charge.cost
-            self._settle(charge, State.ADMITTED, grant.sender)
+            self._settle(charge, charges.State.ADMITTED, grant.sender)
         if tokens > 0:
             account.add(tokens, now)
         if grant.wait_ms and grant.tokens < sent.ask.tokens + sent.ask.extra:
@@ -312,7 +249,7 @@
     ) -> None:
         wait_s = grant.wait_ms / 1000
         charge = sent.charge
-        is_waiting = charge is not None and charge.state is State.PENDING
+        is_waiting = _is_pending(charge)
         account = self._accounts[sent.ask.organisation]
         pause_s = account.find_pause(len(self._directory.members))
         may_hold = wait_s <= _MAX_HOLD_S and not pause_s
@@ -323,7 +260,7 @@
         account.record_denial(wait_s, grant.blocked_ms / 1000, pause_s, now)
         if is_waiting:
             charge.wait_s = wait_s
-            self._settle(charge, State.OVER_QUOTA, grant.sender)
+            self._settle(charge, charges.State.OVER_QUOTA, grant.sender)
 
     def _handle_wrong_owner(
         self, sent: _Sent, grant: messages.Grant, now: float
@@ -333,40 +270,33 @@
         account.returned += sent.ask.returned
         account.refused += sent.ask.refused
         charge = sent.charge
-        is_waiting = charge is not None and charge.state is State.PENDING
+        is_waiting = _is_pending(charge)
         if grant.verdict is messages.Verdict.INACTIVE:
-            self._inactive_until[grant.sender] = now + _INACTIVE_S
+            self.candidates.record_inactive(grant.sender, now)
             if is_waiting and charge.candidates[:1] == [grant.sender]:
                 charge.candidates.pop(0)
                 self._ask_next(charge, now)
             return
         # A gateway of a better rank keeps the quota.
-        rank = list(self._directory.rank(sent.ask.organisation))
-        if grant.sender in rank:
-            for name in rank[: rank.index(grant.sender)]:
-                self._silent.pop(name, None)
-                self._inactive_until.pop(name, None)
+        self.candidates.restore_before(sent.ask.organisation, grant.sender)
         if is_waiting and charge.has_restarted:
             self._decide_unowned(charge, now)
         elif is_waiting:
             charge.has_restarted = True
-            charge.candidates = self._list_candidates(charge.organisation, now)
+            charge.candidates = self.candidates.list_usable(
+                charge.organisation, now
+            )
             self._ask_next(charge, now)
 
     def tick(self, now: float) -> None:
         """Reports what was returned, several times a second."""
         for organisation, account in self._accounts.items():
             account.drop_expired(now)
+            account.queued = [c for c in account.queued if _is_pending(c)]
             if account.returned:
                 self._ask_in_advance(organisation, account, now)
         self._drop_old_asks(now)
-        if now - self._probed_at >= _PROBE_S:
-            self._probed_at = now
-            for name in list(self._silent):
-                if name not in self._directory.members:
-                    del self._silent[name]
-                elif self._is_silent(name):
-                    self._peers.probe(name, now)
+        self.candidates.probe_silent(now)
 
     def list_use(self) -> dict[str, int]:
         """Returns the cost of the admitted requests, by organisation."""
@@ -388,39 +318,7 @@
                 sent.repeats += 1
                 self._send(sent.to, sent.ask)
 
-    def _list_responsive(self, organisation: str) -> list[str]:
-        """Returns the gateways that responded that they keep no quotas."""
-        return [
-            name
-            for name in self._directory.rank(organisation)
-            if name in self._inactive_until and not self._is_silent(name)
-        ][:_MAX_ASKED]
-
-    def _list_candidates(self, organisation: str, now: float) -> list[str]:
-        """Returns the gateways to ask, in order."""
-        return [
-            name
-            for name in self._directory.rank(organisation)
-            if not self._is_silent(name)
-            and now >= self._inactive_until.get(name, -math.inf)
-        ][:_MAX_ASKED]
-
-    def _is_silent(self, name: str) -> bool:
-        """Returns whether a gateway did not respond and was not heard since."""
-        at = self._silent.get(name)
-        if at is None:
-            return False
-        if self._peers.find_last_heard(name) > at:
-            del self._silent[name]
-            return False
-        return True
-
-    def _record_silence(self, name: str, now: float) -> None:
-        if name not in self._silent:
-            self.on_silence(name)
-        self._silent[name] = now
-
-    def _ask_next(self, charge: Charge, now: float) -> None:
+    def _ask_next(self, charge: charges.Charge, now: float) -> None:
         """Asks the next gateway, or decides without an owner."""
         if not charge.candidates:
             self._wait_or_decide(charge, now)
@@ -437,30 +335,34 @@
         charge.next_at = now + _REPEAT_S
         self._dispatch(charge.ask, charge.candidates[0], charge, now)
 
-    def _wait_or_decide(self, charge: Charge, now: float) -> None:
+    def _wait_or_decide(self, charge: charges.Charge, now: float) -> None:
         """Waits for a gateway to keep quotas, or decides without an owner."""
         has_time = now + _ASK_AGAIN_S < charge.begun_at + _ACTIVATION_S
-        responsive = self._list_responsive(charge.organisation)
+        responsive = self.candidates.list_responsive(charge.organisation)
         if has_time and responsive:
             self._hold(charge, responsive, _ASK_AGAIN_S, now)
         else:
             self._decide_unowned(charge, now)
 
     def _hold(
-        self, charge: Charge, candidates: list[str], wait_s: float, now: float
+        self,
+        charge: charges.Charge,
+        gateways: list[str],
+        wait_s: float,
+        now: float,
     ) -> None:
         """Makes a request wait before it asks."""
         charge.is_held = True
         self._set_asking(charge, False)
-        charge.candidates = candidates
+        charge.candidates = gateways
         charge.next_at = charge.give_up_at = now + wait_s
 
-    def _repeat(self, charge: Charge, now: float) -> None:
+    def _repeat(self, charge: charges.Charge, now: float) -> None:
         charge.next_at = min(now + _REPEAT_S, charge.give_up_at)
         self.counts["repeated"] += 1
         self._send(charge.candidates[0], charge.ask)
 
-    def _decide_unowned(self, charge: Charge, now: float) -> None:
+    def _decide_unowned(self, charge: charges.Charge, now: float) -> None:
         """Admits a request by this gateway's share of the slack, or not."""
         share = self._bounds.find_unowned_share(
             charge.quota, len(self._directory.members)
@@ -470,10 +372,14 @@
         )
         self.counts["unowned"] += 1
         self._settle(
-            charge, State.ADMITTED if is_admitted else State.UNOWNED, ""
+            charge,
+            charges.State.ADMITTED if is_admitted else charges.State.UNOWNED,
+            "",
         )
 
-    def _settle(self, charge: Charge, state: State, owner: str) -> None:
+    def _settle(
+        self, charge: charges.Charge, state: charges.State, owner: str
+    ) -> None:
         charge.state = state
         self._set_asking(charge, False)
         charge.owner = owner
@@ -481,7 +387,7 @@
         if charge.on_settled is not None:
             charge.on_settled()
 
-    def _set_asking(self, charge: Charge, is_asking: bool) -> None:
+    def _set_asking(self, charge: charges.Charge, is_asking: bool) -> None:
         if charge.is_asking is not is_asking:
             charge.is_asking = is_asking
             account = self._accounts[charge.organisation]
@@ -493,14 +399,14 @@
         """Asks for tokens of later requests, and reports what is returned."""
         if organisation in self._asked_in_advance:
             return
-        candidates = self._list_candidates(organisation, now)
-        if not candidates:
+        gateways = self.candidates.list_usable(organisation, now)
+        if not gateways:
             account.returned = 0
             return
         ask = self._make_ask(organisation, account)
         ask.returned, account.returned = account.returned, 0
         self._asked_in_advance.add(organisation)
-        self._dispatch(ask, candidates[0], None, now)
+        self._dispatch(ask, gateways[0], None, now)
 
     def _make_ask(
         self, organisation: str, account: accounts.Account, tokens: int = 0
@@ -518,8 +424,16 @@
         )
 
     def _dispatch(
-        self, ask: messages.Ask, to: str, charge: Charge | None, now: float
+        self,
+        ask: messages.Ask,
+        to: str,
+        charge: charges.Charge | None,
+        now: float,
     ) -> None:
         self.counts["asked"] += 1
         self._sent[ask.number] = _Sent(ask, to, now, charge)
         self._send(to, ask)
+
+
+def _is_pending(charge: charges.Charge | None) -> bool:
+    return charge is not None and charge.state is charges.State.PENDING
--- a/sardinewharf/quotas/owner.py
+++ b/sardinewharf/quotas/owner.py
@@ -37,6 +37,9 @@
 _BUSY_SHARE = 0.5
 # Time between two checks whether the gateway is active, in seconds.
 _CHECK_S = 0.05
+# In this time since others are absent, most gateways have to respond to probes.
+# Later, digests would show that this gateway is cut off instead, in seconds.
+_RECENT_S = 3.0
 # Time in which a gateway that is cut off notices it, and share of the rate at
 # which another one fills its bucket meanwhile.
 _NOTICE_S = 0.6
@@ -99,6 +102,7 @@
         self._quorum = quorum_lib.Quorum(name, directory, peers)
         self._started_at = now
         self._member_since: float | None = None
+        self._has_resigned = False
         # When a gateway was last registered or removed.
         self._members_changed_at = now
         self._checked_at = now
@@ -129,18 +133,29 @@
         self._checked_at = now
         if elapsed > _FROZEN_S:
             self._active_since = None
-        is_member = self._name in self._directory.members
-        if not is_member:
-            self._member_since = None
-        elif self._member_since is None:
-            self._member_since = now
-        if not is_member or not self._may_be_active(now):
+        self.check_membership(now)
+        if self._member_since is None or not self._may_be_active(now):
             self._active_since = None
             self._tenures.clear()
         elif self._active_since is None:
             self._active_since = now
 
+    def check_membership(self, now: float) -> None:
+        """Notices that this gateway is registered; cheaper than ``check``."""
+        if self._name not in self._directory.members:
+            self._member_since = None
+        elif self._member_since is None:
+            self._member_since = now
+
+    def resign(self) -> None:
+        """Keeps no quotas any more, since the process will exit."""
+        self._has_resigned = True
+        self._active_since = None
+        self._tenures.clear()
+
     def _may_be_active(self, now: float) -> bool:
+        if self._has_resigned:
+            return False
         if self._is_fleet_new(now):
             return True
         has_joined = now - self._member_since >= _JOIN_S
@@ -257,11 +272,17 @@
         if presence_lib.Presence.ACTIVE in found:
             self._tenures.pop(organisation, None)
             return messages.Verdict.REDIRECTED
-        if before and not self._quorum.is_reached(now):
-            is_lost = self._quorum.has_lost(now)
-            return messages.Verdict.INACTIVE if is_lost else None
         if presence_lib.Presence.UNKNOWN in found:
+            # The answer to both questions is needed soon.
+            self._quorum.require(now)
             return None
+        is_recent = any(
+            now - self._peers.find_absence(name)[0] < _RECENT_S
+            for name in before
+        )
+        if is_recent and not self._quorum.is_reached(now):
+            is_lost = self._quorum.has_lost(now)
+            return messages.Verdict.INACTIVE if is_lost else None
         return self._keep_tenure(organisation, quota, before, now)
 
     def _keep_tenure(
--- a/sardinewharf/records/histories.py
+++ b/sardinewharf/records/histories.py
@@ -40,6 +40,8 @@
         "replica_stale",
         "replica_confirmed",
         "gateway_fault",
+        "quota_owner_silent",
+        "quota_taken_over",
     }
 )
 _ENDPOINT_EVENTS = frozenset(
@@ -228,6 +230,12 @@
     text = f"{end.vm} refused it ({end.get('reason')}): {end.get('detail')}."
     if end.get("reason") == "not_current":
         return text + _describe_lost_contact(history, end)
+    if end.get("reason") == "over_quota":
+        return (
+            text
+            + promises.judge_refusal(history.lines, end)
+            + _describe_quota_owner(history, end)
+        )
     return (
         text
         + promises.judge_refusal(history.lines, end)
@@ -254,6 +262,22 @@
     return _describe_context(history, end)
 
 
+def _describe_quota_owner(history: History, end: lines_lib.Line) -> str:
+    """Describes which gateways did not respond to asks for tokens before."""
+    silent = [
+        line
+        for line in history.context
+        if line.event == "quota_owner_silent" and line.time <= end.time
+    ]
+    if not silent:
+        return ""
+    last = silent[-1]
+    return (
+        f" {last.get('gateway')} had not responded to an ask for tokens,"
+        f" noticed {_format_offset(last, end)}."
+    )
+
+
 def _format_offset(line: lines_lib.Line, end: lines_lib.Line) -> str:
     """Returns how long before or after a request's end a line was written."""
     seconds = end.time - line.time
--- a/sardinewharf/records/tests/test_histories.py
+++ b/sardinewharf/records/tests/test_histories.py
@@ -167,3 +167,24 @@
         ),
     )
     assert "endpoint_leaving (e1)" in cause
+
+
+def test_a_refusal_beyond_a_quota_names_the_owner_that_was_silent():
+    """The refusal of a request without an owner gave no cause."""
+    cause = explain(
+        (1.0, "quota_owner_silent", {"gateway": "vm-3"}),
+        (
+            3.0,
+            "request_refused",
+            {
+                "request": "r",
+                "reason": "over_quota",
+                "status": 429,
+                "detail": "no gateway that keeps the quota responded",
+            },
+        ),
+    )
+    assert "(over_quota)" in cause
+    assert "It was sent to no endpoint." in cause
+    assert "vm-3 had not responded" in cause
+    assert "2.0 s before" in cause
