--- a/sardinewharf/quotas/quorum.py
+++ b/sardinewharf/quotas/quorum.py
@@ -74,7 +74,7 @@
         """Ends a round and begins the next, when it is time."""
         if now >= self._required_until or now - self._probed_at < _ROUND_S:
             return
-        if now - self._probed_at < 2 * _ROUND_S:
+        if now - self._probed_at < 3 * _ROUND_S:
             self._has_lost = not self._is_confirmed()
         self._probed_at = now
         self._probed = self._choose(now)
