Let the cost of an engine grow with its queue, and spread it

Cause: a queued request cost 15 ms, about a quarter of what it waits, so that a long prompt joined 29 others beside idle engines. And gateways that know the same chose the same engine until they heard of each other.

Change: only for engines that report their slowness, the cost of a queue grows with its square, relative to what runs (memory may be full while slots are free), and known delays count up to three times, at random.

Evidence: four of the new cases of test_uneven_engines.py fail with both constants at 0 and pass with them.

--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import random
 
 from sardinewharf import catalog
 from sardinewharf import fleet
@@ -56,6 +57,17 @@
 _SHORT_PROMPT_MISPLACEMENT_MS = 20.0
 # Cost of each request that would be queued for a slot.
 _MS_PER_QUEUED_REQUEST = 15.0
+# Cost of a queue of as many requests as the engine runs, if it reports its
+# slowness, beyond that of each request. It grows with the square of the queue:
+# a queue of 17 requests for 24 slots, about a second, costs more than computing
+# a long prompt elsewhere. It does not grow beyond the maximum length relative
+# to what runs, so that false reports have a limited effect.
+_QUEUE_GROWTH_MS = 500.0
+_MAX_QUEUE = 3.0
+# Delays count up to this much more, at random, if the engine reports its
+# slowness. Gateways know of each other's requests only after some time, and
+# would all choose the same engine until then.
+_MAX_SPREAD = 2.0
 # Cost of an engine in another failure domain.
 _REMOTE_DOMAIN_PENALTY_MS = 2.0
 
@@ -214,6 +226,8 @@
 ) -> Choice | None:
     """Returns the engine with the lowest cost; None without engines.
 
+    The costs of engines that report their slowness are spread at random.
+
     Args:
         engines: Engines that may run the request.
         size: Sizes of its prompt and answer.
@@ -346,6 +360,10 @@
     cost_ms += penalty_ms
     queued = max(requests + 1 - spec.slots, report.waiting)
     cost_ms += max(0, queued) * _MS_PER_QUEUED_REQUEST * slowness
+    if report.is_known:
+        delay_ms = cost_ms - penalty_ms
+        cost_ms += random.random() * _MAX_SPREAD * delay_ms
+        cost_ms += _estimate_queue_growth_ms(requests, report, spec) * slowness
     cost_ms += (slowness - 1.0) * _estimate_usual_ms(size, estimates)
     if engine.shared is PrefixSource.COMPUTED:
         prefill_ms = size.shared_tokens / tokens_per_ms
@@ -372,6 +390,19 @@
     )
 
 
+def _estimate_queue_growth_ms(
+    requests: int, report: fleet.LoadReport, spec: catalog.EngineSpec
+) -> float:
+    """Returns the cost of a queue that grows faster than its length.
+
+    An engine whose requests wait while it has free slots lacks memory: it runs
+    no more than it does now.
+    """
+    places = min(spec.slots, report.running) if report.waiting else spec.slots
+    queue = (requests + 1) / max(1, places) - 1.0
+    return _QUEUE_GROWTH_MS * min(max(0.0, queue), _MAX_QUEUE) ** 2
+
+
 def _estimate_usual_ms(
     size: PromptSize, estimates: estimates_lib.EngineEstimates
 ) -> float:
--- a/sardinewharf/balancing/tests/test_uneven_engines.py
+++ b/sardinewharf/balancing/tests/test_uneven_engines.py
@@ -1,6 +1,7 @@
 """Tests the choice among endpoints that report how slow they are."""
 
 import collections
+import random
 
 import pytest
 
@@ -95,6 +96,73 @@
     assert (choice.id == choice.preferred) is keeps
 
 
+def find_longest_queue(size, others, slots_used):
+    """Returns the longest queue that the preferred engine's requests join.
+
+    Args:
+        size: Sizes of the prompt, which is cached at that engine only.
+        others: Where the other engines get it from; they are idle.
+        slots_used: Requests that run there while others are queued.
+    """
+    for waiting in range(1, 200):
+        report = make_report(running=slots_used, waiting=waiting)
+        choice = choose(size, CACHED, report, others=others)
+        if choice.id != choice.preferred:
+            return waiting - 1
+    return 200
+
+
+@pytest.mark.parametrize(
+    ("size", "others", "slots_used", "longest"),
+    [
+        pytest.param(SHORT, COMPUTED, 24, 1, id="popular short prompt"),
+        pytest.param(LONG, FETCHED, 24, 3, id="popular long prompt"),
+        pytest.param(LONG, COMPUTED, 24, 17, id="long, cached nowhere else"),
+        pytest.param(LONG, FETCHED, 8, 2, id="memory is full, slots are not"),
+        pytest.param(LONG, COMPUTED, 8, 8, id="memory full, cached nowhere"),
+    ],
+)
+def test_no_prompt_waits_for_a_second_while_other_engines_are_idle(
+    size, others, slots_used, longest, monkeypatch
+):
+    """A long prompt joined 29 others, about 1.7 s, beside idle engines."""
+    monkeypatch.setattr("random.random", lambda: 0.0)
+    assert find_longest_queue(size, others, slots_used) <= longest
+
+
+def count_choices(make_load, gateways=200):
+    """Returns the largest share of gateways that choose the same engine."""
+    states = [
+        balancing.EngineState(f"e{i}", "fd", make_load(i), report=make_report())
+        for i in range(12)
+    ]
+    size = balancing.PromptSize("", 0, 383, 8)
+    chosen = collections.Counter(
+        balancing.choose_engine(states, size, SPEC, "fd", ESTIMATES).id
+        for _ in range(gateways)
+    )
+    return chosen.most_common(1)[0][1] / gateways
+
+
+def test_gateways_with_the_same_view_choose_different_engines(monkeypatch):
+    """All chose the least busy engine until they heard of each other."""
+    monkeypatch.setattr("random.random", random.Random(1).random)
+
+    def make_load(number):
+        return fleet.EndpointLoad(10 + number // 4, 5_000)
+
+    assert count_choices(make_load) <= 0.6
+
+
+def test_a_much_busier_engine_is_not_chosen_at_random(monkeypatch):
+    monkeypatch.setattr("random.random", random.Random(1).random)
+
+    def make_load(number):
+        return fleet.EndpointLoad(2 if number == 5 else 20, 5_000 * number)
+
+    assert count_choices(make_load) >= 0.5
+
+
 def test_engines_without_a_report_are_chosen_as_before():
     """The cost of each engine must not change by any rounding."""
     load = fleet.EndpointLoad(30, 40_000, 140_000)
