Let queues cost no less at engines that state to be fast

Cause: an engine that states a quarter of the usual duration got a queue of 19 long or 11 short prompts beside idle engines, as its queue cost a quarter.

Change: the cost of queued requests is that of an engine of usual speed at least.

Evidence: test_an_engine_that_only_states_to_be_fast_gets_no_long_queue: 6 and 3 requests now. A hypothesis test checks that any reports leave a finite cost.

--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -348,7 +348,8 @@
 
     The cost is the sum of the delays and penalties, divided by the engine's
     success rate. All work takes longer at a slow engine, also that which it
-    shares with all others: prefilling what is not shared.
+    shares with all others: prefilling what is not shared. A queue costs no less
+    at a fast one, which may only state to be fast.
     """
     load = engine.load
     report = engine.report
@@ -359,11 +360,13 @@
     cost_ms = wait_ms + requests * _MS_PER_RUNNING_REQUEST * slowness
     cost_ms += penalty_ms
     queued = max(requests + 1 - spec.slots, report.waiting)
-    cost_ms += max(0, queued) * _MS_PER_QUEUED_REQUEST * slowness
+    queue_factor = max(1.0, slowness)
+    cost_ms += max(0, queued) * _MS_PER_QUEUED_REQUEST * queue_factor
     if report.is_known:
         delay_ms = cost_ms - penalty_ms
         cost_ms += random.random() * _MAX_SPREAD * delay_ms
-        cost_ms += _estimate_queue_growth_ms(requests, report, spec) * slowness
+        growth_ms = _estimate_queue_growth_ms(requests, report, spec)
+        cost_ms += growth_ms * queue_factor
     cost_ms += (slowness - 1.0) * _estimate_usual_ms(size, estimates)
     if engine.shared is PrefixSource.COMPUTED:
         prefill_ms = size.shared_tokens / tokens_per_ms
--- a/sardinewharf/balancing/tests/test_uneven_engines.py
+++ b/sardinewharf/balancing/tests/test_uneven_engines.py
@@ -1,8 +1,11 @@
 """Tests the choice among endpoints that report how slow they are."""
 
 import collections
+import math
 import random
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from sardinewharf import balancing
@@ -96,16 +99,17 @@
     assert (choice.id == choice.preferred) is keeps
 
 
-def find_longest_queue(size, others, slots_used):
+def find_longest_queue(size, others, slots_used, slowness=1.0):
     """Returns the longest queue that the preferred engine's requests join.
 
     Args:
         size: Sizes of the prompt, which is cached at that engine only.
         others: Where the other engines get it from; they are idle.
         slots_used: Requests that run there while others are queued.
+        slowness: What it states of its slowness.
     """
     for waiting in range(1, 200):
-        report = make_report(running=slots_used, waiting=waiting)
+        report = make_report(slowness, slots_used, waiting)
         choice = choose(size, CACHED, report, others=others)
         if choice.id != choice.preferred:
             return waiting - 1
@@ -130,6 +134,44 @@
     assert find_longest_queue(size, others, slots_used) <= longest
 
 
+@pytest.mark.parametrize(
+    ("size", "others", "longest"),
+    [
+        pytest.param(SHORT, COMPUTED, 3, id="short: it collected 11"),
+        pytest.param(LONG, FETCHED, 6, id="long: it collected 19"),
+    ],
+)
+def test_an_engine_that_only_states_to_be_fast_gets_no_long_queue(
+    size, others, longest, monkeypatch
+):
+    monkeypatch.setattr("random.random", lambda: 0.0)
+    assert find_longest_queue(size, others, 24, slowness=0.25) <= longest
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.builds(
+            make_report,
+            strategies.floats(0.25, 8.0),
+            strategies.integers(0, 1_000),
+            strategies.integers(0, 1_000),
+        ),
+        min_size=1,
+        max_size=5,
+    )
+)
+def test_whatever_is_reported_some_engine_is_chosen(reports):
+    """Guards against costs that are infinite or no number."""
+    idle = fleet.EndpointLoad()
+    states = [
+        balancing.EngineState(f"e{i}", "fd", idle, report=report)
+        for i, report in enumerate(reports)
+    ]
+    choice = balancing.choose_engine(states, LONG, SPEC, "fd", ESTIMATES)
+    assert 0.0 <= choice.wait_ms < math.inf
+    assert -math.inf < choice.cost_ms < math.inf
+
+
 def count_choices(make_load, gateways=200):
     """Returns the largest share of gateways that choose the same engine."""
     states = [
