Test that speeds are learned only of engines that report

The test guards against learned speeds of engines without the fourth figure, and against samples that are lost between the choice and the first event.

--- a/sardinewharf/gateway/tests/test_uneven_endpoints.py
+++ b/sardinewharf/gateway/tests/test_uneven_endpoints.py
@@ -52,3 +52,22 @@
     responses = await send_many(harness, 2)
     assert {r.status for r in responses} == {503}
     assert max(list_slowness(harness)) > 1.0
+
+
+@pytest.mark.parametrize("figures", ["0,0,6,100", "0,0,6"])
+async def test_the_speed_is_learned_only_of_engines_that_report(
+    harness, figures
+):
+    """The engines send the first event sooner than expected."""
+    for engine in harness.engines:
+        report_load(engine, figures)
+    for _ in range(4):
+        await harness.send_request(
+            "/ask/1", body=b"x", x_sardinewharf_token_usage="2900,5"
+        )
+    speeds = harness.gateways[0]._reports._speeds
+    learned = [
+        speeds.read(engine.incarnation, clocks.read_monotonic())
+        for engine in harness.gateways[0]._replica.registry.list_all()
+    ]
+    assert (min(learned) < 1.0) is (figures.count(",") == 3)
