Do not favour a fast engine that fails

Cause: what a fast engine saves was a negative cost, which the division by the success rate made larger.

Change: if any engine reports its slowness, the cost of all includes what the request needs at an idle one, times the slowness. Costs are never negative.

Evidence: test_an_engine_that_fails_is_not_chosen_for_being_fast fails without the change and passes with it; sardinewharf/balancing passes.

--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -258,6 +258,8 @@
     )
     preferred = _find_preferred(size, misplacements_ms)
     outdated_ms = _compute_outdated_penalty_ms(engines)
+    is_uneven = any(engine.report.is_known for engine in engines)
+    usual_ms = _estimate_usual_ms(size, estimates) if is_uneven else 0.0
     choices = [
         _compute_choice(
             engine,
@@ -267,6 +269,7 @@
             failure_domain,
             misplacements_ms[engine.id]
             + (outdated_ms if engine.has_outdated_weights else 0.0),
+            usual_ms,
             estimates,
         )
         for engine in engines
@@ -342,14 +345,15 @@
     spec: catalog.EngineSpec,
     failure_domain: str,
     penalty_ms: float,
+    usual_ms: float,
     estimates: estimates_lib.EngineEstimates,
 ) -> Choice:
     """Returns an engine with the estimated cost of running the request there.
 
     The cost is the sum of the delays and penalties, divided by the engine's
-    success rate. All work takes longer at a slow engine, also that which it
-    shares with all others: prefilling what is not shared. A queue costs no less
-    at a fast one, which may only state to be fast.
+    success rate. All work takes longer at a slow engine, also what any engine
+    has to do for the request (``usual_ms``). A queue costs no less at a fast
+    one, which may only state to be fast.
     """
     load = engine.load
     report = engine.report
@@ -367,7 +371,7 @@
         cost_ms += random.random() * _MAX_SPREAD * delay_ms
         growth_ms = _estimate_queue_growth_ms(requests, report, spec)
         cost_ms += growth_ms * queue_factor
-    cost_ms += (slowness - 1.0) * _estimate_usual_ms(size, estimates)
+    cost_ms += usual_ms * slowness
     if engine.shared is PrefixSource.COMPUTED:
         prefill_ms = size.shared_tokens / tokens_per_ms
         cost_ms += _RECOMPUTE_WEIGHT * prefill_ms
--- a/sardinewharf/balancing/tests/test_uneven_engines.py
+++ b/sardinewharf/balancing/tests/test_uneven_engines.py
@@ -148,6 +148,18 @@
     assert find_longest_queue(size, others, 24, slowness=0.25) <= longest
 
 
+def test_an_engine_that_fails_is_not_chosen_for_being_fast():
+    """What it saves was divided by its success rate, too."""
+    idle = fleet.EndpointLoad()
+    states = [
+        balancing.EngineState("a", "fd", idle, 0.9, report=make_report(0.25)),
+        balancing.EngineState("b", "fd", idle, report=make_report()),
+    ]
+    size = balancing.PromptSize("", 0, 383, 8)
+    choice = balancing.choose_engine(states, size, SPEC, "fd", ESTIMATES)
+    assert choice.id == "b"
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.builds(
@@ -169,7 +181,7 @@
     ]
     choice = balancing.choose_engine(states, LONG, SPEC, "fd", ESTIMATES)
     assert 0.0 <= choice.wait_ms < math.inf
-    assert -math.inf < choice.cost_ms < math.inf
+    assert 0.0 <= choice.cost_ms < math.inf
 
 
 def count_choices(make_load, gateways=200):
