--- a/sardinewharf/balancing/engines.py
+++ b/sardinewharf/balancing/engines.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import random
 
 from sardinewharf import catalog
 from sardinewharf import fleet
@@ -56,6 +57,17 @@
 _SHORT_PROMPT_MISPLACEMENT_MS = 20.0
 # Cost of each request that would be queued for a slot.
 _MS_PER_QUEUED_REQUEST = 15.0
+# Cost of a queue of as many requests as the engine runs, if it reports its
+# slowness, beyond that of each request. It grows with the square of the queue:
+# a queue of 17 requests for 24 slots, about a second, costs more than computing
+# a long prompt elsewhere. It does not grow beyond the maximum length relative
+# to what runs, so that false reports have a limited effect.
+_QUEUE_GROWTH_MS = 500.0
+_MAX_QUEUE = 3.0
+# Delays count up to this much more, at random, if the engine reports its
+# slowness. Gateways know of each other's requests only after some time, and
+# would all choose the same engine until then.
+_MAX_SPREAD = 2.0
 # Cost of an engine in another failure domain.
 _REMOTE_DOMAIN_PENALTY_MS = 2.0
 
@@ -214,6 +226,8 @@
 ) -> Choice | None:
     """Returns the engine with the lowest cost; None without engines.
 
+    The costs of engines that report their slowness are spread at random.
+
     Args:
         engines: Engines that may run the request.
         size: Sizes of its prompt and answer.
@@ -244,6 +258,8 @@
     )
     preferred = _find_preferred(size, misplacements_ms)
     outdated_ms = _compute_outdated_penalty_ms(engines)
+    is_uneven = any(engine.report.is_known for engine in engines)
+    usual_ms = _estimate_usual_ms(size, estimates) if is_uneven else 0.0
     choices = [
         _compute_choice(
             engine,
@@ -253,6 +269,7 @@
             failure_domain,
             misplacements_ms[engine.id]
             + (outdated_ms if engine.has_outdated_weights else 0.0),
+            usual_ms,
             estimates,
         )
         for engine in engines
@@ -328,13 +345,15 @@
     spec: catalog.EngineSpec,
     failure_domain: str,
     penalty_ms: float,
+    usual_ms: float,
     estimates: estimates_lib.EngineEstimates,
 ) -> Choice:
     """Returns an engine with the estimated cost of running the request there.
 
     The cost is the sum of the delays and penalties, divided by the engine's
-    success rate. All work takes longer at a slow engine, also that which it
-    shares with all others: prefilling what is not shared.
+    success rate. All work takes longer at a slow engine, also what any engine
+    has to do for the request (``usual_ms``). A queue costs no less at a fast
+    one, which may only state to be fast.
     """
     load = engine.load
     report = engine.report
@@ -345,8 +364,14 @@
     cost_ms = wait_ms + requests * _MS_PER_RUNNING_REQUEST * slowness
     cost_ms += penalty_ms
     queued = max(requests + 1 - spec.slots, report.waiting)
-    cost_ms += max(0, queued) * _MS_PER_QUEUED_REQUEST * slowness
-    cost_ms += (slowness - 1.0) * _estimate_usual_ms(size, estimates)
+    queue_factor = max(1.0, slowness)
+    cost_ms += max(0, queued) * _MS_PER_QUEUED_REQUEST * queue_factor
+    if report.is_known:
+        delay_ms = cost_ms - penalty_ms
+        cost_ms += random.random() * _MAX_SPREAD * delay_ms
+        growth_ms = _estimate_queue_growth_ms(requests, report, spec)
+        cost_ms += growth_ms * queue_factor
+    cost_ms += usual_ms * slowness
     if engine.shared is PrefixSource.COMPUTED:
         prefill_ms = size.shared_tokens / tokens_per_ms
         cost_ms += _RECOMPUTE_WEIGHT * prefill_ms
@@ -372,6 +397,19 @@
     )
 
 
+def _estimate_queue_growth_ms(
+    requests: int, report: fleet.LoadReport, spec: catalog.EngineSpec
+) -> float:
+    """Returns the cost of a queue that grows faster than its length.
+
+    An engine whose requests wait while it has free slots lacks memory: it runs
+    no more than it does now.
+    """
+    places = min(spec.slots, report.running) if report.waiting else spec.slots
+    queue = (requests + 1) / max(1, places) - 1.0
+    return _QUEUE_GROWTH_MS * min(max(0.0, queue), _MAX_QUEUE) ** 2
+
+
 def _estimate_usual_ms(
     size: PromptSize, estimates: estimates_lib.EngineEstimates
 ) -> float:
