Allow no slack of quotas where the settings state none

Cause: the default of 190,000 tokens was the figure of one deployment, and would have let each small quota elsewhere be exceeded by as much.

--- a/sardinewharf/gateway/settings.py
+++ b/sardinewharf/gateway/settings.py
@@ -60,7 +60,7 @@
     rollout_limit_ms: int = 10_000
     quota_window_s: float = 8.0
     quota_over: float = 0.1
-    quota_slack: float = 190_000.0
+    quota_slack: float = 0.0
     overload_policy: OverloadPolicy = OverloadPolicy.FORWARD
 
 
--- a/sardinewharf/platform/wire.py
+++ b/sardinewharf/platform/wire.py
@@ -346,7 +346,7 @@
     version_ms: decoding.Integer = 10_000
     quota_window_s: float = 8.0
     quota_over: float = 0.1
-    quota_slack: float = 190_000.0
+    quota_slack: float = 0.0
 
 
 class VmLimits(msgspec.Struct):
--- a/sardinewharf/quotas/settings.py
+++ b/sardinewharf/quotas/settings.py
@@ -39,7 +39,7 @@
 
     window_s: float = 8.0
     over: float = 0.1
-    slack: float = 190_000.0
+    slack: float = 0.0
 
     def find_slack(self, quota: catalog.Quota) -> float:
         """Returns by how much a quota may be exceeded in a window."""
--- a/sardinewharf/quotas/tests/fleets.py
+++ b/sardinewharf/quotas/tests/fleets.py
@@ -10,7 +10,7 @@
 from sardinewharf import quotas
 
 ORGANISATION = "org-1"
-BOUNDS = quotas.Bounds()
+BOUNDS = quotas.Bounds(slack=190_000.0)
 
 
 class View(quotas.Directory):
