Count unsent bytes also where the system does not tell what sockets hold

Cause: the timer of unread responses asks the kernel for the bytes in a socket. On a system without that call an error came out of the callback by which the transport tells that the caller is slow.

Change: what the transport holds is counted alone then, and it is logged once.

--- a/sardinewharf/http1/pipelines.py
+++ b/sardinewharf/http1/pipelines.py
@@ -17,15 +17,19 @@
 
 import asyncio
 import fcntl
+import functools
 import struct
 import termios
 
 from uvicorn.protocols.http import flow_control
 
+from sardinewharf import logs
+
 # The connection is not read while so many bytes wait. It is the size of one
 # segment: the end of the connection is noticed behind fewer.
 MAX_BACKLOG_BYTES = 65_536
 _HEAD_END = b"\r\n\r\n"
+_log = logs.get_logger("http1")
 
 
 class Backlog:
@@ -106,7 +110,22 @@
 
 
 def count_unsent(transport: asyncio.WriteTransport) -> int:
-    """Returns how many written bytes the peer has not acknowledged."""
+    """Returns how many written bytes the peer has not acknowledged.
+
+    Where the system does not tell what the socket holds, it is only what the
+    transport holds.
+    """
+    buffered = transport.get_write_buffer_size()
     sock = transport.get_extra_info("socket")
-    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    return transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError as error:
+        _log_unsupported(str(error))
+        return buffered
+    return buffered + struct.unpack("i", queued)[0]
+
+
+@functools.lru_cache(maxsize=1)
+def _log_unsupported(detail: str) -> None:
+    """Logs once that the system does not tell what sockets hold."""
+    _log.warning("The bytes in a socket are not known: {}.", detail)
