Count the fields of a request as objects until it is whole

The memory account counted the bytes of a head that is not whole, and nothing of a head whose body is still to come. Each field takes some 130 to 200 bytes beside its own, so that 200 heads within the limit took 380 KB each. Of a request with more than 64 fields each counts 200 bytes more now, until the request is whole. What is evicted frees its fields at once, since connections are only lost in the next round of the event loop, and a round may read from all of them. A request that is evicted while its body comes is refused with 503 at once.

Counting requests with few fields, too, failed test_uploads_share_one_limit, which wants the exact sum of sound bodies.

--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -22,6 +22,14 @@
 from sardinewharf.http1 import parsers
 from sardinewharf.http1 import pipelines
 
+# Memory that a header takes as objects, beside its bytes.
+_FIELD_OVERHEAD_BYTES = 200
+# Up to this number headers are not counted as objects: they take no more than
+# their connection.
+_UNCOUNTED_FIELDS = 64
+# So many headers of a request that is given up for its memory are kept, for the
+# report of the close.
+_REPORTED_FIELDS = 20
 # The idle time that callers are told is shorter than the real one by this, in
 # seconds: a request on its way must not meet the close.
 _IDLE_MARGIN_S = 0.5
@@ -217,6 +225,7 @@
         self._is_in_message = True
         self._is_in_head = True
         self._head_bytes = 0
+        self._field_bytes = 0
         self._messages_in_piece += 1
         if self._head_timer is None and not self._has_outstanding_response():
             self._start_head_timer()
@@ -393,9 +402,13 @@
     def _count_unread(self) -> None:
         """Counts what waits to be passed on to the application.
 
-        That reads the body of the current request at once.
+        That reads the body of the current request at once. Many headers are
+        counted until the request is whole, for which a caller may take long.
         """
         size = self._backlog.size
+        if self._is_in_message and len(self.headers) > _UNCOUNTED_FIELDS:
+            size += self._field_bytes
+            size += len(self.headers) * _FIELD_OVERHEAD_BYTES
         size += self._head_bytes if self._is_in_head else 0
         size += sum(len(cycle.body) for cycle, _ in self.pipeline)
         if size != self._unread.size:
@@ -407,6 +420,14 @@
         self.pipeline.clear()
         self._backlog.clear()
         self._caller.queued_requests = 0
+        if self._is_in_message:
+            # The connection is lost in the loop's next round, and those that
+            # send in this one must find the memory free.
+            del self.headers[_REPORTED_FIELDS:]
+        is_in_body = self._is_in_message and not self._is_in_head
+        if is_in_body and self.cycle is self._current_cycle:
+            self._reject_message(closes.CloseReason.OUT_OF_MEMORY)
+            return
         self._reject(closes.CloseReason.OUT_OF_MEMORY)
 
     def _drop_partial_request(self) -> None:
