--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -24,6 +24,9 @@
 
 # Memory that a header takes as objects, beside its bytes.
 _FIELD_OVERHEAD_BYTES = 200
+# Up to this number headers are not counted as objects: they take no more than
+# their connection.
+_UNCOUNTED_FIELDS = 64
 # So many headers of a request that is given up for its memory are kept, for the
 # report of the close.
 _REPORTED_FIELDS = 20
@@ -399,20 +402,18 @@
     def _count_unread(self) -> None:
         """Counts what waits to be passed on to the application.
 
-        That reads the body of the current request at once. The headers are
+        That reads the body of the current request at once. Many headers are
         counted until the request is whole, for which a caller may take long.
         """
         size = self._backlog.size
-        if self._is_in_message:
-            size += self._field_bytes + self._count_overhead()
+        if self._is_in_message and len(self.headers) > _UNCOUNTED_FIELDS:
+            size += self._field_bytes
+            size += len(self.headers) * _FIELD_OVERHEAD_BYTES
         size += self._head_bytes if self._is_in_head else 0
         size += sum(len(cycle.body) for cycle, _ in self.pipeline)
         if size != self._unread.size:
             self._unread.resize(size)
 
-    def _count_overhead(self) -> int:
-        return len(self.headers) * _FIELD_OVERHEAD_BYTES
-
     def _reject_for_memory(self) -> None:
         """Drops what waits behind the current request, and reads no more."""
         self.flow.pause_reading()
