Test that the readers of cache stores are started again

Cause: the test of background tasks breaks a method of the watcher that went with the readers of several stores, so that it failed for want of the name.

Change: it breaks the method that the task calls now, and a further test covers an error of a reader, which ends the task, so that it is started again.

--- a/sardinewharf/gateway/tests/test_background_tasks.py
+++ b/sardinewharf/gateway/tests/test_background_tasks.py
@@ -23,7 +23,7 @@
     "sync": (sync.Synchronizer, "step"),
     "peers": (peers.Peers, "_choose_addresses"),
     "broadcasts": (broadcasts.Broadcaster, "_broadcast"),
-    "cache-store": (caches.CacheStoreWatcher, "_run_once"),
+    "cache-store": (caches.CacheStoreWatcher, "_update"),
     "office": (rollout.RolloutController, "_may_acquire"),
     "weights": (rollout.RolloutController, "_start_updates"),
 }
--- a/sardinewharf/gateway/tests/test_cache_stores.py
+++ b/sardinewharf/gateway/tests/test_cache_stores.py
@@ -36,16 +36,20 @@
         events: All events of the cache store; they are numbered from 1.
         repeats: Whether each answer comes again in place of the next one.
         is_silent: Whether there is no answer.
+        error: Is raised in place of an answer, if it is set.
     """
 
     def __init__(self):
         self.events = []
         self.repeats = False
         self.is_silent = False
+        self.error = None
         self._former = None
 
     async def read_cache(self, address, since, until):
         await asyncio.sleep(0)
+        if self.error is not None:
+            raise self.error
         if self.is_silent:
             return None
         former, self._former = self._former, None
@@ -220,6 +224,26 @@
     assert not table.is_stored(key, "m/1", _PROMPT, stand_in)
 
 
+async def test_the_error_of_a_reader_ends_the_task_that_runs_it(gateway):
+    """Guards against a store that is no longer read after an error.
+
+    The task is started again, and so are all readers.
+    """
+    found = catalog.Configuration(1, cache_stores=(make_store("10.0.0.1:1"),))
+    gateway.replica.apply(changes.ConfigurationChange(found), None)
+    gateway.control.error = ValueError("injected")
+    watcher = caches.CacheStoreWatcher(
+        "vm-1",
+        gateway.control,
+        gateway.replica,
+        gateway.prompts,
+        gateway._log,
+    )
+    with pytest.raises(ValueError, match="injected"):
+        async with asyncio.timeout(5.0):
+            await watcher.run()
+
+
 async def test_each_configured_store_is_read(gateway):
     """Guards against a watcher that reads only the first store."""
     found = catalog.Configuration(
