Compare free places with those that there are for a request's size

Cause: a less urgent long prompt waited although it fitted at every engine: few such prompts fit even while engines are idle, and the free places were compared with all slots.

Change: the shares of free places from which requests are sent at once are those of the places for the request's size.

Result: test_the_share_of_free_places_is_that_for_the_size is new; the tests of overload and the gateway's tests of it pass.

--- a/sardinewharf/gateway/overload_control.py
+++ b/sardinewharf/gateway/overload_control.py
@@ -25,12 +25,11 @@
 
 # Time between two looks at the room while requests wait, in seconds.
 _POLL_S = 0.05
-# While at least this share of the slots is free and no request waits, requests
+# While at least this share of the places is free and no request waits, requests
 # are sent at once.
 _AMPLE_SHARE = 0.125
-# While the engines have places for at least this share of the slots, all
-# waiting requests are sent. While this share of the slots is free, none is
-# refused.
+# While at least this share of the places is free, all waiting ones are sent.
+# While this share of the slots is free, none is refused.
 _IDLE_SHARE = 0.5
 # Number of waiting requests that are tried in turn, if the first ones do not
 # fit.
@@ -227,9 +226,10 @@
                 # It is refused when it is checked again.
                 return waiting
             need = state.find_need(waiting, now)
-            places = room.count_places(need.tokens, need.reserve.add(kept))
-            if places - state.sent_since >= _IDLE_SHARE * room.slots:
+            need = overload.Need(need.tokens, need.reserve.add(kept))
+            if room.has_share(_IDLE_SHARE, need, state.sent_since):
                 return waiting
+            places = room.count_places(need.tokens, need.reserve)
             if places > state.sent_since:
                 return waiting if state.credit.take() else None
             kept = overload.Reserve(1, max(kept.tokens, waiting.work))
@@ -336,10 +336,7 @@
     ) -> bool:
         """Returns whether a request need not wait for its turn."""
         need = state.find_need(waiting, now)
-        places = state.room.count_places(need.tokens, need.reserve)
-        return places - state.sent_since >= max(
-            1.0, _AMPLE_SHARE * state.room.slots
-        )
+        return state.room.has_share(_AMPLE_SHARE, need, state.sent_since)
 
     def _make_waiting(
         self,
--- a/sardinewharf/overload/room.py
+++ b/sardinewharf/overload/room.py
@@ -94,6 +94,11 @@
             places = min(places, max(0, free // tokens))
         return places if self.load.running else max(1, places)
 
+    def count_capacity(self, tokens: int) -> int:
+        """Returns how many requests of a size it can run while idle."""
+        idle = dataclasses.replace(self, load=fleet.EndpointLoad())
+        return idle.count_places(tokens, Reserve())
+
     def add(self, requests: int, tokens: int) -> "EngineRoom":
         """Returns the room after requests were sent, or have ended."""
         load = dataclasses.replace(
@@ -149,6 +154,19 @@
         """Returns how many requests of a size the engines can take."""
         return sum(e.count_places(tokens, reserve) for e in self.engines)
 
+    def has_share(self, share: float, need: Need, taken: int) -> bool:
+        """Returns whether some share of the places is free.
+
+        Args:
+            share: The share of the places that there are while all engines are
+                idle; at least one place.
+            need: Room that a request needs.
+            taken: Places that are taken besides.
+        """
+        places = self.count_places(need.tokens, need.reserve) - taken
+        capacity = sum(e.count_capacity(need.tokens) for e in self.engines)
+        return places >= max(1.0, share * capacity)
+
     def list_places(self, tokens: int, reserve: Reserve) -> dict[str, int]:
         """Returns the places of each engine that can take a request."""
         places = {e.id: e.count_places(tokens, reserve) for e in self.engines}
--- a/sardinewharf/overload/tests/test_room.py
+++ b/sardinewharf/overload/tests/test_room.py
@@ -65,3 +65,22 @@
     room = make_room((8, 8_000), (8, 8_000)).remove_request("e1", 1_000)
     assert room.list_places(400, overload.Reserve()) == {"e1": 1}
     assert (room.slots, room.running, room.taken) == (16, 15, 15)
+
+
+@pytest.mark.parametrize(
+    ("pattern", "held", "tokens", "has_share"),
+    [
+        # Six of them fill an engine: one place is an eighth of that.
+        ("few long prompts fit beside others", 65_000, 15_000, True),
+        ("no long prompt fits", 80_000, 15_000, False),
+        ("short prompts fit in the same memory", 80_000, 400, True),
+    ],
+)
+def test_the_share_of_free_places_is_that_for_the_size(
+    pattern, held, tokens, has_share
+):
+    """Guards against long prompts that wait since few fit in any case."""
+    room = make_room((4, held), (4, held))
+    need = overload.Need(tokens, overload.Reserve())
+    assert room.has_share(0.125, need, taken=0) == has_share, pattern
+    assert not room.has_share(0.125, need, taken=8), pattern
