--- a/sardinewharf/gateway/overload_control.py
+++ b/sardinewharf/gateway/overload_control.py
@@ -25,15 +25,12 @@
 
 # Time between two looks at the room while requests wait, in seconds.
 _POLL_S = 0.05
-# While at least this share of the slots is free and no request waits, requests
+# While at least this share of the places is free and no request waits, requests
 # are sent at once.
 _AMPLE_SHARE = 0.125
-# While the engines have places for at least this share of the slots, all
-# waiting requests are sent. While this share of the slots is free, none is
-# refused.
+# While at least this share of the places is free, all waiting ones are sent.
+# While this share of the slots is free, none is refused.
 _IDLE_SHARE = 0.5
-# Most requests that are refused at a time, so that others are served meanwhile.
-_MAX_REFUSED = 32
 # Number of waiting requests that are tried in turn, if the first ones do not
 # fit.
 _MAX_TRIED = 8
@@ -229,9 +226,10 @@
                 # It is refused when it is checked again.
                 return waiting
             need = state.find_need(waiting, now)
-            places = room.count_places(need.tokens, need.reserve.add(kept))
-            if places - state.sent_since >= _IDLE_SHARE * room.slots:
+            need = overload.Need(need.tokens, need.reserve.add(kept))
+            if room.has_share(_IDLE_SHARE, need, state.sent_since):
                 return waiting
+            places = room.count_places(need.tokens, need.reserve)
             if places > state.sent_since:
                 return waiting if state.credit.take() else None
             kept = overload.Reserve(1, max(kept.tokens, waiting.work))
@@ -247,23 +245,20 @@
         if room is None:
             return
         state.update_limits()
-        is_idle = room.taken < _IDLE_SHARE * room.slots
-        drain = None if is_idle else state.read_drain(now)
-        for _ in range(_MAX_REFUSED):
-            waiting = state.queue.find_refusable(now, drain)
-            if waiting is None:
-                return
-            if is_idle:
-                # Only memory is known to be scarce, which is an estimate.
+        if room.taken < _IDLE_SHARE * room.slots:
+            # Only memory is known to be scarce, which is an estimate.
+            for waiting in state.queue.list_expired(now):
                 self._send(state, waiting, now)
-                continue
+            return
+        drain = state.read_drain(now)
+        waited = len(state.queue)
+        for waiting in state.queue.refuse_late(now, drain):
             wait_s = state.queue.estimate_wait(waiting.rank, drain)
             detail = (
-                f"{len(state.queue)} requests wait for {room.slots} slots with"
+                f"{waited} requests wait for {room.slots} slots with"
                 f" {room.running} requests; expected wait {wait_s:.1f} s,"
                 f" {waiting.latest.remaining(now):.1f} s are left to send it"
             )
-            state.queue.record_refused(waiting)
             self._remove_and_resolve(
                 state,
                 waiting,
@@ -341,10 +336,7 @@
     ) -> bool:
         """Returns whether a request need not wait for its turn."""
         need = state.find_need(waiting, now)
-        places = state.room.count_places(need.tokens, need.reserve)
-        return places - state.sent_since >= max(
-            1.0, _AMPLE_SHARE * state.room.slots
-        )
+        return state.room.has_share(_AMPLE_SHARE, need, state.sent_since)
 
     def _make_waiting(
         self,
