--- a/sardinewharf/gateway/quotas.py
+++ b/sardinewharf/gateway/quotas.py
@@ -120,7 +120,12 @@
             self._name, self._directory, self._send, now, clocks.read_wall()
         )
         self._owner = quotas.Owner(
-            self._name, bounds, self._directory, self._peers, now
+            self._name,
+            bounds,
+            self._directory,
+            self._peers,
+            self._send,
+            now,
         )
         self._borrower = quotas.Borrower(
             self._name,
--- a/sardinewharf/quotas/__init__.py
+++ b/sardinewharf/quotas/__init__.py
@@ -8,6 +8,7 @@
     messages: What gateways send each other.
     directory: What has to be known of configuration and fleet.
     presence: Which gateways are heard, and keep their quotas.
+    tenures: For how long this gateway keeps a quota.
     owner: Keeps the quotas that a gateway owns.
     quorum: Whether most other gateways are in reach.
     charges: The charge of one request.
--- a/sardinewharf/quotas/owner.py
+++ b/sardinewharf/quotas/owner.py
@@ -10,7 +10,7 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
+import math
 
 from sardinewharf import catalog
 from sardinewharf.quotas import buckets
@@ -19,6 +19,7 @@
 from sardinewharf.quotas import presence as presence_lib
 from sardinewharf.quotas import quorum as quorum_lib
 from sardinewharf.quotas import settings as settings_lib
+from sardinewharf.quotas import tenures
 
 # A gap of the clock by which a process was frozen, in seconds. Another gateway
 # has begun to act in its place.
@@ -51,26 +52,6 @@
 _MEMORY_S = 5.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Tenure:
-    """A time for which this gateway keeps a quota without interruption.
-
-    Attributes:
-        key: The circumstances that have to stay the same.
-        bucket: The tokens.
-        slow_until: Until when the bucket fills more slowly.
-        credit: Tokens with which it began, beyond those that were not granted.
-        is_settled: Whether the bucket has been given all that it may begin
-            with; it is not yet while a fleet starts.
-    """
-
-    key: tuple[object, ...]
-    bucket: buckets.DebtBucket
-    slow_until: float
-    credit: float
-    is_settled: bool
-
-
 class Owner:
     """Keeps the quotas that this gateway owns.
 
@@ -79,6 +60,7 @@
         bounds: By how much quotas may be exceeded.
         directory: The configuration and the registered gateways.
         peers: Watches the other gateways.
+        send: Sends a message to a gateway by its name.
         now: When this process started.
 
     Attributes:
@@ -93,12 +75,14 @@
         bounds: settings_lib.Bounds,
         directory: directory_lib.Directory,
         peers: presence_lib.PeerWatch,
+        send: Callable[[str, messages.Message], None],
         now: float,
     ):
         self._name = name
         self._bounds = bounds
         self._directory = directory
         self._peers = peers
+        self._send = send
         self._quorum = quorum_lib.Quorum(name, directory, peers)
         self._started_at = now
         self._member_since: float | None = None
@@ -107,7 +91,7 @@
         self._members_changed_at = now
         self._checked_at = now
         self._active_since: float | None = None
-        self._tenures: dict[str, _Tenure] = {}
+        self._tenures: dict[str, tenures.Tenure] = {}
         # Credits that were given, with their time, by organisation.
         self._credits: dict[str, list[tuple[float, float]]] = {}
         self._responses: collections.OrderedDict[
@@ -170,8 +154,11 @@
         """Ends the tenures that a registration or removal affects."""
         self._members_changed_at = now
         for organisation, tenure in list(self._tenures.items()):
-            if tenure.key[0] != self._list_before(organisation):
+            before = self._list_before(organisation)
+            if before is None or not set(tenure.before) <= set(before):
                 del self._tenures[organisation]
+            elif before != tenure.before and tenure.doubted_at == -math.inf:
+                tenure.doubted_at = now
 
     def handle_ask(
         self, ask: messages.Ask, now: float
@@ -258,7 +245,7 @@
 
     def _find_tenure(
         self, organisation: str, quota: catalog.Quota, now: float
-    ) -> _Tenure | messages.Verdict | None:
+    ) -> tenures.Tenure | messages.Verdict | None:
         """Returns the quota's bucket, or why this gateway does not keep it.
 
         None means that gateways of a better rank are being probed.
@@ -270,7 +257,7 @@
             return messages.Verdict.INACTIVE
         found = [self._peers.check(name, now) for name in before]
         if presence_lib.Presence.ACTIVE in found:
-            self._tenures.pop(organisation, None)
+            self._hand_over(organisation, before, found, now)
             return messages.Verdict.REDIRECTED
         if presence_lib.Presence.UNKNOWN in found:
             # The answer to both questions is needed soon.
@@ -291,15 +278,18 @@
         quota: catalog.Quota,
         before: tuple[str, ...],
         now: float,
-    ) -> _Tenure:
+    ) -> tenures.Tenure:
         """Returns the current tenure, with its bucket filled until now."""
         absences = [self._peers.find_absence(name) for name in before]
-        key = (before, tuple(s for s, _ in absences), self._active_since)
         tenure = self._tenures.get(organisation)
-        if tenure is None or tenure.key != key:
+        if tenure is None or not tenure.go_on(
+            before, absences, self._active_since, now
+        ):
             if before:
                 self.on_takeover(organisation)
-            tenure = self._begin_tenure(organisation, quota, key, absences, now)
+            tenure = self._begin_tenure(
+                organisation, quota, before, absences, now
+            )
             self._tenures[organisation] = tenure
         elif tenure.bucket.quota != quota:
             tenure.bucket.set_quota(
@@ -317,6 +307,26 @@
         self._require_quorum(tenure.bucket, now)
         return tenure
 
+    def _hand_over(
+        self,
+        organisation: str,
+        before: tuple[str, ...],
+        found: list[presence_lib.Presence],
+        now: float,
+    ) -> None:
+        """Leaves a quota, with the tokens that are left, to its owner."""
+        tenure = self._tenures.pop(organisation, None)
+        if tenure is None:
+            return
+        owner = before[found.index(presence_lib.Presence.ACTIVE)]
+        left = int(tenure.bucket.fill(now))
+        if left > 0:
+            number = int(now * 1e6)
+            self._send(
+                owner,
+                messages.Ask(self._name, number, organisation, returned=left),
+            )
+
     def _require_quorum(self, bucket: buckets.DebtBucket, now: float) -> None:
         """Lets a busy bucket fill only while most gateways are in reach.
 
@@ -334,10 +344,10 @@
         self,
         organisation: str,
         quota: catalog.Quota,
-        key: tuple[object, ...],
+        before: tuple[str, ...],
         absences: list[tuple[float, bool]],
         now: float,
-    ) -> _Tenure:
+    ) -> tenures.Tenure:
         """Begins to keep a quota.
 
         Nobody else has kept it since all gateways before this one are absent,
@@ -368,7 +378,15 @@
         if slow_end > since:
             bucket.fill(slow_end, _NOTICE_SHARE)
         bucket.fill(now)
-        return _Tenure(key, bucket, slow_until, level, is_settled)
+        return tenures.Tenure(
+            before,
+            tuple(at for at, _ in absences),
+            self._active_since,
+            bucket,
+            slow_until,
+            level,
+            is_settled,
+        )
 
     def _take_credit(
         self,
--- a/sardinewharf/quotas/tests/fleets.py
+++ b/sardinewharf/quotas/tests/fleets.py
@@ -46,7 +46,9 @@
         self.started_at = now
         self.digests = itertools.count(1)
         self.peers = quotas.PeerWatch(name, self.view, self.send, now, now)
-        self.owner = quotas.Owner(name, BOUNDS, self.view, self.peers, now)
+        self.owner = quotas.Owner(
+            name, BOUNDS, self.view, self.peers, self.send, now
+        )
         self.borrower = quotas.Borrower(
             name,
             BOUNDS,
--- a/sardinewharf/quotas/tests/test_fleets.py
+++ b/sardinewharf/quotas/tests/test_fleets.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from sardinewharf import balancing
 from sardinewharf import quotas
 from sardinewharf.quotas.tests import fleets
 
@@ -146,6 +147,25 @@
     assert max(waits) < 0.3
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_a_new_first_in_rank_refuses_no_request_within_a_quota(seed):
+    """Load: 0.7 of a quota, whose owner changes as a gateway registers."""
+    fleet = _make_fleet(size=24, seed=seed)
+    _load(fleet, 0.7, 20.0)
+    fleet.run(5.0)
+    for number in range(24, 1_000):
+        name = f"vm-{number}"
+        rank = balancing.rank_preferred(
+            fleets.ORGANISATION, [*fleet.names, name]
+        )
+        if rank[0] == name:
+            break
+    fleet.register(name, 2.0)
+    fleet.run(15.0)
+    assert not fleet.refused
+    assert fleet.gateways[name].owner.counts["granted"]
+
+
 def test_a_lowered_quota_holds_in_the_next_window():
     """Load: three times a quota, which is lowered to a third."""
     fleet = _make_fleet()
--- a/sardinewharf/quotas/tests/test_owners.py
+++ b/sardinewharf/quotas/tests/test_owners.py
@@ -19,11 +19,15 @@
         return False
 
 
+def _drop(name, message):
+    """Sends nothing."""
+
+
 @pytest.fixture
 def owner():
     view = fleets.View(_QUOTA, ["vm-0"])
-    peers = _Peers("vm-0", view, lambda name, message: None, 0.0, 0.0)
-    made = quotas.Owner("vm-0", quotas.Bounds(), view, peers, 0.0)
+    peers = _Peers("vm-0", view, _drop, 0.0, 0.0)
+    made = quotas.Owner("vm-0", quotas.Bounds(), view, peers, _drop, 0.0)
     made.check_membership(0.0)
     return made
 
