Take no fleet for gone that is out of reach

A gateway that was cut off for more than 30 s took all others for gone for good, and so itself for the majority: it kept every quota in full for its callers, as far as the store still reached it. If fewer than 70 in 100 of the gateways were heard, all count now.

--- a/sardinewharf/quotas/presence.py
+++ b/sardinewharf/quotas/presence.py
@@ -21,9 +21,14 @@
 _ROUND_S = 0.2
 # Share of the gateways that has to be heard; the others are fewer.
 _MAJORITY = 0.5
-# A gateway that was not heard for this long is taken for gone for good: it does
-# not count for the majority, in seconds.
+# A gateway that was not heard for this long, in seconds, and so many times the
+# mean interval of its digests, is taken for gone for good: it does not count
+# for the majority.
 _GONE_S = 30.0
+_GONE_INTERVALS = 8.0
+# If fewer than this share of the gateways were heard since, they all count:
+# rather this one is cut off.
+_MIN_PRESENT_SHARE = 0.7
 # Two unanswered probes and this time since the first show that a gateway is
 # silent, in seconds. A round trip takes 1 to 3 ms, but a slow machine tens.
 _SILENT_S = 0.06
@@ -238,9 +243,13 @@
     def list_present(self, now: float) -> list[str]:
         """Returns the other gateways that are not gone for good."""
         others = [n for n in self._directory.members if n != self._name]
-        if now - self._started_at > _GONE_S:
-            return self._list_heard_since(others, now - _GONE_S)
-        return others
+        interval_s = self._directory.digest_interval_s
+        since = now - max(_GONE_S, interval_s * _GONE_INTERVALS)
+        if since < self._started_at:
+            return others
+        heard = self._list_heard_since(others, since)
+        is_cut_off = len(heard) < len(others) * _MIN_PRESENT_SHARE
+        return others if is_cut_off else heard
 
     def is_fleet_new(self) -> bool:
         """Returns whether the other gateways started when this one did.
--- a/sardinewharf/quotas/tests/test_fleets.py
+++ b/sardinewharf/quotas/tests/test_fleets.py
@@ -166,6 +166,21 @@
     assert fleet.gateways[name].owner.counts["granted"]
 
 
+@pytest.mark.parametrize("count", [1, 8])
+def test_gateways_that_are_cut_off_for_long_keep_no_quota(count):
+    """Load: four times a quota. They took all others for gone after 30 s."""
+    fleet = _make_fleet(size=24)
+    names = [fleet.find_owner(), *fleet.names[: count - 1]]
+    fleet.cut_off(names)
+    fleet.run(40.0)
+    fleet.load(fleet.quota.rate * 4.0, 17_000, 10.0, names=names)
+    fleet.run(10.0)
+    assert not fleet.gateways[names[0]].owner.is_active(fleet.now)
+    assert sum(cost for _, cost in fleet.sent) <= (
+        fleets.BOUNDS.find_slack(fleet.quota) / 2
+    )
+
+
 def test_a_lowered_quota_holds_in_the_next_window():
     """Load: three times a quota, which is lowered to a third."""
     fleet = _make_fleet()
