--- a/sardinewharf/quotas/owner.py
+++ b/sardinewharf/quotas/owner.py
@@ -268,8 +268,11 @@
             for name in before
         )
         if is_recent and not self._quorum.is_reached(now):
-            is_lost = self._quorum.has_lost(now)
-            return messages.Verdict.INACTIVE if is_lost else None
+            if not self._quorum.has_lost(now):
+                return None
+            # Another gateway may keep the quota.
+            self._tenures.pop(organisation, None)
+            return messages.Verdict.INACTIVE
         return self._keep_tenure(organisation, quota, before, now)
 
     def _keep_tenure(
@@ -357,6 +360,7 @@
         since = max(
             self._active_since,
             self._members_changed_at,
+            self._quorum.lost_at,
             *(at for at, _ in absences),
         )
         slow_until = max(
--- a/sardinewharf/quotas/quorum.py
+++ b/sardinewharf/quotas/quorum.py
@@ -27,6 +27,9 @@
         name: Name of this gateway.
         directory: The registered gateways.
         peers: Sends the probes, and knows who responded.
+
+    Attributes:
+        lost_at: When most gateways were last found not to respond.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         self._probed: Collection[str] = ()
         self._probed_at = -math.inf
         self._has_lost = False
+        self.lost_at = -math.inf
         self._was_confirmed = False
 
     def require(self, now: float) -> None:
@@ -76,6 +80,8 @@
             return
         if now - self._probed_at < 3 * _ROUND_S:
             self._has_lost = not self._is_confirmed()
+        if self._has_lost:
+            self.lost_at = now
         self._probed_at = now
         self._probed = self._choose(now)
         for name in self._probed:
