--- a/sardinewharf/quotas/tests/test_fleets.py
+++ b/sardinewharf/quotas/tests/test_fleets.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from sardinewharf import balancing
 from sardinewharf import quotas
 from sardinewharf.quotas.tests import fleets
 
@@ -146,6 +147,40 @@
     assert max(waits) < 0.3
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_a_new_first_in_rank_refuses_no_request_within_a_quota(seed):
+    """Load: 0.7 of a quota, whose owner changes as a gateway registers."""
+    fleet = _make_fleet(size=24, seed=seed)
+    _load(fleet, 0.7, 20.0)
+    fleet.run(5.0)
+    for number in range(24, 1_000):
+        name = f"vm-{number}"
+        rank = balancing.rank_preferred(
+            fleets.ORGANISATION, [*fleet.names, name]
+        )
+        if rank[0] == name:
+            break
+    fleet.register(name, 2.0)
+    fleet.run(15.0)
+    assert not fleet.refused
+    assert fleet.gateways[name].owner.counts["granted"]
+
+
+@pytest.mark.parametrize("count", [1, 8])
+def test_gateways_that_are_cut_off_for_long_keep_no_quota(count):
+    """Load: four times a quota. They took all others for gone after 30 s."""
+    fleet = _make_fleet(size=24)
+    names = [fleet.find_owner(), *fleet.names[: count - 1]]
+    fleet.cut_off(names)
+    fleet.run(40.0)
+    fleet.load(fleet.quota.rate * 4.0, 17_000, 10.0, names=names)
+    fleet.run(10.0)
+    assert not fleet.gateways[names[0]].owner.is_active(fleet.now)
+    assert sum(cost for _, cost in fleet.sent) <= (
+        fleets.BOUNDS.find_slack(fleet.quota) / 2
+    )
+
+
 def test_a_lowered_quota_holds_in_the_next_window():
     """Load: three times a quota, which is lowered to a third."""
     fleet = _make_fleet()
