Serve the daemon's two ports by the gateway's protocol

The product's own daemon used uvicorn's protocol as it is: no limit on heads, trailers, pipelined requests and unread responses, on the callers' port and on that of the administration API. Both are served by LimitedProtocol now, with fixed limits and one account of 16 MiB. A connection that is closed for one leaves a warning that names it; no metric counts it yet.

--- a/sardinewharf/daemon/service.py
+++ b/sardinewharf/daemon/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 
 import uvicorn
@@ -19,6 +20,7 @@
 from sardinewharf import leases
 from sardinewharf import limits
 from sardinewharf import logs
+from sardinewharf import memory
 from sardinewharf import operators
 from sardinewharf import placement
 from sardinewharf import relay
@@ -27,6 +29,8 @@
 from sardinewharf.daemon import handler
 from sardinewharf.daemon import polling
 from sardinewharf.daemon import settings as settings_lib
+from sardinewharf.http1 import closes
+from sardinewharf.http1 import protocol
 from sardinewharf.keyvalue import http as kv_http
 
 _log = logs.get_logger("daemon")
@@ -39,6 +43,11 @@
 _STORE_LOAD_TIMEOUT_S = 2.0
 _BOOTSTRAP_RETRY_S = 0.5
 _LISTEN_BACKLOG = 2048
+# Limits of connections of callers and operators.
+_LIMITS = closes.ServerLimits(header_bytes=65_536, header_s=10.0, idle_s=75.0)
+# Most bytes of heads, pipelined requests and unread responses that all
+# connections may hold together.
+_BUFFER_BYTES = 16_777_216
 # The task without which a daemon is not ready.
 _CONFIGURATION_TASK = "configuration"
 
@@ -231,10 +240,15 @@
         host, port = self._settings.peer_listen.rsplit(":", 1)
         await self._peer_server.start(host, int(port))
         self._ledger.start()
+        account = memory.MemoryAccount(_BUFFER_BYTES)
         servers = [
-            _make_server(self._settings.listen, self._caller_app.make_app()),
             _make_server(
-                self._settings.admin_listen, self._operator_app.make_app()
+                self._settings.listen, self._caller_app.make_app(), account
+            ),
+            _make_server(
+                self._settings.admin_listen,
+                self._operator_app.make_app(),
+                account,
             ),
         ]
         serving = [asyncio.create_task(server.serve()) for server in servers]
@@ -403,7 +417,9 @@
         _log.info("Stopped.")
 
 
-def _make_server(address: str, app) -> uvicorn.Server:
+def _make_server(
+    address: str, app, account: memory.MemoryAccount
+) -> uvicorn.Server:
     host, port = address.rsplit(":", 1)
     config = uvicorn.Config(
         app,
@@ -413,6 +429,24 @@
         access_log=False,
         lifespan="off",
         backlog=_LISTEN_BACKLOG,
-        timeout_keep_alive=75,
+        http=protocol.make_protocol(
+            lambda: _LIMITS,
+            account,
+            asyncio.Event(),
+            functools.partial(_log_close, address),
+            # The applications take only a closed connection for a caller that
+            # left.
+            keeps_half_open=False,
+        ),
+        ws="none",
     )
     return _Server(config)
+
+
+def _log_close(address: str, report: closes.CloseReport) -> None:
+    """Logs a connection that was closed with a request on it."""
+    _log.warning(
+        "{}: a connection with a request on it was closed: {}.",
+        address,
+        report.reason.value,
+    )
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -86,11 +86,14 @@
         report_close: Receives connections that are closed with a request on
             them, other than by their caller.
         account: Account of the memory that callers' data takes.
+        keeps_half_open: Whether a caller that closes its sending side may wait
+            for its responses.
     """
 
     account: memory.MemoryAccount
     read_limits: Callable[[], closes.ServerLimits]
     closed: asyncio.Event
+    keeps_half_open: bool
     report_close: Callable[[closes.CloseReport], None]
 
     # Called by asyncio.
@@ -100,9 +103,13 @@
         super().connection_made(transport)
         self.flow = pipelines.ReadControl(transport)
         client.set_tcp_options(transport.get_extra_info("socket"))
-        transport.max_size = client.SEGMENT_BYTES
-        # What cannot be written at once is counted, see ``pause_writing``.
-        transport.set_write_buffer_limits(high=0)
+        # uvloop's transports have no such attribute, and write only at the end
+        # of a round of the loop: there, less than the default high-water mark
+        # of 64 KB is not counted.
+        if hasattr(transport, "max_size"):
+            transport.max_size = client.SEGMENT_BYTES
+            # What cannot be written at once is counted, see ``pause_writing``.
+            transport.set_write_buffer_limits(high=0)
         account = type(self).account
         self._unread = account.open(
             memory.Use.UNREAD_REQUEST, self._reject_for_memory
@@ -193,6 +200,8 @@
             Whether the connection stays open, since a response is outstanding.
         """
         self._has_caller_ended = True
+        if not self.keeps_half_open:
+            return False
         if self._backlog:
             self._caller.is_half_closed = True
             self._current_cycle.message_event.set()
@@ -570,6 +579,27 @@
         )
 
 
+def make_protocol(
+    read_limits: Callable[[], closes.ServerLimits],
+    account: memory.MemoryAccount,
+    closed: asyncio.Event,
+    report_close: Callable[[closes.CloseReport], None],
+    keeps_half_open: bool = True,
+) -> type[LimitedProtocol]:
+    """Returns the protocol of one listener; see ``LimitedProtocol``."""
+    return type(
+        "Protocol",
+        (LimitedProtocol,),
+        {
+            "read_limits": staticmethod(read_limits),
+            "closed": closed,
+            "report_close": staticmethod(report_close),
+            "account": account,
+            "keeps_half_open": keeps_half_open,
+        },
+    )
+
+
 class _TrailersTooLargeError(Exception):
     """The trailers of a request exceed their limit."""
 
--- a/sardinewharf/http1/server.py
+++ b/sardinewharf/http1/server.py
@@ -49,15 +49,8 @@
         self._config.load()
         self._state = uvicorn_server.ServerState()
         self._closed = asyncio.Event()
-        self._protocol = type(
-            "Protocol",
-            (protocol.LimitedProtocol,),
-            {
-                "read_limits": staticmethod(read_limits),
-                "closed": self._closed,
-                "report_close": staticmethod(report_close),
-                "account": account,
-            },
+        self._protocol = protocol.make_protocol(
+            read_limits, account, self._closed, report_close
         )
         self._server: asyncio.Server | None = None
 
