Wait for owners of quotas as long as their responses take

Cause: the next gateway was asked after a fixed 90 ms, and one that did not answer probes for 60 ms counted as silent. Each response of a starved VM came later than that.

An ask is sent at most three times to one gateway.

--- a/sardinewharf/quotas/borrower.py
+++ b/sardinewharf/quotas/borrower.py
@@ -20,13 +20,16 @@
 from sardinewharf.quotas import directory as directory_lib
 from sardinewharf.quotas import messages
 from sardinewharf.quotas import presence as presence_lib
+from sardinewharf.quotas import round_trips
 from sardinewharf.quotas import settings as settings_lib
 
-# Time after which an ask is repeated, and after which the next gateway is
-# asked, in seconds. Later ones first probe those before them.
+# Shortest time after which an ask is repeated, and after which the next gateway
+# is asked, in seconds. Later ones first probe those before them.
 _REPEAT_S = 0.03
 _FIRST_WAIT_S = 0.09
 _NEXT_WAIT_S = 0.15
+# Most times that an ask is sent to one gateway.
+_SENDS_PER_WAIT = 3
 # Requests of an organisation that ask at the same time; others wait for their
 # responses, which may cover them.
 _MAX_ASKING = 4
@@ -108,6 +111,7 @@
         # thousands of others.
         self._in_use: set[str] = set()
         self._sent: dict[int, _Sent] = {}
+        self._round_trips = round_trips.RoundTripEstimator()
         # Organisations with an ask in advance that awaits its response.
         self._asked_in_advance: set[str] = set()
         self.counts = collections.Counter[str]()
@@ -184,6 +188,7 @@
             return
         if sent.charge is None:
             self._asked_in_advance.discard(sent.ask.organisation)
+        self._round_trips.record(now - sent.at)
         if now - sent.at > _RESPONSE_S:
             return
         self._in_use.add(sent.ask.organisation)
@@ -337,11 +342,13 @@
         charge.ask = self._make_ask(
             charge.organisation, account, tokens=charge.cost
         )
-        wait_s = _FIRST_WAIT_S if is_first else _NEXT_WAIT_S
+        wait_s = self._round_trips.find_timeout(
+            _FIRST_WAIT_S if is_first else _NEXT_WAIT_S
+        )
         self._set_asking(charge, True)
         charge.asked_at = now
         charge.give_up_at = now + wait_s
-        charge.next_at = now + _REPEAT_S
+        charge.next_at = now + max(_REPEAT_S, wait_s / _SENDS_PER_WAIT)
         self._dispatch(charge.ask, charge.candidates[0], charge, now)
 
     def _wait_or_decide(self, charge: charges.Charge, now: float) -> None:
@@ -367,7 +374,9 @@
         charge.next_at = charge.give_up_at = now + wait_s
 
     def _repeat(self, charge: charges.Charge, now: float) -> None:
-        charge.next_at = min(now + _REPEAT_S, charge.give_up_at)
+        interval_s = (charge.give_up_at - charge.asked_at) / _SENDS_PER_WAIT
+        interval_s = max(_REPEAT_S, interval_s)
+        charge.next_at = min(now + interval_s, charge.give_up_at)
         self.counts["repeated"] += 1
         self._send(charge.candidates[0], charge.ask)
 
--- a/sardinewharf/quotas/presence.py
+++ b/sardinewharf/quotas/presence.py
@@ -13,6 +13,7 @@
 
 from sardinewharf.quotas import directory as directory_lib
 from sardinewharf.quotas import messages
+from sardinewharf.quotas import round_trips
 
 # Time in which the gateways are counted that are heard, in seconds. Most of a
 # fleet of 70 send a digest within it.
@@ -29,8 +30,9 @@
 # If fewer than this share of the gateways were heard since, they all count:
 # rather this one is cut off.
 _MIN_PRESENT_SHARE = 0.7
-# Two unanswered probes and this time since the first show that a gateway is
-# silent, in seconds. A round trip takes 1 to 3 ms, but a slow machine tens.
+# Two unanswered probes and at least this time since the first show that a
+# gateway is silent, in seconds. A round trip takes 1 to 3 ms, but a slow
+# machine tens.
 _SILENT_S = 0.06
 _SILENT_PROBES = 2
 # Time between two probes, until the answer is known and from then on, in
@@ -118,6 +120,7 @@
         self._started_at = now
         self._started_wall = wall
         self._peers: dict[str, _Peer] = {}
+        self._round_trips = round_trips.RoundTripEstimator()
 
     def record_digest(
         self, sender: str, started_wall: float, number: int, now: float
@@ -151,6 +154,9 @@
         self, sender: str, is_active: bool, now: float
     ) -> None:
         """Records whether a gateway states that it keeps its quotas."""
+        former = self._peers.get(sender)
+        if former is not None and former.unanswered:
+            self._round_trips.record(now - former.unanswered_since)
         peer = self.record(sender, now)
         if is_active:
             peer.active_at = now
@@ -160,6 +166,10 @@
             peer.inactive_at = now
             peer.active_at = -math.inf
 
+    def find_timeout(self, shortest_s: float) -> float:
+        """Returns how long to wait for the answer to a probe, in seconds."""
+        return self._round_trips.find_timeout(shortest_s)
+
     def find_last_heard(self, name: str) -> float:
         """Returns when a gateway was last heard."""
         peer = self._peers.get(name)
@@ -207,13 +217,15 @@
         return peer.absent_since, peer.is_silent
 
     def _judge(self, peer: _Peer, now: float) -> Presence:
-        if now - peer.active_at <= _ACTIVE_S:
+        silent_s = self.find_timeout(_SILENT_S)
+        # The next answer takes as long as a round trip.
+        if now - peer.active_at <= _ACTIVE_S + silent_s - _SILENT_S:
             return Presence.ACTIVE
         if now - peer.inactive_at <= _INACTIVE_S:
             return Presence.ABSENT
         is_silent = (
             peer.unanswered >= _SILENT_PROBES
-            and now - peer.unanswered_since >= _SILENT_S
+            and now - peer.unanswered_since >= silent_s
         )
         if is_silent or now >= self._find_long_silence(peer):
             return Presence.ABSENT
--- a/sardinewharf/quotas/quorum.py
+++ b/sardinewharf/quotas/quorum.py
@@ -11,7 +11,8 @@
 from sardinewharf.quotas import directory as directory_lib
 from sardinewharf.quotas import presence as presence_lib
 
-# Time between two rounds of probes, in seconds; responses come within it.
+# Shortest time between two rounds of probes, in seconds; responses come within
+# it.
 _ROUND_S = 0.2
 # Gateways that are probed in a round, and share of them that has to respond.
 _SAMPLE = 8
@@ -76,9 +77,10 @@
 
     def advance(self, now: float) -> None:
         """Ends a round and begins the next, when it is time."""
-        if now >= self._required_until or now - self._probed_at < _ROUND_S:
+        round_s = self._peers.find_timeout(_ROUND_S)
+        if now >= self._required_until or now - self._probed_at < round_s:
             return
-        if now - self._probed_at < 3 * _ROUND_S:
+        if now - self._probed_at < 3 * round_s:
             self._has_lost = not self._is_confirmed()
         if self._has_lost:
             self.lost_at = now
