Look at the room at engines each 0.2 s, and skip idle peers in loads

Cause: while requests waited, each gateway looked at the room each 50 ms, which takes 1 to 2 ms with 30 engines and 69 peers.

Change: 0.2 s. Requests that end at this gateway release waiting ones at once, as before. The load of an endpoint no longer computes a prefilled share for peers without queued prompts, and gives the same figures: 3,000 random tables compared equal.

Measured: 30 engines with 41 recent peers each are read in 927 us, 1,015 before. The tests of overload, loads and the gateway's overload pass.

--- a/sardinewharf/fleet/loads.py
+++ b/sardinewharf/fleet/loads.py
@@ -194,32 +194,51 @@
         running, prompt_tokens, held_tokens = self._own.get(
             endpoint_id, (0, 0, 0)
         )
-        recent = [
-            peer
-            for peer in self._peers.get(endpoint_id, {}).values()
-            if now - peer.received_at <= _PEER_LOAD_TTL_S
-        ]
+        since = now - _PEER_LOAD_TTL_S
         scale = self.peers_per_report
-        queued_tokens = prompt_tokens + scale * sum(
-            peer.load.prompt_tokens for peer in recent
-        )
-        for peer in recent:
-            running += round(scale * peer.load.running)
-            held_tokens += int(scale * peer.load.held_tokens)
-            if queued_tokens:
-                prefilled_share = (
-                    (now - peer.received_at)
-                    * 1000
-                    * prefill_tokens_per_ms
-                    / queued_tokens
-                )
-                prompt_tokens += int(
-                    scale
-                    * peer.load.prompt_tokens
-                    * max(0.0, 1.0 - prefilled_share)
-                )
+        # Reports with prompts that await prefill; most have none.
+        queued: list[_PeerLoad] = []
+        for peer in self._peers.get(endpoint_id, {}).values():
+            if peer.received_at < since:
+                continue
+            load = peer.load
+            running += round(scale * load.running)
+            held_tokens += int(scale * load.held_tokens)
+            if load.prompt_tokens:
+                queued.append(peer)
+        if queued:
+            prompt_tokens += self._estimate_queued(
+                queued, prompt_tokens, now, prefill_tokens_per_ms
+            )
         return EndpointLoad(running, prompt_tokens, held_tokens)
 
+    def _estimate_queued(
+        self,
+        queued: list[_PeerLoad],
+        own_tokens: int,
+        now: float,
+        prefill_tokens_per_ms: float,
+    ) -> int:
+        """Returns the prompt tokens of peers that still await prefill."""
+        scale = self.peers_per_report
+        queued_tokens = own_tokens + scale * sum(
+            peer.load.prompt_tokens for peer in queued
+        )
+        left = 0
+        for peer in queued:
+            prefilled_share = (
+                (now - peer.received_at)
+                * 1000
+                * prefill_tokens_per_ms
+                / queued_tokens
+            )
+            left += int(
+                scale
+                * peer.load.prompt_tokens
+                * max(0.0, 1.0 - prefilled_share)
+            )
+        return left
+
     def _add(
         self,
         endpoint_id: ids.EndpointId,
--- a/sardinewharf/gateway/overload_control.py
+++ b/sardinewharf/gateway/overload_control.py
@@ -23,11 +23,10 @@
 from sardinewharf.gateway import shutdown as shutdown_lib
 from sardinewharf.gateway import tables
 
-# Time between two looks at the room while requests wait, in seconds.
-_POLL_S = 0.05
-# The same while none waits: a look takes over a millisecond, and the loads of
-# other gateways are about a second old.
-_UNHURRIED_POLL_S = 0.25
+# Time between two looks at the room, in seconds. Each takes over a millisecond,
+# and the loads of other gateways are about a second old; what this gateway
+# sends and what ends here counts at once.
+_POLL_S = 0.2
 # While at least this share of the places is free and no request waits, requests
 # are sent at once.
 _AMPLE_SHARE = 0.125
@@ -321,8 +320,7 @@
         now: float,
     ) -> overload.ServiceRoom | None:
         """Returns the room at the engines of a call; None if it is unknown."""
-        poll_s = _POLL_S if len(state.queue) else _UNHURRIED_POLL_S
-        if now - state.room_read_at < poll_s:
+        if now - state.room_read_at < _POLL_S:
             return state.room
         state.room_read_at = now
         state.sent_since = 0
