--- a/sardinewharf/overload/shares.py
+++ b/sardinewharf/overload/shares.py
@@ -26,10 +26,9 @@
 
 import random
 
-# Time over which the share of the free places is sent, in seconds. While the
-# reports of peers are up to 1 s old, 60 gateways fill idle engines to 1.2 times
-# their slots with 1.5 s, and to 1.5 times with 1.0 s (trials with the model of
-# ``tests/test_shares.py``); both settle at the number of slots.
+# Time over which the share of the free places is sent, in seconds. It is longer
+# than the age of the peers' reports, up to 1 s: gateways that do not know of
+# each other's requests yet would fill idle engines beyond their slots.
 _FILL_S = 1.5
 # Longest time for which the share is sent at once, in seconds.
 _MAX_REFILL_S = 0.25
