Drop a lost stream's partial event before another endpoint is sought

After a loss the attempt's reservation was closed while the framer kept the bytes of the incomplete event until another endpoint resumed the stream, so that they were held and not counted.

--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -183,8 +183,10 @@
         caller still waits for the next event.
         """
         call = self._call
-        # Its prefill has ended; no other attempt is to wait for it.
+        # Its prefill has ended; no other attempt is to wait for it. What is
+        # buffered of an event would not be counted any more.
         self._attempt.close()
+        self._framer.drop_partial_event()
         if not call.may_run_again or call.deadline.is_past():
             return False
         if not self._framer.is_resumable:
