Read from all endpoints into one buffer

asyncio allocated 64 KB for each read and shrank it to what came, which left gaps between the pieces of bodies that are kept. Received bytes are parsed before the next read, and the parser copies what it passes on, so connections share one buffer.

--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -43,6 +43,10 @@
 # Bytes that are read or written at a time. The event loop would read four times
 # as many, and copies what it cannot write at once.
 SEGMENT_BYTES = 65_536
+# Received bytes are parsed before any connection reads again, so that all share
+# one buffer. A buffer for each read left gaps between the pieces of bodies that
+# are kept: 60 MB for 15 MB of pieces of 150 streams.
+_RECEIVE_BUFFER = memoryview(bytearray(SEGMENT_BYTES))
 _MEMORY_REASON = "the memory for responses is used up"
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -230,7 +234,7 @@
             self._event.set()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to one endpoint, for one exchange at a time.
 
     It is aborted if bytes arrive that belong to no request. A large request is
@@ -357,7 +361,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; called by asyncio."""
         self._transport = transport
-        transport.max_size = SEGMENT_BYTES
 
     def pause_writing(self) -> None:
         """Stops writing, as the endpoint reads slowly; called by asyncio."""
@@ -369,8 +372,16 @@
         if not self._transport.is_closing():
             self._write_more()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where received bytes are written to; called by asyncio."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes; called by asyncio."""
+        self.data_received(_RECEIVE_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parses received bytes."""
         exchange = self._exchange
         if exchange is None or exchange.is_complete:
             # These bytes belong to no request.
