Free what a reader holds when its response is evicted

The account counted an evicted response as freed while its reader, an event framer or the pieces of a body, held the bytes until its task ran; with 150 readable connections others took up to 64 KB each in their place before that. The reader now passes what frees them with their size. The new test needs the parameter, so it fails on the code before.

--- a/sardinewharf/gateway/forwarding.py
+++ b/sardinewharf/gateway/forwarding.py
@@ -128,7 +128,9 @@
             # The traceback of a loss keeps its frames until the garbage
             # collector runs.
             del chunk
-            attempt.exchange.retain(self._framer.pending_bytes)
+            attempt.exchange.retain(
+                self._framer.pending_bytes, self._framer.drop_partial_event
+            )
             if events:
                 self._record_events(events)
                 return events
--- a/sardinewharf/gateway/relay.py
+++ b/sardinewharf/gateway/relay.py
@@ -108,7 +108,7 @@
                 while chunk := await attempt.exchange.read():
                     chunks.append(chunk)
                     size += len(chunk)
-                    attempt.exchange.retain(size)
+                    attempt.exchange.retain(size, chunks.clear)
                     if size > _MAX_BODY_BYTES:
                         raise http1.ResponseLostError("the answer is too large")
         except http1.ResponseLostError as error:
--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import socket
@@ -107,6 +108,7 @@
         self._reservation = account.open(use, self._evict) if account else None
         # Bytes that were read and that the reader still holds.
         self._retained_bytes = 0
+        self._release: Callable[[], None] | None = None
         self._event = asyncio.Event()
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
@@ -155,16 +157,20 @@
         self._connection.resume_reading()
         return chunks
 
-    def retain(self, size: int) -> None:
+    def retain(
+        self, size: int, release: Callable[[], None] | None = None
+    ) -> None:
         """Counts what the reader holds of the data that it has read.
 
         Args:
             size: All bytes that it holds, in place of what was counted before.
+            release: Frees them; called at once if the response is given up.
 
         Raises:
             ResponseLostError: If the memory for responses is used up.
         """
         self._retained_bytes = size
+        self._release = release
         if not self._count_held():
             raise ResponseLostError(self._error or _MEMORY_REASON)
 
@@ -176,6 +182,7 @@
             self._connection.abort()
         # The connection refers to this object and keeps it.
         self._chunks.clear()
+        self._release = None
 
     def _count_held(self, partial_head_bytes: int = 0) -> bool:
         """Counts the bytes held; returns whether they may be kept."""
@@ -189,6 +196,8 @@
         """Gives the response up, as the memory for responses is used up."""
         self._chunks.clear()
         self._buffered_bytes = 0
+        if self._release is not None:
+            self._release()
         self._error = self._error or _MEMORY_REASON
         self._event.set()
         self._connection.abort()
--- a/sardinewharf/http1/tests/test_client.py
+++ b/sardinewharf/http1/tests/test_client.py
@@ -4,6 +4,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from sardinewharf import http1
+from sardinewharf import memory
 
 
 class Transport(asyncio.Transport):
@@ -394,3 +395,23 @@
     assert await read_all(exchange) == (200, b"one")
     # A blank line is no begin of a response (RFC 9112, section 2.2).
     assert connection.is_open == (end == b"\r\n")
+
+
+async def test_an_evicted_response_frees_what_its_reader_holds():
+    """Guards against memory that is counted as free while it is still held.
+
+    The pieces of a response lived until its reader ran, and others took their
+    place in the account before.
+    """
+    account = memory.MemoryAccount(1_000)
+    connection = http1.Connection(account)
+    connection.connection_made(Transport())
+    exchange = connection.start(b"GET", b"request")
+    connection.data_received(CHUNKED + b"384\r\n" + b"b" * 900 + b"\r\n")
+    await exchange.read_head()
+    held = [await exchange.read()]
+    exchange.retain(900, held.clear)
+    account.open(memory.Use.REQUEST, lambda: None).resize(200)
+    assert held == []
+    with pytest.raises(http1.ResponseLostError):
+        await exchange.read()
--- a/sardinewharf/platform/calls.py
+++ b/sardinewharf/platform/calls.py
@@ -129,7 +129,7 @@
             raise TooLargeError(
                 f"a body of over {max_bytes} bytes", was_sent=True
             )
-        exchange.retain(size)
+        exchange.retain(size, chunks.clear)
     return b"".join(chunks)
 
 
