--- a/sardinewharf/configuration/__init__.py
+++ b/sardinewharf/configuration/__init__.py
@@ -1,5 +1,12 @@
 """Versions the configuration: documents, plans, storage and updates."""
 
+from sardinewharf.configuration.checks import CheckResult
+from sardinewharf.configuration.checks import Finding
+from sardinewharf.configuration.checks import Severity
+from sardinewharf.configuration.checks import check_text
+from sardinewharf.configuration.checks import has_failed
+from sardinewharf.configuration.checks import list_differences
+from sardinewharf.configuration.checks import parse_version
 from sardinewharf.configuration.documents import Adapter
 from sardinewharf.configuration.documents import Application
 from sardinewharf.configuration.documents import Call
@@ -42,6 +49,7 @@
     "Application",
     "Call",
     "Change",
+    "CheckResult",
     "Commit",
     "CommitResult",
     "CommitUnknown",
@@ -51,6 +59,7 @@
     "ConfigurationWatcher",
     "Document",
     "DocumentError",
+    "Finding",
     "Manifest",
     "ManifestError",
     "Model",
@@ -58,18 +67,23 @@
     "Plan",
     "PlanCost",
     "RoutingIntent",
+    "Severity",
     "Shard",
     "Snapshot",
     "Stale",
     "StoreDown",
     "check_document",
+    "check_text",
     "compare_documents",
     "estimate_cost",
+    "has_failed",
     "hash_api_key",
     "join_shards",
+    "list_differences",
     "make_plan",
     "make_plan_id",
     "make_shard",
     "parse_document",
+    "parse_version",
     "split_document",
 ]
