Add the command sardinewharf check for documents and their differences

Operators learnt of a wrong document only from a daemon, one type error at a time. The command prints the findings of configuration/checks.py, compares with a file or a daemon's version, and exits with 0, 1 or 2. The base classes of commands move to tool_commands.py. cleo returned 1 for wrong arguments, which is the code of findings, so these commands now return 2.

--- a/sardinewharf/cli/program.py
+++ b/sardinewharf/cli/program.py
@@ -1,7 +1,6 @@
 """The command-line tool ``sardinewharf`` and its commands."""
 
 import json
-import os
 import pathlib
 import sys
 
@@ -12,91 +11,23 @@
 import msgspec
 
 from sardinewharf import configuration
+from sardinewharf.cli import check
 from sardinewharf.cli import client
+from sardinewharf.cli import tool_commands
 from sardinewharf.records import histories
 from sardinewharf.records import lines as lines_lib
 
 _COLOURS = {"+": "info", "-": "error", "~": "comment"}
 
 
-class _OperatorCommand(command.Command):
-    """A command that calls a daemon's operator API."""
-
-    options = [
-        option(
-            "daemon",
-            "d",
-            "HOST:PORT of a daemon's operator API (SARDINEWHARF_ADMIN)",
-            flag=False,
-        ),
-        option(
-            "token-file",
-            None,
-            "file with the operator token (or SARDINEWHARF_TOKEN)",
-            flag=False,
-        ),
-        option("json", None, "print the response as JSON"),
-    ]
-
-    def handle(self) -> int:
-        """Runs the command and returns its exit code."""
-        try:
-            return self.run_with(self._make_client())
-        except client.ToolError as error:
-            self.line_error(str(error), "error")
-            return error.exit_code
-
-    def run_with(self, api_client: client.OperatorClient) -> int:
-        """Runs the command against a daemon and returns its exit code."""
-        raise NotImplementedError
-
-    def print_json(self, result: object) -> bool:
-        """Prints the result if ``--json`` is set; returns whether it is."""
-        if self.option("json"):
-            self.line(json.dumps(result, indent=2))
-            return True
-        return False
-
-    def read_file(self, name: str) -> bytes:
-        """Returns the content of a file.
-
-        Raises:
-            ToolError: If it cannot be read.
-        """
-        try:
-            return pathlib.Path(name).read_bytes()
-        except OSError as error:
-            raise client.ToolError(
-                f"Cannot read {name}: {error.strerror}. Pass another file.",
-                client.EXIT_USAGE,
-            ) from error
-
-    def _make_client(self) -> client.OperatorClient:
-        address = self.option("daemon") or os.environ.get("SARDINEWHARF_ADMIN")
-        if not address:
-            raise client.ToolError(
-                "No daemon address is set. Use --daemon or SARDINEWHARF_ADMIN.",
-                client.EXIT_USAGE,
-            )
-        token = os.environ.get("SARDINEWHARF_TOKEN", "")
-        if self.option("token-file"):
-            token = self.read_file(self.option("token-file")).decode().strip()
-        if not token:
-            raise client.ToolError(
-                "No operator token. Use --token-file or SARDINEWHARF_TOKEN.",
-                client.EXIT_USAGE,
-            )
-        return client.OperatorClient(address, token)
-
-
-class PlanCommand(_OperatorCommand):
+class PlanCommand(tool_commands.OperatorCommand):
     """Shows what a document would change."""
 
     name = "plan"
     description = "Shows what a document would change; nothing takes effect"
     arguments = [argument("document", "TOML file with the new configuration")]
     options = [
-        *_OperatorCommand.options,
+        *tool_commands.OperatorCommand.options,
         option("out", "o", "file to save the plan to, for confirm", flag=False),
     ]
 
@@ -132,7 +63,7 @@
             )
 
 
-class ConfirmCommand(_OperatorCommand):
+class ConfirmCommand(tool_commands.OperatorCommand):
     """Applies a plan."""
 
     name = "confirm"
@@ -148,7 +79,7 @@
         return 0
 
 
-class ShowCommand(_OperatorCommand):
+class ShowCommand(tool_commands.OperatorCommand):
     """Shows the active configuration."""
 
     name = "show"
@@ -167,7 +98,7 @@
         return 0
 
 
-class HistoryCommand(_OperatorCommand):
+class HistoryCommand(tool_commands.OperatorCommand):
     """Lists the last confirmed plans."""
 
     name = "history"
@@ -186,7 +117,7 @@
         return 0
 
 
-class StatusCommand(_OperatorCommand):
+class StatusCommand(tool_commands.OperatorCommand):
     """Shows the status of a daemon, its peers and the endpoints."""
 
     name = "status"
@@ -269,6 +200,7 @@
     """Runs the command-line tool."""
     application = cleo.application.Application("sardinewharf", "0.1.0")
     for command_class in (
+        check.CheckCommand,
         PlanCommand,
         ConfirmCommand,
         ShowCommand,
--- /dev/null
+++ b/sardinewharf/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command-line tool."""
--- a/sardinewharf/configuration/checks.py
+++ b/sardinewharf/configuration/checks.py
@@ -15,13 +15,14 @@
     ...     print(finding)
     error models[0].weights: Expected `str`, got `int`. Correct the value.
     error models[0].engines: Expected `int`, got `str`. Correct the value.
-    warning organisations: no organisation has a key, so no request for the \
-1 models, adapters and applications is admitted. Add key_hashes.
+    warning organisations: no organisation has a key, so no request is \
+admitted. Add key_hashes to one.
 """
 
 from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
+import re
 import tomllib
 
 import msgspec
@@ -40,6 +41,7 @@
 _EMPTY_KEY_HASH = documents.hash_api_key("")
 # A call's name is compared with the decoded path, without the query.
 _ESCAPED_IN_PATHS = "?#%"
+_PART_START = re.compile(r"[.\[]")
 _VERBS = {
     plans.Action.ADD: "added",
     plans.Action.REMOVE: "removed",
@@ -128,13 +130,17 @@
     errors += [
         finding
         for finding in _find_invalid_fields(document)
-        if not any(_is_within(finding.field, field) for field in unread)
+        if unread.isdisjoint(_list_outer_fields(finding.field))
     ]
     wrong = {error.field for error in errors}
+    fields_with_errors = {
+        outer for field in wrong for outer in _list_outer_fields(field)
+    }
     warnings = [
         finding
         for finding in _find_warnings(document)
-        if not any(_overlap(finding.field, field) for field in wrong)
+        if finding.field not in fields_with_errors
+        and wrong.isdisjoint(_list_outer_fields(finding.field))
     ]
     return CheckResult(None if errors else document, (*errors, *warnings))
 
@@ -220,13 +226,15 @@
     return CheckResult(None, (error,))
 
 
-def _is_within(field: str, outer: str) -> bool:
-    """Returns whether a field is another one or a part of it."""
-    return field == outer or field.startswith((f"{outer}.", f"{outer}["))
+def _list_outer_fields(field: str) -> list[str]:
+    """Returns a field and all that it is a part of.
 
-
-def _overlap(field: str, other: str) -> bool:
-    return _is_within(field, other) or _is_within(other, field)
+    Examples:
+        >>> _list_outer_fields("models[0].name")
+        ['models', 'models[0]', 'models[0].name']
+    """
+    ends = [match.start() for match in _PART_START.finditer(field)]
+    return [*(field[:end] for end in ends), field]
 
 
 def _find_invalid_fields(document: documents.Document) -> Iterator[Finding]:
@@ -253,16 +261,9 @@
     document: documents.Document,
 ) -> Iterator[tuple[str, str]]:
     """Yields kinds of items that need items of another kind."""
-    count = sum(
-        len(items)
-        for items in (
-            document.models,
-            document.adapters,
-            document.applications,
-        )
-    )
+    has_targets = bool(document.models or document.applications)
     has_key = any(item.key_hashes for item in document.organisations)
-    if not count and not document.organisations:
+    if document == documents.Document():
         yield (
             "document",
             "is empty; applying it removes everything. Pass another file.",
@@ -270,10 +271,10 @@
     elif not has_key:
         yield (
             "organisations",
-            f"no organisation has a key, so no request for the {count} models,"
-            " adapters and applications is admitted. Add key_hashes.",
+            "no organisation has a key, so no request is admitted. Add"
+            " key_hashes to one.",
         )
-    elif not count:
+    elif not has_targets:
         yield (
             "models",
             "there are neither models nor applications that a key can be used"
