--- a/sardinewharf/configuration/checks.py
+++ b/sardinewharf/configuration/checks.py
@@ -136,6 +136,9 @@
     fields_with_errors = {
         outer for field in wrong for outer in _list_outer_fields(field)
     }
+    if errors:
+        # What could not be read may have been the whole content.
+        fields_with_errors.add("document")
     warnings = [
         finding
         for finding in _find_warnings(document)
--- a/sardinewharf/configuration/tests/test_checks.py
+++ b/sardinewharf/configuration/tests/test_checks.py
@@ -294,6 +294,11 @@
     assert [field for field, _ in find(_SOUND.replace(old, new))] == [field]
 
 
+def test_a_document_of_unknown_fields_is_not_reported_as_empty():
+    """The file of another program is no document that removes everything."""
+    assert [field for field, _ in find("roles = 1")] == ["roles"]
+
+
 def test_limits_are_compared_with_the_daemons_defaults():
     """A default that is changed in the daemon only makes the warnings wrong."""
     defaults = {
