Reject documents with numbers that are not finite, and ones too deep for TOML

plan accepted inf and nan; they became null in the plan's JSON, and confirm answered 400. A document of 5,000 nested arrays, or an integer of 5,000 digits, was answered with 500, as tomllib raises other errors for them. Both are now invalid documents whose message names the field or the cause.

--- a/sardinewharf/configuration/checks.py
+++ b/sardinewharf/configuration/checks.py
@@ -103,9 +103,7 @@
 def check_text(text: str) -> CheckResult:
     """Checks the text of a TOML document.
 
-    There are errors if ``parse_document`` rejects the text. Numbers that are
-    not finite are errors, too: ``parse_document`` accepts them, but they become
-    null in the JSON of a plan, which ``confirm`` then rejects.
+    There are errors if ``parse_document`` rejects the text.
 
     Examples:
         >>> result = check_text("[[models]")
--- a/sardinewharf/configuration/documents.py
+++ b/sardinewharf/configuration/documents.py
@@ -16,6 +16,7 @@
 """
 
 import hashlib
+import math
 import re
 import tomllib
 
@@ -148,9 +149,16 @@
         DocumentError: If the text is not TOML or a field is invalid.
     """
     try:
-        document = msgspec.convert(tomllib.loads(text), Document)
-    except tomllib.TOMLDecodeError as error:
+        raw = tomllib.loads(text)
+    except RecursionError as error:
+        raise DocumentError(
+            "arrays or tables are nested too deeply. Remove some."
+        ) from error
+    except ValueError as error:
+        # Also raised for integers that have too many digits to be converted.
         raise DocumentError(f"{error}. Correct the line.") from error
+    try:
+        document = msgspec.convert(raw, Document)
     except msgspec.ValidationError as error:
         raise _convert_error(error) from error
     check_document(document)
@@ -164,6 +172,7 @@
         DocumentError: Lists each invalid field and how to correct it.
     """
     problems = [
+        *_check_finite(document),
         *_check_names(document),
         *_check_organisations(document),
         *_check_models(document),
@@ -183,6 +192,26 @@
     )
 
 
+def _check_finite(document: Document) -> list[str]:
+    """Returns the numbers that are not finite: JSON cannot hold them."""
+    problems = []
+    for index, item in enumerate(document.organisations):
+        for name in ("weight", "requests_per_second"):
+            if not math.isfinite(getattr(item, name)):
+                problems.append(
+                    f"organisations[{index}].{name}: is not finite. Use a"
+                    " finite number."
+                )
+    for index, item in enumerate(document.applications):
+        for name, value in msgspec.structs.asdict(item.intent).items():
+            if not math.isfinite(value):
+                problems.append(
+                    f"applications[{index}].intent.{name}: is not finite. Use a"
+                    " finite number."
+                )
+    return problems
+
+
 def _check_names(document: Document) -> list[str]:
     problems = []
     for kind in ("organisations", "models", "adapters", "applications"):
