Split the gateway's service into modules with one job each

service.py had 621 lines and did more than build a gateway, start it and shut it down. What moved, with no change of behaviour: the registration in the store to registrar.py, the steps at regular intervals and the share of the retry budget to maintenance.py, the gauges to gauges.py, the record of closed connections to connection_log.py, the applications of the ready and metrics ports to monitoring.py, and the leader lease's durations to rollout_lease.py. service.py has 449 lines.

In test_background_tasks a test reads _handled_changes from the gateway's maintenance, where it moved; what it asserts is unchanged.

Run: gateway/tests/test_b*.py (98 passed), test_c*.py (115 passed, in 385 s beside load 50 to 100), test_serving, test_shutdown, test_staleness, test_suspect_entries, test_odd_entries and test_weights with the doctests of gateway and the tests of platform (353 passed); ruff format and check.

--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -2,16 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Mapping
 import dataclasses
 import functools
-import statistics
 
-from sardinewharf import clocks
 from sardinewharf import fleet
-from sardinewharf import http1
 from sardinewharf import keyvalue
-from sardinewharf import leases
 from sardinewharf import limits
 from sardinewharf import memory
 from sardinewharf import records
@@ -21,6 +16,7 @@
 from sardinewharf.gateway import availability as availability_lib
 from sardinewharf.gateway import caches
 from sardinewharf.gateway import changes
+from sardinewharf.gateway import connection_log
 from sardinewharf.gateway import control as control_lib
 from sardinewharf.gateway import crash_probes
 from sardinewharf.gateway import crashes as crashes_lib
@@ -29,9 +25,11 @@
 from sardinewharf.gateway import drains as drains_lib
 from sardinewharf.gateway import exchange as exchange_lib
 from sardinewharf.gateway import feeds
-from sardinewharf.gateway import members
+from sardinewharf.gateway import gauges
+from sardinewharf.gateway import maintenance as maintenance_lib
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
+from sardinewharf.gateway import monitoring
 from sardinewharf.gateway import notices as notices_lib
 from sardinewharf.gateway import overload_control
 from sardinewharf.gateway import peers as peers_lib
@@ -40,10 +38,11 @@
 from sardinewharf.gateway import quotas as quotas_lib
 from sardinewharf.gateway import ranking
 from sardinewharf.gateway import readers
+from sardinewharf.gateway import registrar as registrar_lib
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
-from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import rollout
+from sardinewharf.gateway import rollout_lease
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import settings as settings_lib
 from sardinewharf.gateway import shutdown as shutdown_lib
@@ -54,19 +53,8 @@
 from sardinewharf.gateway import tables
 from sardinewharf.http1 import server as http_server
 
-_MAINTENANCE_INTERVAL_S = 0.25
-# Share of the retry budget that is split between the gateways. The rest covers
-# gateways that restart, which begin with an unused budget.
-_SPLIT_BUDGET_SHARE = 0.7
-# Time between two attempts to register this gateway, and limit of each.
-_REGISTER_INTERVAL_S = 1.0
 # The task without which a gateway is not ready.
 _SYNC_TASK = "sync"
-# Durations of the leader lease for rolling updates.
-_LEADER_LEASE_S = 2.0
-_LEASE_EXPIRY_MARGIN_S = 0.7
-_LEASE_RENEW_BEFORE_S = 1.4
-_LEASE_CALL_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,18 +96,21 @@
         self._platform = platform
         self._log = log
         self._metrics = metrics_lib.GatewayMetrics()
-        self._leader_lease = self._make_leader_lease()
+        self._leader_lease = rollout_lease.make_rollout_lease(
+            settings, platform.store
+        )
         self._replica = replica_lib.Replica(log, self._leader_lease.tenures)
         self._loads = fleet.LoadTable()
         self._health = fleet.HealthTable(log)
         self._failures = tasks.FailureCounter(self._metrics.count_task_failure)
         self._tasks = tasks.TaskGroup(self._failures)
-        # The registry's count of changes when connections to removed endpoints
-        # were last closed.
-        self._handled_changes = -1
         self._stopping = asyncio.Event()
         self._connections = tables.ConnectionTable(platform.account)
-        self._budgets = tables.RetryBudgetTable(self._make_budget_share())
+        self._budgets = tables.RetryBudgetTable(
+            maintenance_lib.make_budget_share(
+                settings.guarantees, len(self._replica.members)
+            )
+        )
         self._admission_controller = admission.AdmissionController(
             self._replica, settings.guarantees
         )
@@ -231,7 +222,7 @@
             self._metrics,
         )
         feed = feeds.Feed(settings, self._replica)
-        self._staleness_monitor = staleness.StalenessMonitor(
+        staleness_monitor = staleness.StalenessMonitor(
             self._replica, feed, settings.guarantees, log
         )
         self._synchronizer = sync.Synchronizer(
@@ -270,23 +261,50 @@
             settings.name, platform.control, self._replica, self._prompts, log
         )
         self._rollout_controller = self._make_rollout_controller()
-        self._server = http_server.HttpServer(
-            self._app,
-            self._read_limits,
-            platform.account,
-            functools.partial(self._log_close, "front"),
+        self._registrar = registrar_lib.Registrar(
+            settings, platform.store, self._replica, self._shutdown
         )
-        self._ready_server = http_server.HttpServer(
-            _make_probe_app(self._is_ready),
-            self._read_limits,
-            platform.account,
-            functools.partial(self._log_close, "ready"),
+        self._maintenance = maintenance_lib.Maintenance(
+            settings.guarantees,
+            self._replica,
+            self._crashes,
+            staleness_monitor,
+            self._connections,
+            self._budgets,
+            self._loads,
+            self._notices,
+            self._reports,
+            self._prompts,
+            self._peers,
+            self._suspect_recorder,
+            self._failures,
         )
-        self._metrics_server = http_server.HttpServer(
-            _make_text_app(self._render_metrics),
-            self._read_limits,
+        self._connection_log = connection_log.ConnectionLog(
+            platform.header_codec, log, self._metrics
+        )
+        self._server = self._make_server("front", self._app)
+        self._ready_server = self._make_server(
+            "ready", monitoring.make_probe_app(self._is_ready)
+        )
+        self._metrics_server = self._make_server(
+            "metrics", monitoring.make_text_app(self._render_metrics)
+        )
+        self._servers = (
+            self._server,
+            self._ready_server,
+            self._metrics_server,
+        )
+        self._gauge_reader = gauges.GaugeReader(
+            self._replica,
+            self._app,
+            self._overload,
+            self._suspects,
+            self._reports,
+            platform.store,
             platform.account,
-            functools.partial(self._log_close, "metrics"),
+            self._servers,
+            log,
+            self._metrics,
         )
 
     def reload(self) -> None:
@@ -328,14 +346,16 @@
         """Starts the tasks that run as long as this gateway."""
         keep_running = self._tasks.keep_running
         keep_running(self._synchronizer.run, _SYNC_TASK)
-        keep_running(self._register, "register")
-        keep_running(self._run_maintenance, "tick")
+        keep_running(self._registrar.run, "register")
+        keep_running(self._maintenance.run, "tick")
         keep_running(self._peers.run_gossip, "peers")
         keep_running(self._peers.run_broadcasts, "broadcasts")
         keep_running(self._peers.run_suspect_reports, "suspect-reports")
         keep_running(self._suspect_recorder.run, "suspect-entries")
         keep_running(self._quota_gate.run, "quotas")
-        keep_running(self._remove_outdated_suspects, "suspect-cleanup")
+        keep_running(
+            self._maintenance.remove_outdated_suspects, "suspect-cleanup"
+        )
         keep_running(self._cache_store_watcher.run, "cache-store")
         keep_running(self._rollout_controller.maintain_lease, "office")
         keep_running(self._rollout_controller.run, "weights")
@@ -349,19 +369,14 @@
     def _schedule_broadcast(self) -> None:
         self._peers.schedule_broadcast()
 
-    def _make_leader_lease(self) -> leases.LeaderLease:
-        return leases.LeaderLease(
-            self._platform.store,
-            changes.ROLLOUT_LEASE,
-            self._settings.name,
-            leases.LeaderLeaseSettings(
-                lease_s=_LEADER_LEASE_S,
-                expiry_margin_s=_LEASE_EXPIRY_MARGIN_S,
-                renew_before_s=_LEASE_RENEW_BEFORE_S,
-                call_timeout_s=_LEASE_CALL_TIMEOUT_S,
-                handover_pause_s=self._settings.guarantees.handover_pause_ms
-                / 1000,
-            ),
+    def _make_server(
+        self, listener: str, app: Callable[..., object]
+    ) -> http_server.HttpServer:
+        return http_server.HttpServer(
+            app,
+            self._read_limits,
+            self._platform.account,
+            functools.partial(self._connection_log.record_close, listener),
         )
 
     def _make_rollout_controller(self) -> rollout.RolloutController:
@@ -386,7 +401,7 @@
         await self._tasks.close()
         await self._crash_prober.close()
         await self._platform.store.close()
-        for server in (self._server, self._ready_server, self._metrics_server):
+        for server in self._servers:
             server.stop_listening()
             server.close_idle()
         self._peers.close()
@@ -401,36 +416,7 @@
         )
 
     def _render_metrics(self) -> bytes:
-        if self._replica.is_filled:
-            age = self._replica.count_age()
-            self._metrics.set_gauge("configuration_age_seconds", age)
-        self._metrics.set_gauge(
-            "configuration_version", self._replica.configuration.version
-        )
-        self._metrics.set_gauge("running_requests", self._app.running)
-        self._metrics.set_gauge("waiting_requests", self._overload.waiting)
-        self._metrics.set_gauge("endpoints", len(self._replica.registry))
-        self._metrics.set_gauge("gateways", len(self._replica.members))
-        self._metrics.set_gauge("log_lines_lost", self._log.total_dropped)
-        self._metrics.set_gauge(
-            "quarantined_requests", self._suspects.count_quarantined()
-        )
-        self._metrics.set_gauge("store_calls", self._platform.store.calls)
-        servers = (self._server, self._ready_server, self._metrics_server)
-        self._metrics.set_gauge(
-            "held_connections", sum(s.held_connections for s in servers)
-        )
-        slowness = self._reports.list_slowness(clocks.read_monotonic())
-        self._metrics.set_gauge("slowness_endpoints", len(slowness))
-        if slowness:
-            self._metrics.set_gauge("slowness_max", max(slowness))
-            self._metrics.set_gauge("slowness_mean", statistics.mean(slowness))
-        account = self._platform.account
-        self._metrics.set_gauge("buffered_bytes", account.held_bytes)
-        for use in memory.Use:
-            self._metrics.set_gauge(
-                f"evicted_{use.value}", account.evictions[use]
-            )
+        self._gauge_reader.update()
         return self._metrics.render()
 
     def _read_limits(self) -> http_server.ServerLimits:
@@ -441,116 +427,6 @@
             configured.idle_ms / 1000,
         )
 
-    def _log_close(
-        self, listener: str, report: http_server.CloseReport
-    ) -> None:
-        """Logs and counts a connection that was closed with a request on it."""
-        self._metrics.count_close(listener, report.reason.value)
-        try:
-            request_id = self._platform.header_codec.read_request(
-                report.headers, clocks.read_monotonic()
-            ).request_id
-        except (messages.MalformedError, UnicodeDecodeError):
-            # The head may have ended anywhere.
-            request_id = ""
-        self._log.write(
-            records.events.ConnectionEnded(
-                request=request_id,
-                reason=report.reason.value,
-                head_bytes=report.head_bytes,
-                queued=report.queued,
-                has_responded=report.has_responded,
-                listener=listener,
-            )
-        )
-
-    def _make_budget_share(self) -> limits.BudgetShare:
-        guarantees = self._settings.guarantees
-        gateways = max(1, len(self._replica.members))
-        return limits.BudgetShare(
-            ratio=guarantees.retry_ratio * _SPLIT_BUDGET_SHARE,
-            extra=guarantees.retry_extra * _SPLIT_BUDGET_SHARE / gateways,
-            window_s=guarantees.retry_window_ms / 1000,
-        )
-
-    async def _register(self) -> None:
-        """Keeps this gateway registered, so that other gateways find it.
-
-        The entry is written again if another writer replaced or removed it.
-        """
-        while not self._shutdown.has_begun:
-            if not self._is_registered():
-                await self._write_registration()
-            await asyncio.sleep(_REGISTER_INTERVAL_S)
-
-    def _is_registered(self) -> bool:
-        """Returns whether the replica shows this gateway's entry."""
-        members_by_name = self._replica.members
-        own_address = members_by_name.get(self._settings.name)
-        return own_address == self._settings.peer_listen
-
-    async def _write_registration(self) -> None:
-        """Writes this gateway's entry unless the store holds it."""
-        entry = members.make_entry(
-            self._settings.name,
-            self._settings.peer_listen,
-            self._settings.failure_domain,
-        )
-        deadline = clocks.Deadline.after(_REGISTER_INTERVAL_S)
-        stored_entry = await self._platform.store.read(entry.key, deadline)
-        if not isinstance(stored_entry, keyvalue.Record | keyvalue.Absent):
-            return
-        if getattr(stored_entry, "value", None) != entry.value:
-            await self._platform.store.write(
-                entry.key, entry.value, stored_entry.revision, deadline
-            )
-
-    async def _remove_outdated_suspects(self) -> None:
-        while True:
-            await asyncio.sleep(_REGISTER_INTERVAL_S)
-            await self._suspect_recorder.remove_outdated(
-                set(self._replica.members)
-            )
-
-    async def _run_maintenance(self) -> None:
-        """Drops outdated state and adjusts shares, at regular intervals."""
-        steps = (
-            self._replica.drop_expired,
-            self._crashes.check_registry,
-            self._staleness_monitor.check,
-            self._adjust_shares,
-            self._set_cache_capacity,
-            self._forget_old_state,
-            self._close_removed_connections,
-        )
-        while True:
-            await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
-            for step in steps:
-                with self._failures.contain("tick"):
-                    step()
-
-    def _adjust_shares(self) -> None:
-        self._budgets.set_share(self._make_budget_share())
-        self._loads.set_report_interval(self._peers.estimate_digest_interval())
-
-    def _forget_old_state(self) -> None:
-        now = clocks.read_monotonic()
-        self._crashes.forget_old(now)
-        self._notices.forget_old(self._replica.registry, now)
-        self._reports.forget_old(now)
-
-    def _close_removed_connections(self) -> None:
-        """Closes connections to endpoints that were removed since."""
-        registry = self._replica.registry
-        if registry.changes != self._handled_changes:
-            self._connections.close_removed(registry)
-            self._handled_changes = registry.changes
-
-    def _set_cache_capacity(self) -> None:
-        for service in self._replica.configuration.services.values():
-            if service.engine is not None:
-                self._prompts.set_capacity(service.engine.capacity_tokens)
-
     async def _shut_down(self) -> None:
         """Finishes the running requests, as far as the grace period allows.
 
@@ -571,51 +447,3 @@
         await self._app.end_requests()
         await self._app.wait_until_idle(schedule.exit_by)
         await self._server.wait_until_closed(schedule.exit_by)
-
-
-def _make_text_app(render: Callable[[], bytes]) -> Callable[..., object]:
-    """Returns an ASGI application that responds with a text."""
-    content_type = (
-        b"content-type",
-        b"text/plain; version=0.0.4; charset=utf-8",
-    )
-
-    async def page(
-        scope: Mapping[str, object],
-        receive: app_lib.Receive,
-        send: responder_lib.Send,
-    ) -> None:
-        await _respond(send, 200, render(), (content_type,))
-
-    return page
-
-
-def _make_probe_app(is_ready: Callable[[], bool]) -> Callable[..., object]:
-    """Returns an ASGI application that responds 200 if ready, else 503."""
-
-    async def probe(
-        scope: Mapping[str, object],
-        receive: app_lib.Receive,
-        send: responder_lib.Send,
-    ) -> None:
-        await _respond(send, 200 if is_ready() else 503)
-
-    return probe
-
-
-async def _respond(
-    send: responder_lib.Send,
-    status: int,
-    body: bytes = b"",
-    headers: http1.Headers = (),
-) -> None:
-    length = (b"content-length", b"%d" % len(body))
-    sent_headers = [*headers, length]
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": sent_headers,
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
--- a/sardinewharf/gateway/tests/test_background_tasks.py
+++ b/sardinewharf/gateway/tests/test_background_tasks.py
@@ -130,11 +130,11 @@
     """Guards against connections to removed endpoints that stay open."""
     gateway = harness.gateways[0]
     later = break_step(monkeypatch, tables.RetryBudgetTable, "set_share", 10**9)
-    handled = gateway._handled_changes
+    handled = gateway._maintenance._handled_changes
     await harness.store.remove("servers/s0")
 
     async def is_handled():
-        return gateway._handled_changes > handled
+        return gateway._maintenance._handled_changes > handled
 
     await gateway_harness.wait_for(is_handled, 2.0)
     assert not later
