Move the watch of callers and the log of requests out of the gateway's app

Watching a caller for its leaving or half-close, with the two exceptions that tell it, is now in callers.py.

--- a/sardinewharf/gateway/app.py
+++ b/sardinewharf/gateway/app.py
@@ -16,10 +16,8 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
 from collections.abc import Mapping
 import contextlib
-import dataclasses
 
 from sardinewharf import catalog
 from sardinewharf import clocks
@@ -28,6 +26,7 @@
 from sardinewharf import records
 from sardinewharf.gateway import admission
 from sardinewharf.gateway import bodies
+from sardinewharf.gateway import callers
 from sardinewharf.gateway import endings
 from sardinewharf.gateway import messages
 from sardinewharf.gateway import metrics as metrics_lib
@@ -35,11 +34,11 @@
 from sardinewharf.gateway import refusals
 from sardinewharf.gateway import relay as relay_lib
 from sardinewharf.gateway import replica as replica_lib
+from sardinewharf.gateway import request_log
 from sardinewharf.gateway import requests
 from sardinewharf.gateway import responder as responder_lib
 from sardinewharf.gateway import selection
 from sardinewharf.gateway import shutdown as shutdown_lib
-from sardinewharf.http1 import protocol as http_protocol
 
 Receive = endings.Receive
 
@@ -52,35 +51,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _RequestContext:
-    """Collects what is known of a request so far, for the log.
-
-    Attributes:
-        arrived: When its headers were complete, on the monotonic clock.
-        body: Its body.
-        headers: The decoded headers; None if they could not be decoded.
-        call: The admitted request; None before it was admitted.
-    """
-
-    arrived: float
-    body: bodies.RequestBody
-    headers: messages.CallerHeaders | None = None
-    call: requests.Call | None = None
-
-    @property
-    def request_id(self) -> str:
-        return self.headers.request_id if self.headers else ""
-
-
-class _CallerDisconnectedError(Exception):
-    """The caller closed its connection before its response was complete."""
-
-
-class _CallerHalfClosedError(Exception):
-    """The caller closed its sending side, and its request was ended."""
-
-
 class GatewayApp:
     """Implements the ASGI application that callers send requests to.
 
@@ -121,8 +91,7 @@
         self._quota_gate = quota_gate
         self._selector = selector
         self._relay = relay
-        self._log = log
-        self._metrics = metrics
+        self._request_log = request_log.RequestLog(replica, log, metrics)
         self._shutdown = shutdown
         self._account = account
         self.rejects_new_requests = False
@@ -182,7 +151,7 @@
     ) -> None:
         """Reads a request, responds to it and logs how it failed."""
         arrived = scope["state"]["arrived"]
-        context = _RequestContext(
+        context = request_log.RequestContext(
             arrived, bodies.RequestBody(self._account, self._unread)
         )
         try:
@@ -195,24 +164,20 @@
                 headers.deadline,
             )
             if body is None:
-                raise _CallerDisconnectedError
+                raise callers.CallerDisconnectedError
             request = self._make_request(scope, headers, body, arrived)
-            caller = _Caller(receive, scope["state"]["caller"])
+            caller = callers.Caller(receive, scope["state"]["caller"])
             await self._respond(request, context, caller, responder)
         except refusals.RefusedError as error:
             await self._refuse(error.refusal, context, responder)
-        except _CallerDisconnectedError:
-            self._log_disconnect(context, responder)
-        except _CallerHalfClosedError:
+        except callers.CallerDisconnectedError:
+            self._request_log.record_disconnect(context, responder)
+        except callers.CallerHalfClosedError:
             await self._refuse_half_closed(context, responder)
         except endings.EndedError:
             await self._refuse_ended(context, responder)
         except Exception as error:
-            self._log.write(
-                records.events.GatewayFault(
-                    context.request_id, f"{type(error).__name__}: {error}"
-                )
-            )
+            self._request_log.record_fault(context, error)
             raise
         finally:
             context.body.close()
@@ -220,11 +185,11 @@
     async def _refuse(
         self,
         refusal: refusals.Refusal,
-        context: "_RequestContext",
+        context: request_log.RequestContext,
         responder: responder_lib.Responder,
     ) -> None:
         """Logs a refusal, and sends it unless a response has begun."""
-        self._log_refusal(refusal, context)
+        self._request_log.record_refusal(refusal, context)
         if responder.has_started:
             return
         await responder.refuse(
@@ -235,10 +200,14 @@
         )
 
     async def _refuse_half_closed(
-        self, context: "_RequestContext", responder: responder_lib.Responder
+        self,
+        context: request_log.RequestContext,
+        responder: responder_lib.Responder,
     ) -> None:
         """Logs a half-close, and answers it unless a response has begun."""
-        self._log_disconnect(context, responder, is_half_close=True)
+        self._request_log.record_disconnect(
+            context, responder, is_half_close=True
+        )
         if responder.has_started:
             return
         reason = (
@@ -252,15 +221,26 @@
         )
 
     async def _refuse_ended(
-        self, context: "_RequestContext", responder: responder_lib.Responder
+        self,
+        context: request_log.RequestContext,
+        responder: responder_lib.Responder,
     ) -> None:
         """Answers a request that was ended, unless a response has begun."""
         if responder.has_started:
-            self._log_cut(context)
+            self._request_log.record_cut(
+                context,
+                (
+                    _CUT_FOR_MEMORY_DETAIL
+                    if context.body.is_evicted
+                    else _CUT_DETAIL
+                ),
+            )
             return
         await self._refuse(self._make_end_refusal(context), context, responder)
 
-    def _make_end_refusal(self, context: "_RequestContext") -> refusals.Refusal:
+    def _make_end_refusal(
+        self, context: request_log.RequestContext
+    ) -> refusals.Refusal:
         """Returns the refusal of a request that the gateway ended."""
         if not context.body.is_evicted:
             return self._shutdown.refuse(context.call).refusal
@@ -270,75 +250,6 @@
             )
         return bodies.refuse_for_memory().refusal
 
-    def _log_cut(self, context: "_RequestContext") -> None:
-        """Logs a response that the gateway ends before it is complete."""
-        call = context.call
-        waited_s = clocks.read_monotonic() - context.arrived
-        self._metrics.count_unfinished(call.admitted.route.name, "cut")
-        self._log.write(
-            records.events.ResponseAborted(
-                request=context.request_id,
-                endpoint=call.endpoint,
-                detail=(
-                    _CUT_FOR_MEMORY_DETAIL
-                    if context.body.is_evicted
-                    else _CUT_DETAIL
-                ),
-                last_event=call.resume_after,
-                total_ms=int(waited_s * 1000),
-            )
-        )
-
-    def _log_refusal(
-        self, refusal: refusals.Refusal, context: "_RequestContext"
-    ) -> None:
-        call = context.call
-        route = call.admitted.route.name if call else ""
-        now = clocks.read_monotonic()
-        left_s = (
-            context.headers.deadline.remaining() if context.headers else 0.0
-        )
-        self._metrics.count_refusal(route, refusal.reason.value)
-        self._log.write(
-            records.events.RequestRefused(
-                request=context.request_id,
-                reason=refusal.reason.value,
-                status=refusal.status,
-                detail=refusal.detail,
-                route=route,
-                organisation=call.admitted.organisation_name if call else "",
-                may_have_run=bool(call and call.may_have_run),
-                sends=call.sends if call else 0,
-                retry_after_s=refusal.retry_after_s,
-                waited_ms=int((now - context.arrived) * 1000),
-                left_ms=int(left_s * 1000),
-                configuration=self._replica.configuration.version,
-                age_s=self._replica.round_age(),
-            )
-        )
-
-    def _log_disconnect(
-        self,
-        context: "_RequestContext",
-        responder: responder_lib.Responder,
-        is_half_close: bool = False,
-    ) -> None:
-        """Logs a caller that disconnected before its response was complete."""
-        now = clocks.read_monotonic()
-        call = context.call
-        route = call.admitted.route.name if call else ""
-        self._metrics.count_unfinished(route, "caller_left")
-        self._log.write(
-            records.events.CallerLeft(
-                request=context.request_id,
-                endpoint=call.endpoint if call else "",
-                waited_ms=int((now - context.arrived) * 1000),
-                has_started=responder.has_started,
-                is_half_close=is_half_close,
-                may_have_run=bool(call and call.may_have_run),
-            )
-        )
-
     def _read_headers(
         self, scope: Mapping[str, object], arrived: float
     ) -> messages.CallerHeaders:
@@ -394,16 +305,16 @@
     async def _respond(
         self,
         request: requests.Request,
-        context: "_RequestContext",
-        caller: "_Caller",
+        context: request_log.RequestContext,
+        caller: callers.Caller,
         responder: responder_lib.Responder,
     ) -> None:
         """Admits a request and responds, unless the caller leaves first.
 
         Raises:
             RefusedError: If the request is refused.
-            _CallerDisconnectedError: If the caller disconnects meanwhile.
-            _CallerHalfClosedError: If it closes its sending side meanwhile,
+            CallerDisconnectedError: If the caller disconnects meanwhile.
+            CallerHalfClosedError: If it closes its sending side meanwhile,
                 and the request was ended.
             EndedError: If the gateway shuts down meanwhile, and the
                 request was ended.
@@ -436,7 +347,7 @@
             if not response_task.done() and not _must_finish(call, responder):
                 await _cancel(response_task)
                 if response_task.cancelled():
-                    raise _CallerHalfClosedError
+                    raise callers.CallerHalfClosedError
             await caller.wait_while_connected(response_task)
             if response_task.cancelled():
                 raise endings.EndedError
@@ -448,12 +359,12 @@
     async def _relay_unless_half_closed(
         self,
         call: requests.Call,
-        caller: "_Caller",
+        caller: callers.Caller,
         responder: responder_lib.Responder,
     ) -> None:
         # A half-close right behind the request arrives before this task runs.
         if caller.is_half_closed:
-            raise _CallerHalfClosedError
+            raise callers.CallerHalfClosedError
         charge = await self._quota_gate.charge(call)
         try:
             await self._relay.respond(call, responder)
@@ -462,67 +373,6 @@
             raise
 
 
-class _Caller:
-    """Watches a caller while it waits for its response.
-
-    Args:
-        receive: The ASGI receive callable of the request.
-        side: What the server knows of the caller's side of the connection.
-    """
-
-    def __init__(self, receive: Receive, side: http_protocol.CallerSide):
-        self._receive = receive
-        self._side = side
-        self._has_disconnected = False
-
-    @property
-    def is_half_closed(self) -> bool:
-        """Whether the caller closed its sending side."""
-        return self._side.is_half_closed
-
-    async def wait_while_present(self, task: asyncio.Task[None]) -> None:
-        """Waits for a task until the caller leaves or half-closes.
-
-        Raises:
-            _CallerDisconnectedError: If the connection is closed first.
-        """
-        await self._wait(task, self._wait_for_departure())
-
-    async def wait_while_connected(self, task: asyncio.Task[None]) -> None:
-        """Waits for a task until the connection is closed.
-
-        Raises:
-            _CallerDisconnectedError: If the connection is closed first.
-        """
-        if not task.done():
-            await self._wait(task, self._wait_for_disconnect())
-
-    async def _wait(
-        self, task: asyncio.Task[None], departure: Coroutine[None, None, None]
-    ) -> None:
-        departure_task = asyncio.ensure_future(departure)
-        try:
-            await asyncio.wait(
-                {task, departure_task}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            departure_task.cancel()
-        if self._has_disconnected and not task.done():
-            raise _CallerDisconnectedError
-
-    async def _wait_for_departure(self) -> None:
-        while not self.is_half_closed and not self._has_disconnected:
-            await self._receive_from_caller()
-
-    async def _wait_for_disconnect(self) -> None:
-        while not self._has_disconnected:
-            await self._receive_from_caller()
-
-    async def _receive_from_caller(self) -> None:
-        message = await self._receive()
-        self._has_disconnected = message["type"] == "http.disconnect"
-
-
 def _must_finish(
     call: requests.Call, responder: responder_lib.Responder
 ) -> bool:
