Wait for the slots to be taken instead of 0.2 s after 60 requests were sent

Gateway, engines and callers share one process, which on a busy core did not send a request in the 0.2 s that the test slept: "0 >= 18" in both cases. Now the engines respond only once the checks are done, and the test waits until 18 requests run, then 0.2 s as before, and checks the upper bound. It also checks that four urgent requests run while all slots are taken. The deadlines of 3 s are kept, on a clock that leaves out the time for which the process waited for a processor (schedstat).

--- a/sardinewharf/gateway/tests/conftest.py
+++ b/sardinewharf/gateway/tests/conftest.py
@@ -1,8 +1,11 @@
 """Runs this folder's tests on the gateways' event loop, with one gateway."""
 
+import pytest
 import pytest_asyncio
 
+from sardinewharf import clocks
 from sardinewharf.gateway import loops
+from sardinewharf.gateway.tests import process_clock
 from sardinewharf.testbed import gateway_harness
 
 
@@ -10,6 +13,16 @@
     return {"suspend-aware": loops.SuspendAwareLoop}
 
 
+@pytest.fixture
+def own_time(monkeypatch):
+    """Makes timers and deadlines leave out waits for a processor."""
+    clock = process_clock.ProcessClock()
+    with monkeypatch.context() as patches:
+        patches.setattr(clocks, "read_monotonic", clock.read)
+        yield
+    clock.close()
+
+
 @pytest_asyncio.fixture
 async def harness():
     """Starts a gateway with test doubles of the platform and its endpoints."""
--- a/sardinewharf/gateway/tests/test_overload.py
+++ b/sardinewharf/gateway/tests/test_overload.py
@@ -82,6 +82,28 @@
         assert priorities == {"/chat/1": expected[0], "/ask/1": expected[1]}
 
 
+def hold_responses(engines):
+    """Makes engines respond only once the returned event is set."""
+    may_end = asyncio.Event()
+    for engine in engines:
+        engine.respond = _respond_after(may_end, engine.respond)
+    return may_end
+
+
+def _respond_after(event, respond):
+    async def respond_late(connection, request):
+        await event.wait()
+        await respond(connection, request)
+
+    return respond_late
+
+
+async def has_executed(harness, prefix: str, least: int) -> bool:
+    targets = [run.target for run in harness.list_executed()]
+    return sum(target.startswith(prefix) for target in targets) >= least
+
+
+@pytest.mark.usefixtures("own_time")
 @pytest.mark.parametrize(
     ("policy", "most_running"),
     [
@@ -92,17 +114,25 @@
 async def test_less_urgent_requests_wait_for_slots(policy, most_running):
     """Load: twice as many less urgent requests as the engines have slots.
 
-    All are answered in time, and urgent ones are sent at once.
+    All are answered in time, and urgent ones are sent at once. No request ends
+    before that is checked, so that each executed one has a slot.
     """
     async with run_harness(policy) as harness:
+        may_end = hold_responses(harness.engines)
         for engine in harness.engines:
             engine.request_duration_s = 0.4
         waiting = [send(harness, f"/ask/{n}") for n in range(60)]
+        await gateway_harness.wait_for(
+            lambda: has_executed(harness, "/ask/", SLOTS - 6)
+        )
         await asyncio.sleep(0.2)
-        running = len(harness.list_executed())
-        assert running <= most_running
-        assert running >= SLOTS - 6
+        assert len(harness.list_executed()) <= most_running
         urgent = [send(harness, f"/chat/{n}") for n in range(4)]
+        await gateway_harness.wait_for(
+            lambda: has_executed(harness, "/chat/", len(urgent))
+        )
+        assert len(harness.list_executed()) <= most_running + len(urgent)
+        may_end.set()
         answered = await asyncio.gather(*urgent, *waiting)
         assert {r.status for r in answered} == {200}
         runs = harness.list_executed()
