Leave waits for a processor out of the pauses that endpoints ask for

Requests reached the endpoints because their pause of 3 s had ended: four requests that state it and one second of observation took longer while the process waited for a processor. These tests now run on the clock that leaves such waits out. Pauses, observed times and allowed arrivals are unchanged.

--- a/sardinewharf/gateway/tests/test_endpoint_pauses.py
+++ b/sardinewharf/gateway/tests/test_endpoint_pauses.py
@@ -15,6 +15,9 @@
 from sardinewharf.gateway.tests import statements
 from sardinewharf.gateway.tests import test_leaving_endpoints
 
+# A pause must not run out while the process waits for a processor.
+pytestmark = pytest.mark.usefixtures("own_time")
+
 _PAUSE_S = 3.0
 # Requests are sent for this long within a pause, in seconds.
 _OBSERVED_S = 1.0
