Add a family of hostile clients to the soak

The soak had no clients that exceed limits, so gateways that restart or lose links beside such clients were never checked. The family `hostile` plays two to eight of them against one to all gateways, on the callers' port and the ready port, from a process of their own. The check HOSTILE covers unexpected exits, peak memory, descriptors and an answered request after the last fault.

--- a/sardinewharf/soak/callers.py
+++ b/sardinewharf/soak/callers.py
@@ -16,7 +16,7 @@
 
 DEADLINE_MS = 3_000
 LONG_DEADLINE_MS = 30_000
-_CALLERS_PER_GATEWAY = 5
+CALLERS_PER_GATEWAY = 5
 _PAUSE_RANGE_S = (0.02, 0.12)
 # One caller of each gateway connects without the proxy, which ends connections
 # that are closed in one direction, and closes its own direction at times.
@@ -141,6 +141,7 @@
         seed: Seed of the random choice of requests.
 
     Attributes:
+        seed: The same seed.
         attempts: All requests that were sent, oldest first.
         strays: Bytes that gateways sent while no request was waiting.
     """
@@ -153,6 +154,7 @@
     ):
         self._deployment = deployment
         self._operator = operator
+        self.seed = seed
         self._rng = random.Random(seed)
         self._ids = itertools.count(1)
         self.attempts: list[Attempt] = []
@@ -166,7 +168,7 @@
         """Sends requests until cancelled."""
         async with asyncio.TaskGroup() as group:
             for gateway in self._deployment.gateways:
-                for number in range(_CALLERS_PER_GATEWAY):
+                for number in range(CALLERS_PER_GATEWAY):
                     is_direct = number == _DIRECT_CALLER
                     group.create_task(self._run_caller(gateway, is_direct))
 
--- a/sardinewharf/soak/deployment.py
+++ b/sardinewharf/soak/deployment.py
@@ -138,6 +138,17 @@
         # Only now: until then the former process is checked, which has exited.
         spec.should_run = True
 
+    def start_clients(self, name: str, module: str, flags: list[str]) -> None:
+        """Starts a process of clients; ``kill`` ends it.
+
+        Args:
+            name: Name of the process.
+            module: Module to run.
+            flags: Its command line flags.
+        """
+        self._specs[name] = _ProcessSpec(module, flags, {})
+        self.start_process(name)
+
     def kill(self, name: str) -> None:
         """Kills a process with SIGKILL."""
         self._specs[name].should_run = False
@@ -236,11 +247,15 @@
 
     def is_ready(self, gateway: str) -> bool:
         """Returns whether a gateway's readiness probe returns 200."""
-        address = f"{self._find_host(gateway)}:{_READY_PORT}"
+        address = self.find_ready_address(gateway)
         return http_lib.succeeds(
             address, "GET", "/-/ready", seconds=_CALL_TIMEOUT_S
         )
 
+    def find_ready_address(self, gateway: str) -> str:
+        """Returns the address of a gateway's readiness probe."""
+        return f"{self._find_host(gateway)}:{_READY_PORT}"
+
     def find_front_address(self, gateway: str) -> str:
         """Returns the proxy's address through which callers reach a gateway."""
         return f"{self._host}:{self._links[f'front-{gateway}'][0]}"
--- a/sardinewharf/soak/families.py
+++ b/sardinewharf/soak/families.py
@@ -10,6 +10,8 @@
 from sardinewharf.soak import crashes
 from sardinewharf.soak import deployment as deployment_lib
 from sardinewharf.soak import faults
+from sardinewharf.soak import hostile_clients
+from sardinewharf.soak import hostile_faults
 from sardinewharf.soak import odd_entries
 from sardinewharf.standins import server_faults
 from sardinewharf.testbed import gateway_harness
@@ -38,6 +40,9 @@
 _SOUND_RETRY_AFTER = ("1", "1.5", "2", "2.75", "3", "4")
 _ODD_RETRY_AFTER = ("Wed, 21 Oct 2026 07:28:00 GMT", "-3", "0", "soon", "")
 _RETRY_AFTER = (*_SOUND_RETRY_AFTER, *_SOUND_RETRY_AFTER, *_ODD_RETRY_AFTER)
+_MAX_HOSTILE_CLIENTS = 8
+_MIN_HOSTILE_AT_S = 1.0
+_CUT_RANGE_S = (0.5, 2.0)
 
 
 class Family(abc.ABC):
@@ -263,6 +268,56 @@
         return drawn
 
 
+class HostileClients(Family):
+    """Clients that exceed limits, while gateways restart and links are cut."""
+
+    name = hostile_faults.FAMILY_NAME
+    share = 0.3
+    is_planned = False
+
+    def draw(self, rng, deployment, seconds):
+        """Returns clients of some gateways, a restart and a cut.
+
+        All clients leave at the end, so that each gateway that they met has to
+        answer a request after them.
+        """
+        names = rng.sample(
+            deployment.gateways, rng.randint(1, len(deployment.gateways))
+        )
+        drawn: list[faults.Fault] = [
+            hostile_faults.HostileClients(
+                rng.uniform(_MIN_HOSTILE_AT_S, seconds / 8),
+                seconds,
+                name,
+                self._draw_clients(rng),
+            )
+            for name in names
+        ]
+        # A shutdown may take 8 s, and clients meet the new process after it.
+        restart_at = rng.uniform(seconds / 8, seconds / 4)
+        cut_at = rng.uniform(seconds / 4, seconds / 2)
+        cut_until = cut_at + rng.uniform(*_CUT_RANGE_S)
+        link = f"{rng.choice(('store', 'front'))}-{rng.choice(names)}"
+        return [
+            *drawn,
+            faults.Restart(restart_at, restart_at, rng.choice(names)),
+            faults.LinkFault(cut_at, cut_until, "cut", True, link),
+        ]
+
+    def _draw_clients(
+        self, rng: random.Random
+    ) -> tuple[hostile_clients.Client, ...]:
+        """Returns clients of which at least one is on each port."""
+        ports = list(hostile_clients.Port)
+        count = rng.randint(len(ports), _MAX_HOSTILE_CLIENTS)
+        ports += rng.choices(ports, k=count - len(ports))
+        behaviours = list(hostile_clients.Behaviour)
+        return tuple(
+            hostile_clients.Client(rng.choice(behaviours), port)
+            for port in ports
+        )
+
+
 def _draw_endpoints(
     rng: random.Random, deployment: deployment_lib.Deployment
 ) -> list[str]:
@@ -279,4 +334,5 @@
     Backoffs(),
     CrashingRequests(),
     CrashingParts(),
+    HostileClients(),
 )
--- a/sardinewharf/soak/invariants/checker.py
+++ b/sardinewharf/soak/invariants/checker.py
@@ -8,6 +8,7 @@
 from sardinewharf.soak.invariants import crashes
 from sardinewharf.soak.invariants import drains
 from sardinewharf.soak.invariants import engines
+from sardinewharf.soak.invariants import hostile
 from sardinewharf.soak.invariants import parts
 from sardinewharf.soak.invariants import processes
 from sardinewharf.soak.invariants import records
@@ -25,6 +26,7 @@
     crashes.CrashCheck,
     parts.SoundCheck,
     processes.ProcessCheck,
+    hostile.HostileCheck,
     totals.TotalCheck,
 )
 
@@ -60,6 +62,11 @@
         for row in self._checks:
             row.check()
 
+    def sample(self) -> None:
+        """Measures what may change between two checks."""
+        for row in self._checks:
+            row.sample()
+
     def check_final(self, now: float) -> None:
         """Also checks what must hold long after the last fault.
 
--- a/sardinewharf/soak/invariants/checks.py
+++ b/sardinewharf/soak/invariants/checks.py
@@ -33,6 +33,7 @@
     WEIGHTS = "the newest weights are in place"
     RECOVERY = "requests are served once faults are over"
     PROCESS = "processes do not end and stay small"
+    HOSTILE = "gateways outlast clients that exceed limits, within bounds"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +71,10 @@
     def check(self) -> None:
         """Checks what must hold at all times."""
 
+    def sample(self) -> None:
+        """Measures processes; called more often than ``check``."""
+        return
+
     def check_final(self, now: float) -> None:
         """Checks what must hold long after the last fault.
 
--- a/sardinewharf/soak/late_callers.py
+++ b/sardinewharf/soak/late_callers.py
@@ -9,7 +9,7 @@
 from sardinewharf.soak import deployment as deployment_lib
 
 _GRACE_S = deployment_lib.GUARANTEES.grace_ms / 1000
-_CALLERS = 14
+CALLERS = 14
 # One caller in so many connects without the proxy.
 _CALLERS_PER_DIRECT = 2
 # Connections are in use for this long before the first long request.
@@ -44,8 +44,8 @@
         start = clocks.Deadline(self._stop_at - _LEAD_S - _WARM_UP_S)
         await asyncio.sleep(start.remaining())
         async with asyncio.TaskGroup() as group:
-            for number in range(_CALLERS):
-                delay_s = (_LEAD_S + _GRACE_S) * number / _CALLERS - _LEAD_S
+            for number in range(CALLERS):
+                delay_s = (_LEAD_S + _GRACE_S) * number / CALLERS - _LEAD_S
                 group.create_task(
                     self._run_caller(
                         clocks.Deadline(self._stop_at + delay_s),
--- a/sardinewharf/soak/runner.py
+++ b/sardinewharf/soak/runner.py
@@ -16,6 +16,7 @@
 from sardinewharf.soak import schedules
 
 _CHECK_INTERVAL_S = 1.0
+_SAMPLE_INTERVAL_S = 0.1
 _POLL_INTERVAL_S = 0.05
 # Time after the last fault. 12 s are granted for recovery and 15 s for weights;
 # the rest shows that the deployment stays in that state.
@@ -103,7 +104,10 @@
     sending = [
         asyncio.create_task(row.run()) for row in (pool, *late, *crashing)
     ]
-    checking = asyncio.create_task(_check_periodically(checker))
+    checking = [
+        asyncio.create_task(_check_periodically(checker)),
+        asyncio.create_task(_sample_periodically(checker)),
+    ]
     try:
         async with asyncio.TaskGroup() as group:
             for fault in faults:
@@ -114,10 +118,10 @@
                 )
         await asyncio.sleep(_RECOVERY_OBSERVATION_S)
     finally:
-        for task in (*sending, checking):
+        for task in (*sending, *checking):
             task.cancel()
         results = await asyncio.gather(
-            *sending, checking, return_exceptions=True
+            *sending, *checking, return_exceptions=True
         )
     for result in results:
         if isinstance(result, Exception):
@@ -141,6 +145,12 @@
         checker.check()
 
 
+async def _sample_periodically(checker: invariants.InvariantChecker) -> None:
+    while True:
+        await asyncio.sleep(_SAMPLE_INTERVAL_S)
+        checker.sample()
+
+
 def _end_fault(
     fault: faults_lib.Fault,
     deployment: deployment_lib.Deployment,
