Close a connection whose body goes on long after its response

A chunked body that was refused, as with 413, was read and dropped without end: a client was still connected 12.8 s after its refusal, and its pieces took a processor.

--- a/sardinewharf/gateway/service.py
+++ b/sardinewharf/gateway/service.py
@@ -425,6 +425,7 @@
             configured.header_bytes,
             configured.header_ms / 1000,
             configured.idle_ms / 1000,
+            body_bytes=configured.body_bytes,
         )
 
     async def _shut_down(self) -> None:
--- a/sardinewharf/http1/closes.py
+++ b/sardinewharf/http1/closes.py
@@ -26,6 +26,8 @@
 # Far above the pauses of a caller that reads slowly: a receiver tells of room
 # as soon as a segment fits, which on loopback is 64 KB.
 DEFAULT_UNREAD_S = 60.0
+# Maximum size of a body where no configuration states one.
+DEFAULT_BODY_BYTES = 16_777_216
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,12 +41,14 @@
         idle_s: Time for which a connection may stay idle, in seconds.
         unread_s: Time in which a caller must take something of a response that
             waits to be sent, in seconds.
+        body_bytes: Maximum size of what comes of a body after its response.
     """
 
     header_bytes: int
     header_s: float
     idle_s: float
     unread_s: float = DEFAULT_UNREAD_S
+    body_bytes: int = DEFAULT_BODY_BYTES
 
 
 class CloseReason(enum.Enum):
@@ -60,6 +64,8 @@
         UNREAD_RESPONSE: The caller has not taken anything of a response for
             long.
         OUT_OF_MEMORY: The memory for what callers send is used up.
+        BODY_AFTER_RESPONSE: More came of a body after its response than a whole
+            body may have.
     """
 
     SLOW_HEAD = "slow_head"
@@ -69,6 +75,7 @@
     EARLIER_RESPONSE = "earlier_response"
     UNREAD_RESPONSE = "unread_response"
     OUT_OF_MEMORY = "out_of_memory"
+    BODY_AFTER_RESPONSE = "body_after_response"
 
 
 # What a caller gets before its connection is closed.
--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -245,6 +245,7 @@
         If that is nothing, the idle timeout in force applies, or the one told
         if it is longer.
         """
+        self._progress.end_response()
         self.timeout_keep_alive = self._idle_time.find_timeout(
             type(self).read_limits().idle_s
         )
@@ -330,6 +331,14 @@
             self._reject_message(closes.CloseReason.TRAILERS_TOO_LARGE)
         elif self.timeout_keep_alive_task is not None:
             # The body of a request that was refused before its end.
+            self._drain()
+
+    def _drain(self) -> None:
+        """Drops a body whose response was sent, up to the size of a body."""
+        if self._progress.drained_bytes > type(self).read_limits().body_bytes:
+            self._rejector.reason = closes.CloseReason.BODY_AFTER_RESPONSE
+            self.transport.abort()
+        else:
             self._restart_idle_timer()
 
     def _count_unread(self) -> None:
--- a/sardinewharf/http1/request_sizes.py
+++ b/sardinewharf/http1/request_sizes.py
@@ -23,12 +23,14 @@
         body_bytes_left: What is still to come of a body whose length was
             stated.
         framing_bytes: Received of a chunked body since its latest data.
+        drained_bytes: Data of a body that came after its response.
     """
 
     __slots__ = (
         "_field_bytes",
         "_messages_in_piece",
         "body_bytes_left",
+        "drained_bytes",
         "framing_bytes",
         "head_bytes",
         "is_in_head",
@@ -41,6 +43,7 @@
         self.head_bytes = 0
         self.body_bytes_left = 0
         self.framing_bytes = 0
+        self.drained_bytes = 0
         # Size of the whole fields of a request's head and trailers.
         self._field_bytes = 0
         # Messages of which a part lies in the latest parsed piece.
@@ -73,9 +76,14 @@
         self.framing_bytes = 0
         self.body_bytes_left = _find_body_length(headers)
 
+    def end_response(self) -> None:
+        """Begins to count what comes after a response."""
+        self.drained_bytes = 0
+
     def add_body(self, size: int) -> None:
         """Counts data of a body."""
         self.framing_bytes = 0
+        self.drained_bytes += size
         if self.body_bytes_left:
             self.body_bytes_left -= size
 
