Parse a few pieces of a connection, then let others have their turn

After 64 pieces the rest waits for the next round of the loop, and the connection is not read meanwhile.

--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -98,6 +98,8 @@
         self._is_shutting_down = False
         # Whether the caller closed its sending side, whatever it had sent.
         self._has_caller_ended = False
+        # Whether parsing goes on in the loop's next round.
+        self._has_next_turn = False
         read_limits = type(self).read_limits
         self._unread_timer = timers.UnreadTimer(
             self.loop, read_limits, transport
@@ -260,6 +262,9 @@
         elif self._progress.is_in_head:
             self._unset_keepalive_if_required()
             self._head_timer.start(self._end_slow_head)
+        elif self._backlog:
+            # It is parsed in the loop's next round.
+            return
         elif self._is_shutting_down or self._has_caller_ended:
             self.transport.close()
 
@@ -291,11 +296,17 @@
     def _parse_backlog(self) -> None:
         """Parses what was received, until another request is queued."""
         had_backlog = bool(self._backlog)
-        while self._may_parse():
+        pieces = 0
+        while self._may_parse() and pieces < pipelines.MAX_PIECES:
             self._parse(self._backlog.take(self._progress.body_bytes_left))
+            pieces += 1
+        is_waiting = self._may_parse()
+        if is_waiting and not self._has_next_turn:
+            self._has_next_turn = True
+            self.loop.call_soon(self._parse_next)
         is_too_large = self._backlog.size >= pipelines.MAX_BACKLOG_BYTES
         is_last = self._is_shutting_down and bool(self._backlog)
-        self.flow.hold_reading(is_too_large or is_last)
+        self.flow.hold_reading(is_too_large or is_last or is_waiting)
         if (
             had_backlog
             and not self._backlog
@@ -303,6 +314,13 @@
         ):
             self._end_backlog()
 
+    def _parse_next(self) -> None:
+        """Parses on, after the other connections had their turn."""
+        self._has_next_turn = False
+        if not self.transport.is_closing():
+            self._parse_backlog()
+            self._count_unread()
+
     def _may_parse(self) -> bool:
         is_blocked = self._responses.is_delivering or bool(self.pipeline)
         return (
--- a/sardinewharf/http1/tests/test_server_limits.py
+++ b/sardinewharf/http1/tests/test_server_limits.py
@@ -1,6 +1,7 @@
 """Tests the server's limits on what a connection sends, without a gateway."""
 
 import asyncio
+import contextlib
 import dataclasses
 import socket
 import types
@@ -18,6 +19,7 @@
 from sardinewharf.testbed import ports
 
 _HEADER_BYTES = 1_000
+_BODY_BYTES = 200_000
 _READ_S = 3.0
 _CHUNKED = (
     b"POST / HTTP/1.1\r\nhost: h\r\n"
@@ -32,11 +34,12 @@
         self.begun = 0
         self.proceed = asyncio.Event()
         self.proceed.set()
+        self.reads_bodies = True
 
     async def __call__(self, scope, receive, send):
         self.begun += 1
         body = b""
-        while True:
+        while self.reads_bodies:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return
@@ -61,7 +64,9 @@
         self.app = Echo()
         self.account = memory.MemoryAccount(2_000_000)
         self.reports = []
-        self.limits = closes.ServerLimits(_HEADER_BYTES, 1.0, 1.0)
+        self.limits = closes.ServerLimits(
+            _HEADER_BYTES, 1.0, 1.0, body_bytes=_BODY_BYTES
+        )
         self.address = f"127.0.0.1:{ports.find_free_port()}"
         self.server = http_server.HttpServer(
             self.app, lambda: self.limits, self.account, self.reports.append
@@ -131,6 +136,69 @@
     assert received.endswith(b"\r\n\r\n" + b"x" * 501)
 
 
+async def test_small_chunks_leave_the_loop_to_other_connections(served):
+    """Guards against one connection that takes the processor from the others.
+
+    A chunked body with the end of a head in every four bytes is parsed in as
+    many pieces, which were all parsed before anything else ran.
+    """
+    parsed = []
+    protocol_class = served.server._protocol
+    count = protocol_class.on_body
+    turns = 0
+
+    class Counting(protocol_class):
+        def on_body(self, body):
+            parsed.append(turns)
+            count(self, body)
+
+    served.server._protocol = Counting
+    reader, writer = await served.connect()
+    writer.write(_CHUNKED + b"1000\r\n" + b"\r\n\r\n" * 1_024 + b"\r\n")
+    async with asyncio.timeout(_READ_S):
+        while len(parsed) <= 1_024:
+            turns += 1
+            await asyncio.sleep(0)
+        writer.write(b"0\r\n\r\n")
+        assert (await reader.read(15)).startswith(b"HTTP/1.1 200 ")
+    writer.close()
+    most = max(parsed.count(turn) for turn in set(parsed))
+    assert most <= 2 * pipelines.MAX_PIECES
+
+
+async def test_a_body_that_goes_on_after_its_response_ends_the_connection(
+    served,
+):
+    """Guards against bodies without end that are read after their refusal."""
+    served.app.reads_bodies = False
+    reader, writer = await served.connect()
+    writer.write(_CHUNKED)
+    async with asyncio.timeout(_READ_S):
+        assert (await reader.read(100)).startswith(b"HTTP/1.1 200 ")
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(b"64\r\n" + b"b" * 100 + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(0)
+    reason = closes.CloseReason.BODY_AFTER_RESPONSE
+    assert [report.reason for report in served.reports] == [reason]
+
+
+async def test_the_rest_of_a_refused_body_may_be_as_long_as_a_body(served):
+    """Guards against a refusal that a reset of the connection destroys."""
+    served.app.reads_bodies = False
+    reader, writer = await served.connect()
+    writer.write(_CHUNKED)
+    async with asyncio.timeout(_READ_S):
+        assert (await reader.read(100)).startswith(b"HTTP/1.1 200 ")
+        for _ in range(_BODY_BYTES // 100 - 10):
+            writer.write(b"64\r\n" + b"b" * 100 + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+        assert (await reader.read(100)).startswith(b"HTTP/1.1 200 ")
+    writer.close()
+
+
 def make_requests(count):
     """Returns pipelined requests with each kind of body, and their bodies."""
     bodies = [b"%d\r\n\r\n" % i if i % 3 else b"" for i in range(count)]
