Answer 400 to a request to upgrade whose framing is invalid

connection: upgrade with transfer-encoding: gzip made the parser that continues behind the head fail within the handler of the first one's signal: asyncio closed the connection with a fatal error and no response. Both parsers' errors are now handled in one place. The new test failed before; http1 passes.

--- a/sardinewharf/http1/protocol.py
+++ b/sardinewharf/http1/protocol.py
@@ -397,7 +397,24 @@
         return self._progress.is_in_body and is_current
 
     def _feed(self, data: bytes) -> None:
-        """Parses received bytes; a protocol is never changed on request."""
+        """Parses received bytes, and rejects malformed ones."""
+        try:
+            self._feed_parser(data)
+        except httptools.HttpParserError as error:
+            self._reject_message(
+                closes.CloseReason.TRAILERS_TOO_LARGE
+                if isinstance(
+                    error.__context__, request_sizes.TrailersTooLargeError
+                )
+                else closes.CloseReason.MALFORMED
+            )
+
+    def _feed_parser(self, data: bytes) -> None:
+        """Parses received bytes; a protocol is never changed on request.
+
+        Raises:
+            HttpParserError: If they are malformed.
+        """
         while data:
             try:
                 self.parser.feed_data(data)
@@ -405,15 +422,6 @@
             except httptools.HttpParserUpgrade as error:
                 data = data[error.args[0] :]
                 parsers.continue_in_http(self)
-            except httptools.HttpParserError as error:
-                self._reject_message(
-                    closes.CloseReason.TRAILERS_TOO_LARGE
-                    if isinstance(
-                        error.__context__, request_sizes.TrailersTooLargeError
-                    )
-                    else closes.CloseReason.MALFORMED
-                )
-                return
 
     def _check_head_size(self, piece_bytes: int) -> None:
         """Rejects a head that is too large, though it is not complete."""
--- a/sardinewharf/http1/tests/test_server_limits.py
+++ b/sardinewharf/http1/tests/test_server_limits.py
@@ -199,6 +199,18 @@
     writer.close()
 
 
+async def test_a_request_to_upgrade_with_an_unknown_coding_is_refused(served):
+    """Guards against an error of the second parser that nobody handles.
+
+    The connection was closed without a response, as a fatal error.
+    """
+    received = await served.exchange(
+        b"POST / HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\n"
+        b"upgrade: a\r\ntransfer-encoding: gzip\r\n\r\n"
+    )
+    assert received.startswith(b"HTTP/1.1 400 ")
+
+
 def make_requests(count):
     """Returns pipelined requests with each kind of body, and their bodies."""
     bodies = [b"%d\r\n\r\n" % i if i % 3 else b"" for i in range(count)]
