--- a/sardinewharf/gateway/tests/test_failover_review.py
+++ b/sardinewharf/gateway/tests/test_failover_review.py
@@ -360,7 +360,7 @@
         async def read(self):
             return chunks.pop(0)
 
-        def retain(self, size):
+        def retain(self, size, release):
             pass
 
     class Reader:
