State why connections share one receive buffer without a figure

The comment gave 60 MB, which was the sum of four causes; the postmortem of memory without a limit has what each was measured with. No code changes.

--- a/sardinewharf/http1/client.py
+++ b/sardinewharf/http1/client.py
@@ -45,8 +45,8 @@
 # as many, and copies what it cannot write at once.
 SEGMENT_BYTES = 65_536
 # Received bytes are parsed before any connection reads again, so that all share
-# one buffer. A buffer for each read left gaps between the pieces of bodies that
-# are kept: 60 MB for 15 MB of pieces of 150 streams.
+# one buffer. A buffer for each read, shrunk to what came, would leave gaps in
+# memory between the pieces of bodies that are kept.
 _RECEIVE_BUFFER = memoryview(bytearray(SEGMENT_BYTES))
 _MEMORY_REASON = "the memory for responses is used up"
 
