--- a/sardinewharf/http1/pipelines.py
+++ b/sardinewharf/http1/pipelines.py
@@ -29,8 +29,7 @@
 # The connection is not read while so many bytes wait. It is the size of one
 # segment: the end of the connection is noticed behind fewer.
 MAX_BACKLOG_BYTES = 65_536
-# Pieces of one connection that are parsed before others have their turn: some
-# 20 microseconds each, if they are small.
+# Pieces of one connection that are parsed before others have their turn.
 MAX_PIECES = 64
 _HEAD_END = b"\r\n\r\n"
 _log = logs.get_logger("http1")
