--- a/review/stage-2/standins.py
+++ b/review/stage-2/standins.py
@@ -21,6 +21,10 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 X = "x-sardinewharf-"
+# Time of an answer of the store, and its history.
+ANSWER_S = 0.004
+HISTORY_S = 20
+HEARTBEAT_S = 1.2
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -170,6 +174,8 @@
         self.items = {}
         self.history = []
         self.revision = 1
+        # The history up to this revision is gone.
+        self.dropped = 0
         self._leases = {}
         self._next_lease = 100
         self._changed = asyncio.Event()
@@ -199,7 +205,9 @@
             self._append({"key": key, "rev": self.revision, "deleted": True})
 
     def _append(self, event):
-        self.history.append(event)
+        self.history.append((time.monotonic(), event))
+        while time.monotonic() - self.history[0][0] > HISTORY_S:
+            self.dropped = self.history.pop(0)[1]["rev"]
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -215,6 +223,18 @@
                 if end <= time.monotonic():
                     self._end(lease)
 
+    def grant(self, ttl_s):
+        """Returns a lease of a server."""
+        self._next_lease += 1
+        self._leases[self._next_lease] = (time.monotonic() + ttl_s, ttl_s)
+        return self._next_lease
+
+    def renew(self, lease):
+        """Renews a lease of a server."""
+        if lease in self._leases:
+            ttl_s = self._leases[lease][1]
+            self._leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+
     def _end(self, lease):
         del self._leases[lease]
         for key in [k for k, i in self.items.items() if i["lease"] == lease]:
@@ -226,6 +246,7 @@
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         call, _, tail = url.path.removeprefix("/-/").partition("/")
         body = json.loads(request.body) if request.body else {}
+        await asyncio.sleep(ANSWER_S)
         status, answer = await self._answer(call, tail, query, body)
         writer.write(
             encode(
@@ -253,6 +274,8 @@
                 "store_revision": self.revision,
             }
         if call == "kv-watch":
+            if int(query["after"]) < self.dropped:
+                return 410, {}
             return 200, await self._watch(query)
         if call == "kv-txn":
             return self._commit(body)
@@ -280,7 +303,7 @@
             changed = self._changed
             events = [
                 event
-                for event in self.history
+                for _, event in self.history
                 if event["rev"] > after and event["key"].startswith(prefix)
             ]
             left = end - time.monotonic()
@@ -290,10 +313,18 @@
                 await asyncio.wait_for(changed.wait(), left)
 
     def _commit(self, body):
+        written = [row["key"] for row in body.get("put", [])]
+        if any(
+            key.startswith(("op/", "servers/"))
+            for key in [*written, *body.get("remove", [])]
+        ):
+            return 403, {}
         for row in body.get("expected", []):
             item = self.items.get(row["key"], {"rev": 0})
             if item["rev"] != row["rev"]:
-                return 412, {"items": []}
+                keys = [r["key"] for r in body["expected"]]
+                found = [self.items[k] for k in keys if k in self.items]
+                return 412, {"items": found}
         for row in body.get("put", []):
             if row.get("lease") and row["lease"] not in self._leases:
                 return 404, {}
@@ -305,7 +336,10 @@
 
 
 class Server:
-    """A server of a service, registered in the store."""
+    """A sound server of a service, registered in the store."""
+
+    slots = 6
+    queue = 24
 
     def __init__(self, store, record, server_id, service, zone="zone-a"):
         self.store = store
@@ -316,41 +350,81 @@
         self.runs = []
         self.work_s = 0.02
         self.listener = Listener(self.handle)
+        self._free = asyncio.Semaphore(self.slots)
+        self._held = 0
+        self._beats = None
 
     async def start(self):
-        """Listens, and registers in the store."""
+        """Listens, registers in the store and checks in from then on."""
         await self.listener.open()
-        self.register()
-
-    def register(self, **changes):
-        """Writes the server's entry."""
+        lease = self.store.grant(3 * HEARTBEAT_S)
         entry = {
             "service": self.service,
             "address": self.listener.address,
             "zone": self.zone,
             "version": 1,
-            "slots": 6,
+            "slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 1,
             "born": int(time.time() * 1000),
         }
-        self.store.put(f"servers/{self.id}", entry | changes)
+        self.store.put(f"servers/{self.id}", entry, lease)
+        self._beats = asyncio.ensure_future(self._check_in(lease))
+
+    async def _check_in(self, lease):
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.store.renew(lease)
 
     async def handle(self, request, writer):
-        """Runs one request."""
+        """Answers one request: runs it, or says that it does not."""
         request_id = request.headers.get(X + "request-id", "")
-        expected = request.headers.get(X + "expect-instance", self.id)
-        echo = [(X + "request-id", request_id), ("keep-alive", "timeout=10")]
-        if expected != self.id:
+        running = min(self._held, self.slots)
+        load = f"{running},{self._held - running},{self.slots}"
+        echo = [
+            (X + "request-id", request_id),
+            (X + "server-load", load),
+            ("keep-alive", "timeout=10"),
+        ]
+        if request.target == "/health":
+            identity = (X + "instance-id", self.id)
+            writer.write(encode(200, [*echo, identity]))
+            return
+        if request.headers.get(X + "expect-instance", self.id) != self.id:
             writer.write(encode(421, echo))
             return
-        self.runs.append((time.monotonic(), request_id))
-        self.record.write(f"{self.id} ({self.service}) runs {request_id}")
+        not_run = (X + "not-run", "1")
+        if not request_id:
+            writer.write(encode(400, [*echo, not_run]))
+            return
+        if self._held >= self.slots + self.queue:
+            writer.write(encode(503, [*echo, not_run]))
+            return
+        budget_s = int(request.headers.get(X + "deadline-ms", "60000")) / 1000
+        self._held += 1
+        has_begun = False
+        try:
+            async with asyncio.timeout(budget_s), self._free:
+                has_begun = True
+                self.runs.append((time.monotonic(), request_id))
+                self.record.write(f"{self.id} runs {request_id}")
+                stamp = (X + "server-stamp", f"{self.id}.stamp")
+                await self.respond(request_id, [*echo, stamp], writer)
+        except TimeoutError:
+            # Nothing was written unless a stream had begun, which is cut then.
+            if has_begun:
+                writer.close()
+            else:
+                writer.write(encode(503, [*echo, not_run]))
+        finally:
+            self._held -= 1
+
+    async def respond(self, request_id, headers, writer):
+        """Works, and writes the answer."""
         await asyncio.sleep(self.work_s)
-        stamp = (X + "server-stamp", f"{self.id}.stamp")
         body = f"{self.service} {request_id}".encode()
-        writer.write(encode(200, [*echo, stamp], body))
+        writer.write(encode(200, headers, body))
 
 
 @dataclasses.dataclass
@@ -502,5 +576,37 @@
             await asyncio.sleep(0.1)
 
 
+class Entry:
+    """The platform's entry: forwards new channels to daemons in rotation.
+
+    Each gateway is alone in its zone. A zone whose daemon is out of rotation
+    uses those of other zones. If none is in rotation anywhere, the pages don't
+    say what becomes of a new channel, and none is made.
+    """
+
+    def __init__(self, gateways):
+        self._gateways = gateways
+        self._misses = dict.fromkeys((g.name for g in gateways), 0)
+
+    async def probe(self):
+        """Asks each daemon once a second whether it is ready."""
+        while True:
+            await asyncio.gather(*(self._ask(g) for g in self._gateways))
+            await asyncio.sleep(1)
+
+    async def _ask(self, gateway):
+        is_ready = await gateway.is_ready()
+        misses = 0 if is_ready else self._misses[gateway.name] + 1
+        self._misses[gateway.name] = misses
+
+    def choose(self, index):
+        """Returns the daemon for a new channel from a zone; None for none."""
+        rotated = self._gateways[index:] + self._gateways[:index]
+        for gateway in rotated:
+            if self._misses[gateway.name] < 2:
+                return gateway
+        return None
+
+
 class CannotRunError(Exception):
     """The case could not run."""
